--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,908 @@
+// Package choice decides for one front end where events go. It is asked and it answers, three ways:
+//
+//	Place: where to send this event (or not yet, or never)
+//	After: what to do after this outcome
+//	Wait:  what is due now (releases, load orders, probes, final answers) and how long to wait then
+//
+// Facts are fed in between: Listed, Heard, Loaded, Probed, Left. The plain types of the interface stand
+// in types.go; the caller keeps the timers and the events in hand. Time is whatever clock the caller
+// passes, as whole nanoseconds. A Chooser shares nothing with any other.
+//
+// The design (docs/design.md): a queue per function, released oldest first to a believed-warm free lane;
+// a four-condition rule each tick that orders loads on random workers; surplus copies starve.
+//
+// Beside it stand six mechanisms:
+//  1. failures in a row bar a worker, a single event on trial brings it back (fail, good, usable)
+//  2. the in-flight limit follows the shortest to the present answer time (pace)
+//  3. launch time-outs and further launches, as the event type allows (timeout, mayGo, give)
+//  4. overflow before the target time is lost, and deferral of what can't make it in a jam (serve)
+//  5. tenants beyond their share are deferred first in a jam (Place, serve)
+//  6. cold workers get a small part of a warm one's work (coldRoom)
+package choice
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Tuned values: shares and multiples of what the settings or the events say.
+const (
+	tickShare     = 0.2 // a function's tick, of its target time
+	overflowShare = 0.4 // overflow wait, of the target time
+	averaged      = 10  // answers in a function's average
+	firstLatency  = 10 * time.Millisecond
+	rowBar        = 2    // failures in a row that bar a worker
+	barShare      = 1.0  // first bar, of the longest target time; doubles
+	barMost       = 8.0  // longest bar, likewise
+	overdue       = 5.0  // a launch unanswered for so many mean answer times counts as a failure
+	tolerance     = 2.0  // the present answer time may be so many shortest ones before the limit falls
+	firstLimit    = 16.0 // in-flight limit to start from
+	leastLimit    = 2.0
+	timeoutShare  = 0.5 // least launch time-out, of the target time
+	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
+	coldSafety    = 0.5 // part of the cold budget that is used
+	coldAvoid     = 0.5 // no loads to workers below this share of their capacity, if others are there
+	manyShare     = 0.75
+	ringSlots     = 16
+)
+
+// ring sums a measure over a sliding window in fixed buckets that are used again.
+type ring struct {
+	width time.Duration
+	slots [ringSlots]float64
+	at    int64
+}
+
+func newRing(window time.Duration) ring {
+	return ring{width: max(1, (window+ringSlots-3)/(ringSlots-2))}
+}
+
+func (r *ring) roll(now time.Duration) {
+	b := int64(now / r.width)
+	if b-r.at >= ringSlots {
+		r.slots = [ringSlots]float64{}
+		r.at = b
+	}
+	for ; r.at < b; r.at++ {
+		r.slots[(r.at+1)%ringSlots] = 0
+	}
+}
+
+func (r *ring) add(now time.Duration, v float64) {
+	r.roll(now)
+	r.slots[r.at%ringSlots] += v
+}
+
+// sum adds up the present bucket and the n before it. All of the window lies in ringSlots-2 buckets
+// before; ringSlots-4 before lie wholly inside it.
+func (r *ring) sum(now time.Duration, n int64) float64 {
+	r.roll(now)
+	total := 0.0
+	for b := r.at; b >= 0 && b >= r.at-n; b-- {
+		total += r.slots[b%ringSlots]
+	}
+	return total
+}
+
+const (
+	wholeWindow = ringSlots - 2 // covers the window and a little more
+	innerWindow = ringSlots - 4 // lies inside the window
+)
+
+type evtType struct {
+	EventType
+	took, count ring
+	short       time.Duration // shortest mean answer time, slowly forgotten
+	mean        time.Duration
+}
+
+type tenant struct {
+	quota float64 // events a second within its share, at this front end
+	came  ring
+}
+
+type worker struct {
+	Listing
+	hash     uint64
+	listed   bool
+	out      []*Event // launches outstanding, oldest first
+	lastGood time.Duration
+	row      int // failures in a row
+	barred   time.Duration
+	barFor   time.Duration
+	trial    bool
+	limit    float64
+	took     ring
+	want     ring
+	sent     ring
+	shut     time.Duration // answered full: nothing more until then
+}
+
+// standing is what is believed of one function at one worker.
+type standing struct {
+	w       *worker
+	fn      *function
+	copies  int // believed loaded
+	busy    int // own events there
+	others  int // events of other front ends there, as last told
+	until   time.Duration
+	loading int // loads under way
+	loadEnd time.Duration
+	shut    time.Duration
+}
+
+type function struct {
+	id      uint64
+	typ     *evtType
+	lanes   int
+	load    time.Duration
+	queue   []*Event
+	stands  []*standing
+	past    [averaged]time.Duration
+	pasts   int
+	arrived int // since the last advance
+	next    time.Duration
+	active  bool
+}
+
+// Chooser decides for one front end.
+type Chooser struct {
+	chance        uint64
+	self, peers   int
+	quantum       time.Duration
+	types         map[string]*evtType
+	tenants       map[string]*tenant
+	workers       map[string]*worker
+	list          []*worker // by name
+	fns           map[uint64]*function
+	active        []*function
+	mostLaunches  int
+	cancel        bool
+	nameBack      bool
+	mostBack      time.Duration
+	orders        bool
+	loadsOnMiss   bool
+	keep          time.Duration
+	orderLimit    time.Duration
+	orderFree     float64
+	orderShare    float64
+	rationed      bool
+	ordered, took ring
+	loads         ring
+	loadCount     ring
+	coldFrom      float64
+	warmAfter     time.Duration
+	multiple      float64
+	fall          time.Duration
+	work          ring // launches of all workers, weighted
+	ask           bool
+	askAt         time.Duration
+	askWait       time.Duration
+	probing       bool
+	longest       time.Duration // longest target time
+	jam           ring
+}
+
+// New starts the Chooser of front end self of peers; quantum is the least time between two calls.
+func New(seed uint64, self, peers int, quantum time.Duration) *Chooser {
+	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
+		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
+		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
+		jam: newRing(time.Second), mostLaunches: 1}
+}
+
+// random draws below n, by multiply-with-carry.
+func (c *Chooser) random(n int) int {
+	c.chance = (c.chance&0xffffffff)*4294957665 + c.chance>>32
+	return int((c.chance & 0x7fffffff) % uint64(max(n, 1)))
+}
+
+// AddType tells of an event type.
+func (c *Chooser) AddType(t EventType) {
+	t.Target = max(t.Target, time.Millisecond)
+	c.types[t.Name] = &evtType{EventType: t, took: newRing(4 * t.Target), count: newRing(4 * t.Target)}
+	c.longest = max(c.longest, t.Target)
+	c.jam = newRing(c.longest)
+}
+
+// AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
+func (c *Chooser) AddTenant(name string, quota float64) {
+	c.tenants[name] = &tenant{quota: quota / float64(c.peers), came: newRing(time.Second)}
+}
+
+// Launches limits the launches of an event.
+func (c *Chooser) Launches(most int, cancel bool) { c.mostLaunches, c.cancel = max(1, most), cancel }
+
+// Deferrals tells whether a deferral can name a time to come back, and the longest that clients honour.
+func (c *Chooser) Deferrals(named bool, most time.Duration) { c.nameBack, c.mostBack = named, most }
+
+// Loading tells how functions come to workers, and how long an idle copy and an order last.
+func (c *Chooser) Loading(orders, onMiss bool, keep, orderLimit time.Duration) {
+	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, orderLimit
+	c.loads, c.loadCount = newRing(max(keep, time.Second)), newRing(max(keep, time.Second))
+}
+
+// Ration limits load orders within a window to free plus a share of the events taken in it.
+func (c *Chooser) Ration(window time.Duration, free, share float64) {
+	c.rationed, c.orderFree, c.orderShare = window > 0, free, share
+	c.ordered, c.took = newRing(window), newRing(window)
+}
+
+// ColdStarts tells what a worker that has just started stands.
+func (c *Chooser) ColdStarts(from float64, warmAfter time.Duration, multiple float64, fall time.Duration) {
+	c.coldFrom, c.warmAfter, c.multiple, c.fall = from, warmAfter, multiple, max(fall, time.Millisecond)
+	c.work = newRing(8 * c.fall)
+}
+
+// Asking says that the list of workers must be asked for, at least so often unless subscribed.
+func (c *Chooser) Asking(within time.Duration) {
+	c.ask, c.askWait = true, max(within/8, time.Millisecond)
+}
+
+// Probing says that probes are allowed.
+func (c *Chooser) Probing(allowed bool) { c.probing = allowed }
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>31) * 0x7fb5d329728ea185
+	x = (x ^ x>>27) * 0x81dadef4bc2dd44d
+	return x ^ x>>33
+}
+
+// rank orders the workers of a function by hash; salt 0 gives the order that all front ends share.
+func rank(w *worker, fn uint64, salt int) uint64 { return mix(w.hash ^ mix(fn+uint64(salt)<<44)) }
+
+// Listed takes news of the list; whole says that workers it does not name are gone.
+func (c *Chooser) Listed(now time.Duration, whole bool, news []Listing) {
+	if whole {
+		for _, w := range c.list {
+			w.listed = false
+		}
+	}
+	for _, l := range news {
+		w := c.workers[l.Worker]
+		if w == nil {
+			w = &worker{limit: firstLimit, took: newRing(2 * c.longest), want: newRing(2 * c.longest),
+				sent: newRing(c.fall)}
+			for _, b := range []byte(l.Worker) {
+				w.hash = mix(w.hash ^ uint64(b))
+			}
+			w.Listing = l
+			c.workers[l.Worker] = w
+			c.list = append(c.list, w)
+			sort.Slice(c.list, func(i, j int) bool { return c.list[i].Worker < c.list[j].Worker })
+		}
+		if l.Started != w.Started {
+			c.forget(w) // a worker that starts is empty
+			w.row, w.barred, w.barFor, w.trial, w.limit = 0, 0, 0, false, leastLimit
+		}
+		w.Listing, w.listed = l, l.Condition != Gone
+	}
+	c.askAt = math.MaxInt64
+}
+
+// ListFailed says that asking for the list failed: ask again a little later, each front end at its own time.
+func (c *Chooser) ListFailed(now time.Duration) {
+	c.askAt = now + c.askWait/2 + time.Duration(c.random(int(c.askWait)))
+}
+
+// forget drops what is believed to be loaded at a worker.
+func (c *Chooser) forget(w *worker) {
+	for _, f := range c.fns {
+		for _, s := range f.stands {
+			if s.w == w {
+				s.copies, s.loading, s.others = 0, 0, 0
+			}
+		}
+	}
+}
+
+// Heard takes a load report that came with an answer or a probe.
+func (c *Chooser) Heard(now time.Duration, name string, r Report) {}
+
+// share is the least part of its capacity that a worker has by now.
+func (c *Chooser) share(w *worker, now time.Duration) float64 {
+	if w.Started <= 0 || c.warmAfter <= 0 || now >= w.Started+c.warmAfter {
+		return 1
+	}
+	return c.coldFrom + (1-c.coldFrom)*float64(max(0, now-w.Started))/float64(c.warmAfter)
+}
+
+// coldRoom keeps a cold worker from being pushed over (rule 4). Its capacity is not told, so the mean work
+// that this front end sends to a worker stands for its part of it: when each front end keeps to the budget
+// by its own part, all together keep to it. One event in the window is always let through.
+func (c *Chooser) coldRoom(w *worker, weight float64, now time.Duration) bool {
+	s := c.share(w, now)
+	if s >= 1 || c.multiple <= 0 {
+		return true
+	}
+	sent := w.sent.sum(now, wholeWindow)
+	mean := c.work.sum(now, innerWindow) / 8 / float64(max(1, len(c.list)))
+	return sent == 0 || sent+weight <= coldSafety*c.multiple*s*mean
+}
+
+// usable tells whether new work may go to a worker at all. Drained and gone ones are cut off at once
+// (rule 3). If more than half of the list is barred the bars are not believed: judging too many of them
+// bad must not leave the front end without any.
+func (c *Chooser) usable(w *worker, now time.Duration) bool {
+	if !w.listed || w.Condition != In {
+		return false
+	}
+	if now < w.barred || w.trial && len(w.out) > 0 {
+		bad, in := 0, 0
+		for _, v := range c.list {
+			if v.listed && v.Condition == In {
+				in++
+				if now < v.barred || v.trial {
+					bad++
+				}
+			}
+		}
+		return 2*bad > in
+	}
+	return now >= w.shut
+}
+
+func (c *Chooser) room(w *worker, now time.Duration) bool {
+	return c.usable(w, now) && float64(len(w.out)) < w.limit
+}
+
+// fail counts a failure; enough in a row bar the worker, longer each time and not to the same moment.
+func (c *Chooser) fail(w *worker, now time.Duration) {
+	w.row++
+	if (w.row >= rowBar || w.trial) && now >= w.barred {
+		least := time.Duration(barShare * float64(c.longest))
+		w.barFor = min(max(2*w.barFor, least), time.Duration(barMost*float64(c.longest)))
+		w.barred = now + w.barFor + time.Duration(c.random(int(w.barFor/2)))
+		w.trial, w.limit = true, leastLimit
+	}
+}
+
+// good clears a worker on an answer.
+func (c *Chooser) good(w *worker, now time.Duration) {
+	w.row, w.lastGood, w.barFor, w.trial, w.barred = 0, now, 0, false, 0
+}
+
+// silent counts launches that stay unanswered for long while nothing else comes from their worker.
+func (c *Chooser) silent(now time.Duration) {
+	for _, w := range c.list {
+		late := 0
+		for _, e := range w.out {
+			patience := time.Duration(overdue * float64(max(e.typ.mean, e.typ.Target/10)))
+			if e.cold {
+				patience += time.Duration(loadPatience * float64(c.usualLoad(e.fn)))
+			}
+			if now > e.sent+patience && e.sent >= w.lastGood {
+				late++
+			}
+		}
+		if late > 0 && w.row+late >= rowBar && now >= w.barred && !w.trial {
+			w.row += late
+			c.fail(w, now)
+		}
+	}
+}
+
+// pace moves a worker's in-flight limit by the ratio of the shortest answer time to the present one.
+func (c *Chooser) pace(w *worker, e *Event, took, now time.Duration) {
+	t := e.typ
+	t.took.add(now, float64(took))
+	t.count.add(now, 1)
+	if n := t.count.sum(now, wholeWindow); n >= averaged {
+		t.mean = time.Duration(t.took.sum(now, wholeWindow) / n)
+		if t.short == 0 || t.mean < t.short {
+			t.short = t.mean
+		} else {
+			t.short += t.short / 1000
+		}
+	}
+	if t.short == 0 {
+		return
+	}
+	w.took.add(now, float64(took))
+	w.want.add(now, float64(t.short))
+	ratio := min(1, tolerance*w.want.sum(now, wholeWindow)/w.took.sum(now, wholeWindow))
+	aim := w.limit*ratio + math.Sqrt(w.limit)
+	if aim < w.limit || 2*float64(len(w.out)+1) > w.limit {
+		w.limit = max(leastLimit, w.limit+(aim-w.limit)/w.limit)
+	}
+}
+
+// mean is the average of a function's last latencies.
+func (f *function) mean() time.Duration {
+	n := min(f.pasts, averaged)
+	if n == 0 {
+		return firstLatency
+	}
+	var sum time.Duration
+	for _, p := range f.past[:n] {
+		sum += p
+	}
+	return max(1, sum/time.Duration(n))
+}
+
+func (c *Chooser) expected(f *function) time.Duration { return max(f.mean(), f.typ.mean/2) }
+
+func (c *Chooser) usualLoad(f *function) time.Duration {
+	if f.load > 0 {
+		return f.load
+	}
+	return f.typ.Target
+}
+
+func (f *function) at(w *worker) *standing {
+	for _, s := range f.stands {
+		if s.w == w {
+			return s
+		}
+	}
+	s := &standing{w: w, fn: f}
+	f.stands = append(f.stands, s)
+	return s
+}
+
+// refresh lets beliefs expire and forgets standings without any.
+func (c *Chooser) refresh(f *function, now time.Duration) {
+	kept := f.stands[:0]
+	for _, s := range f.stands {
+		if now > s.until && s.busy == 0 {
+			s.copies = 0
+		}
+		if now > s.loadEnd {
+			s.loading = 0
+		}
+		if s.copies > 0 || s.loading > 0 || s.busy > 0 {
+			kept = append(kept, s)
+		}
+	}
+	f.stands = kept
+}
+
+// Place answers where to send an event that has just come.
+func (c *Chooser) Place(now time.Duration, e *Event) Answer {
+	t := c.types[e.Type]
+	if t == nil {
+		t = &evtType{EventType: EventType{Name: e.Type, Effect: AtMostOnce, Target: max(e.Patience, time.Millisecond)}}
+		t.took, t.count = newRing(4*t.Target), newRing(4*t.Target)
+		c.types[e.Type] = t
+	}
+	f := c.fns[e.Function]
+	if f == nil {
+		f = &function{id: e.Function}
+		c.fns[e.Function] = f
+	}
+	f.typ, f.lanes, f.load = t, max(1, e.Lanes), e.LoadTime
+	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
+	f.arrived++
+	if c.rationed {
+		c.took.add(now, 1)
+	}
+	if n := c.tenants[e.Tenant]; n != nil {
+		n.came.add(now, 1)
+		e.over = n.came.sum(now, wholeWindow) > n.quota+1
+	}
+	if e.over && c.jam.sum(now, wholeWindow) > 0 {
+		return c.give(e, now)
+	}
+	if len(f.queue) == 0 {
+		c.refresh(f, now)
+		if s := c.warm(f, e, now); s != nil {
+			return c.launch(e, s, false, now)
+		}
+	}
+	c.hold(e)
+	return Answer{Event: e, Verb: Hold}
+}
+
+// hold queues an event by age.
+func (c *Chooser) hold(e *Event) {
+	f := e.fn
+	i := len(f.queue)
+	for i > 0 && f.queue[i-1].came > e.came {
+		i--
+	}
+	f.queue = append(f.queue, nil)
+	copy(f.queue[i+1:], f.queue[i:])
+	f.queue[i], e.queued = e, true
+	if !f.active {
+		f.active = true
+		c.active = append(c.active, f)
+	}
+}
+
+// mayGo keeps effects from happening twice (rule 2): an event that may have run goes again only as its
+// type allows, a keyed one inside its group and window.
+func (c *Chooser) mayGo(e *Event, w *worker, now time.Duration) bool {
+	if e.risk == nil || e.typ.Effect == Redeliverable {
+		return true
+	}
+	if e.typ.Effect != Keyed || now+c.quantum >= e.riskAt+e.typ.Window {
+		return false
+	}
+	return e.typ.Group == GroupAll || e.typ.Group == GroupZone && w.Zone == e.risk.Zone ||
+		e.typ.Group == GroupCell && w.Cell == e.risk.Cell && w.Zone == e.risk.Zone
+}
+
+// warm finds the believed-warm free lane that comes first in the function's salted order.
+func (c *Chooser) warm(f *function, e *Event, now time.Duration) *standing {
+	var best *standing
+	var first uint64
+	for _, s := range f.stands {
+		if s.busy+s.others >= s.copies*f.lanes || now < s.shut || s.w == e.avoid || !c.room(s.w, now) ||
+			!c.mayGo(e, s.w, now) || !c.coldRoom(s.w, c.weigh(e), now) {
+			continue
+		}
+		if r := rank(s.w, f.id, c.self+1); best == nil || r < first {
+			best, first = s, r
+		}
+	}
+	return best
+}
+
+// spill finds the warm worker with the fewest own events in flight, free lane or not.
+func (c *Chooser) spill(f *function, e *Event, now time.Duration) *standing {
+	var best *standing
+	for _, s := range f.stands {
+		if s.copies > 0 && now >= s.shut && c.room(s.w, now) && c.mayGo(e, s.w, now) &&
+			c.coldRoom(s.w, c.weigh(e), now) && (best == nil || len(s.w.out) < len(best.w.out)) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (c *Chooser) weigh(e *Event) float64 { return float64(max(e.typ.mean, firstLatency)) }
+
+// timeout limits a launch that may be followed by another; the others run until the client gives up.
+func (c *Chooser) timeout(e *Event, now time.Duration) time.Duration {
+	t := e.typ
+	if t.Effect == AtMostOnce || t.Effect == Keyed && t.Group != GroupAll || e.launches+1 >= c.mostLaunches {
+		return 0
+	}
+	limit := max(time.Duration(timeoutShare*float64(t.Target)), 4*t.mean)
+	if e.cold {
+		limit += 2 * c.usualLoad(e.fn)
+	}
+	if now+limit+c.expected(e.fn) >= e.ends {
+		return 0
+	}
+	return limit
+}
+
+func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
+	e.cold, e.sent, e.out, e.avoid = cold, now, s, nil
+	limit := c.timeout(e, now)
+	e.launches++
+	s.busy++
+	s.w.out = append(s.w.out, e)
+	e.weight = c.weigh(e)
+	s.w.sent.add(now, e.weight)
+	c.work.add(now, e.weight)
+	if cold {
+		s.loading = max(s.loading, 1)
+		s.loadEnd = now + time.Duration(loadPatience*float64(c.usualLoad(e.fn)))
+	}
+	return Answer{Event: e, Verb: Launch, Worker: s.w.Worker, Limit: limit}
+}
+
+// give ends an event as its type allows: deferred where another try is harmless, else dead-lettered.
+func (c *Chooser) give(e *Event, now time.Duration) Answer {
+	e.ended = true
+	harmless := e.risk == nil || e.typ.Effect == Redeliverable ||
+		e.typ.Effect == Keyed && e.typ.Group == GroupAll && now < e.riskAt+e.typ.Window
+	if !harmless {
+		return Answer{Event: e, Verb: DeadLetter}
+	}
+	back := time.Duration(0)
+	if c.nameBack {
+		back = min(c.mostBack, e.typ.Target/2)
+		back = back/2 + time.Duration(c.random(int(back/2)+1))
+	}
+	return Answer{Event: e, Verb: Defer, Back: back}
+}
+
+// After answers what to do after the outcome of a launch.
+func (c *Chooser) After(now time.Duration, e *Event, o Outcome) Answer {
+	s := e.out
+	if s == nil {
+		return Answer{Event: e, Verb: Nothing}
+	}
+	e.out = nil
+	s.busy--
+	w, f := s.w, e.fn
+	for i, x := range w.out {
+		if x == e {
+			w.out = append(w.out[:i], w.out[i+1:]...)
+			break
+		}
+	}
+	if e.cold && s.loading > 0 {
+		s.loading--
+	}
+	switch o.Result {
+	case Handled:
+		c.good(w, now)
+		s.copies, s.until = max(1, s.copies), now+c.keep
+		if o.Warmth == BeganLoad {
+			s.copies = 1
+		}
+		if o.Company >= 0 {
+			s.others = max(0, o.Company-s.busy)
+		}
+		if o.Warmth == FoundWarm || o.Warmth == Untold && !e.cold {
+			f.past[f.pasts%averaged] = o.Took
+			f.pasts++
+			c.pace(w, e, o.Took, now)
+		}
+	case Full:
+		s.shut = now + f.typ.Target/4
+		w.limit = max(leastLimit, min(w.limit, float64(len(w.out)+1))*0.9)
+	case Missing:
+		s.copies, s.loading = 0, 0
+	case Unreached, Broken:
+		s.copies = 0
+		c.fail(w, now)
+	case TimedOut:
+		if e.sent >= w.lastGood {
+			c.fail(w, now)
+		}
+	case Failed:
+		if o.Warmth == LoadFailed {
+			s.copies = 0
+		} else {
+			c.fail(w, now)
+		}
+	}
+	ran := o.Result == Failed || o.Result == TimedOut || o.Result == Broken || o.Result == Withdrawn
+	if ran && e.risk == nil {
+		e.risk, e.riskAt = w, e.sent
+	}
+	if o.Final || e.ended {
+		e.ended = true
+		return Answer{Event: e, Verb: Nothing}
+	}
+	e.avoid = w
+	if o.Result == TooLate || e.launches >= c.mostLaunches || now+c.lastCall(e) >= e.ends || !c.goesOn(e, now) {
+		return c.give(e, now)
+	}
+	c.hold(e)
+	return Answer{Event: e, Verb: Hold}
+}
+
+// lastCall is how long before the client gives up an event is given up: an answer is not to be had then.
+func (c *Chooser) lastCall(e *Event) time.Duration {
+	return max(2*c.quantum, min(c.expected(e.fn)/2, e.Patience/4))
+}
+
+// goesOn tells whether any worker may take another launch of the event.
+func (c *Chooser) goesOn(e *Event, now time.Duration) bool {
+	if e.risk == nil {
+		return true
+	}
+	for _, w := range c.list {
+		if c.usable(w, now) && c.mayGo(e, w, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Left says that the client has gone.
+func (c *Chooser) Left(e *Event) { e.ended = true }
+
+// Loaded takes the answer to a load order.
+func (c *Chooser) Loaded(now time.Duration, o Order, r Result, took time.Duration) {
+	w, f := c.workers[o.Worker], c.fns[o.Function]
+	if w == nil || f == nil {
+		return
+	}
+	s := f.at(w)
+	s.loading = max(0, s.loading-1)
+	if o.Copies > 0 {
+		s.copies, s.until = o.Copies, now+c.keep
+	}
+	switch r {
+	case Full:
+		s.shut = now + c.usualLoad(f)
+	case Unreached, Broken:
+		s.copies = 0
+		c.fail(w, now)
+	}
+}
+
+// Probed takes the answer to a probe of a barred worker.
+func (c *Chooser) Probed(now time.Duration, name string, r Result) {}
+
+// Wait answers what is due now, and how long to wait until something else is.
+func (c *Chooser) Wait(now time.Duration) Steps {
+	var st Steps
+	if c.ask && now >= c.askAt {
+		st.Ask, c.askAt = true, now+8*c.askWait
+	}
+	c.silent(now)
+	wake := time.Duration(math.MaxInt64)
+	if c.ask {
+		wake = c.askAt
+	}
+	sort.SliceStable(c.active, func(i, j int) bool {
+		a, b := c.active[i].queue, c.active[j].queue
+		return len(a) > 0 && (len(b) == 0 || a[0].came < b[0].came)
+	})
+	for _, f := range c.active {
+		c.refresh(f, now)
+		wake = min(wake, c.serve(f, now, &st))
+		wake = min(wake, c.tick(f, now, &st))
+	}
+	kept := c.active[:0]
+	for _, f := range c.active {
+		if f.active = len(f.queue) > 0; f.active {
+			kept = append(kept, f)
+		}
+	}
+	c.active = kept
+	for _, w := range c.list {
+		if len(w.out) > 0 {
+			wake = min(wake, now+c.longest/8)
+		}
+	}
+	if wake < math.MaxInt64 {
+		st.Next = max(wake-now, c.quantum, time.Microsecond)
+	}
+	return st
+}
+
+// serve releases a function's held events, oldest first, and gives up those past hope (rule 1: always
+// before their patience ends).
+func (c *Chooser) serve(f *function, now time.Duration, st *Steps) time.Duration {
+	wake := time.Duration(math.MaxInt64)
+	kept := f.queue[:0]
+	for _, e := range f.queue {
+		e.queued = false
+		if e.ended {
+			continue
+		}
+		s := c.warm(f, e, now)
+		if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
+			s = c.spill(f, e, now)
+			if s == nil && f.instances(c, now) > 0 {
+				c.jam.add(now, 1)
+				if e.risk == nil && (e.over || now+c.expected(f) > e.came+e.typ.Target) {
+					st.Answers = append(st.Answers, c.give(e, now))
+					continue
+				}
+			}
+		}
+		last := e.ends - c.lastCall(e)
+		switch {
+		case s != nil:
+			st.Answers = append(st.Answers, c.launch(e, s, false, now))
+		case now >= last || !c.goesOn(e, now):
+			st.Answers = append(st.Answers, c.give(e, now))
+		default:
+			e.queued = true
+			kept = append(kept, e)
+			wake = min(wake, last)
+		}
+	}
+	f.queue = kept
+	return wake
+}
+
+func (f *function) instances(c *Chooser, now time.Duration) int {
+	n := 0
+	for _, s := range f.stands {
+		if c.usable(s.w, now) {
+			n += s.copies
+		}
+	}
+	return n
+}
+
+func (f *function) underWay(c *Chooser, now time.Duration) int {
+	n := 0
+	for _, s := range f.stands {
+		if c.usable(s.w, now) {
+			n += s.loading
+		}
+	}
+	return n
+}
+
+// tick is the four-condition rule. It advances only for a queue that is not empty or after arrivals.
+func (c *Chooser) tick(f *function, now time.Duration, st *Steps) time.Duration {
+	if len(f.queue) == 0 {
+		return math.MaxInt64
+	}
+	if now < f.next {
+		return f.next
+	}
+	length := time.Duration(tickShare * float64(f.typ.Target))
+	f.next = now + max(length, c.quantum, time.Microsecond)
+	queued, under, have := len(f.queue), f.underWay(c, now), f.instances(c, now)
+	power := float64(length) / float64(f.mean()) * float64(f.lanes)
+	required := int(math.Ceil(float64(queued) / power))
+	short, total := 0, have+under
+	switch {
+	case total == 0:
+		short = 1
+	case have == 0:
+		short = f.arrived - under
+	case total < queued && f.arrived < queued:
+		short = required - under
+	case float64(f.arrived) >= power*float64(total):
+		short = required - total
+	}
+	if have > 0 {
+		f.arrived = 0
+	}
+	for range min(short, queued) {
+		if !c.load(f, now, st) {
+			break
+		}
+	}
+	return f.next
+}
+
+// load orders one copy: the function's first at the first worker of the order that all front ends share,
+// the others at random. Where no order may be given the oldest event itself goes there to bring it.
+func (c *Chooser) load(f *function, now time.Duration, st *Steps) bool {
+	first := f.instances(c, now)+f.underWay(c, now) == 0
+	w := c.target(f, first, now)
+	if w == nil {
+		return false
+	}
+	s := f.at(w)
+	if c.orders && c.allowed(now) && s.copies+s.loading < 16 {
+		s.loading++
+		s.loadEnd = now + min(time.Duration(loadPatience*float64(c.usualLoad(f))), c.orderLimit)
+		if c.rationed {
+			c.ordered.add(now, 1)
+		}
+		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
+		return true
+	}
+	if !first || !c.loadsOnMiss && c.orders || len(f.queue) == 0 {
+		return false
+	}
+	e := f.queue[0]
+	if !c.mayGo(e, w, now) || !c.coldRoom(w, c.weigh(e), now) {
+		return false
+	}
+	f.queue = f.queue[1:]
+	e.queued = false
+	st.Answers = append(st.Answers, c.launch(e, s, true, now))
+	return true
+}
+
+// allowed keeps load orders rationed (rule 5), this one included, counted to the safe side.
+func (c *Chooser) allowed(now time.Duration) bool {
+	return !c.rationed || c.ordered.sum(now, wholeWindow)+1 <=
+		c.orderFree+c.orderShare*c.took.sum(now, innerWindow)
+}
+
+func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
+	var fit []*worker
+	for _, coldest := range []float64{coldAvoid, 0} {
+		for _, w := range c.list {
+			if c.room(w, now) && c.share(w, now) >= coldest {
+				fit = append(fit, w)
+			}
+		}
+		if len(fit) > 0 {
+			break
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	if !first {
+		return fit[c.random(len(fit))]
+	}
+	sort.Slice(fit, func(i, j int) bool { return rank(fit[i], f.id, 0) < rank(fit[j], f.id, 0) })
+	for _, w := range fit {
+		if float64(len(w.out)) < manyShare*w.limit {
+			return w
+		}
+	}
+	return fit[0]
+}
