Time-outs near the target time; defer only when few workers have room

Cause: a time-out of four mean answer times cut healthy launches and doubled the work in a jam; one slow worker made the front end defer.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,11 +39,12 @@
 	tolerance     = 2.0  // the present answer time may be so many shortest ones before the limit falls
 	firstLimit    = 16.0 // in-flight limit to start from
 	leastLimit    = 2.0
-	timeoutShare  = 0.5 // least launch time-out, of the target time
+	timeoutShare  = 0.9 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.5 // part of the cold budget that is used
 	coldAvoid     = 0.5 // no loads to workers below this share of their capacity, if others are there
 	manyShare     = 0.75
+	crowdedShare  = 0.25
 	ringSlots     = 16
 )
 
@@ -181,7 +182,6 @@
 	askWait       time.Duration
 	probing       bool
 	longest       time.Duration // longest target time
-	jam           ring
 }
 
 // New starts the Chooser of front end self of peers; quantum is the least time between two calls.
@@ -189,7 +189,7 @@
 	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		jam: newRing(time.Second), mostLaunches: 1}
+		mostLaunches: 1}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -203,7 +203,6 @@
 	t.Target = max(t.Target, time.Millisecond)
 	c.types[t.Name] = &evtType{EventType: t, took: newRing(4 * t.Target), count: newRing(4 * t.Target)}
 	c.longest = max(c.longest, t.Target)
-	c.jam = newRing(c.longest)
 }
 
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
@@ -343,6 +342,20 @@
 	return now >= w.shut
 }
 
+// crowded tells of a jam: few workers have room left.
+func (c *Chooser) crowded(now time.Duration) bool {
+	in, free := 0, 0
+	for _, w := range c.list {
+		if w.listed && w.Condition == In {
+			in++
+			if c.room(w, now) {
+				free++
+			}
+		}
+	}
+	return float64(free) < crowdedShare*float64(in)
+}
+
 func (c *Chooser) room(w *worker, now time.Duration) bool {
 	return c.usable(w, now) && float64(len(w.out)) < w.limit
 }
@@ -481,7 +494,7 @@
 		n.came.add(now, 1)
 		e.over = n.came.sum(now, wholeWindow) > n.quota+1
 	}
-	if e.over && c.jam.sum(now, wholeWindow) > 0 {
+	if e.over && c.crowded(now) {
 		return c.give(e, now)
 	}
 	if len(f.queue) == 0 {
@@ -559,7 +572,7 @@
 	if t.Effect == AtMostOnce || t.Effect == Keyed && t.Group != GroupAll || e.launches+1 >= c.mostLaunches {
 		return 0
 	}
-	limit := max(time.Duration(timeoutShare*float64(t.Target)), 4*t.mean)
+	limit := max(time.Duration(timeoutShare*float64(t.Target)), 6*t.mean)
 	if e.cold {
 		limit += 2 * c.usualLoad(e.fn)
 	}
@@ -764,8 +777,7 @@
 		s := c.warm(f, e, now)
 		if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
 			s = c.spill(f, e, now)
-			if s == nil && f.instances(c, now) > 0 {
-				c.jam.add(now, 1)
+			if s == nil && c.crowded(now) {
 				if e.risk == nil && (e.over || now+c.expected(f) > e.came+e.typ.Target) {
 					st.Answers = append(st.Answers, c.give(e, now))
 					continue
@@ -791,7 +803,7 @@
 func (f *function) instances(c *Chooser, now time.Duration) int {
 	n := 0
 	for _, s := range f.stands {
-		if c.usable(s.w, now) {
+		if c.room(s.w, now) {
 			n += s.copies
 		}
 	}
