--- a/choice/choice.go
+++ b/choice/choice.go
@@ -181,6 +181,7 @@
 	askAt         time.Duration
 	askWait       time.Duration
 	probing       bool
+	recall        []*Event      // outstanding at workers just barred
 	longest       time.Duration // longest target time
 }
 
@@ -368,6 +369,9 @@
 		w.barFor = min(max(2*w.barFor, least), time.Duration(barMost*float64(c.longest)))
 		w.barred = now + w.barFor + time.Duration(c.random(int(w.barFor/2)))
 		w.trial, w.limit = true, leastLimit
+		if c.cancel {
+			c.recall = append(c.recall, w.out...)
+		}
 	}
 }
 
@@ -733,6 +737,12 @@
 		st.Ask, c.askAt = true, now+8*c.askWait
 	}
 	c.silent(now)
+	for _, e := range c.recall {
+		if e.out != nil && !e.ended && c.timeout(e, now) > 0 {
+			st.Answers = append(st.Answers, Answer{Event: e, Verb: Withdraw, Launch: e.launches - 1})
+		}
+	}
+	c.recall = c.recall[:0]
 	wake := time.Duration(math.MaxInt64)
 	if c.ask {
 		wake = c.askAt
--- a/choice/types.go
+++ b/choice/types.go
@@ -75,6 +75,7 @@
 	Launch
 	Defer
 	DeadLetter
+	Withdraw // give up the launch, not the event
 	Nothing
 )
 
@@ -84,6 +85,7 @@
 	Verb   Verb
 	Worker string
 	Limit  time.Duration // time-out of a launch; 0: until the client gives up
+	Launch int           // with Withdraw: which launch, counted from 0
 	Back   time.Duration // with Defer: when to come back; 0: not named
 }
 
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -362,6 +362,8 @@
 	case choice.Defer:
 		h.out.Line("SAY_NO", in.name, a.Event.ID, a.Back)
 		in.drop(a.Event, true)
+	case choice.Withdraw:
+		h.out.Line("WITHDRAW", in.name, a.Event.ID, a.Launch)
 	case choice.DeadLetter:
 		h.out.Line("SURRENDER", in.name, a.Event.ID)
 		in.drop(a.Event, true)
