--- a/choice/choice.go
+++ b/choice/choice.go
@@ -495,8 +495,9 @@
 		c.took.add(now, 1)
 	}
 	if n := c.tenants[e.Tenant]; n != nil {
-		n.came.add(now, 1)
-		e.over = n.came.sum(now, wholeWindow) > n.quota+1
+		if e.over = n.came.sum(now, wholeWindow) >= max(1, n.quota); !e.over {
+			n.came.add(now, 1)
+		}
 	}
 	if e.over && c.crowded(now) {
 		return c.give(e, now)
