First loads counted in lanes; no further copies while few workers have room

Both bound the tick rule where it does harm: a burst before the first load ends ordered a copy per event, and in a jam of cores further copies only pushed others out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -849,7 +849,7 @@
 	case total == 0:
 		short = 1
 	case have == 0:
-		short = f.arrived - under
+		short = (f.arrived+f.lanes-1)/f.lanes - under
 	case total < queued && f.arrived < queued:
 		short = required - under
 	case float64(f.arrived) >= power*float64(total):
@@ -871,7 +871,7 @@
 func (c *Chooser) load(f *function, now time.Duration, st *Steps) bool {
 	first := f.instances(c, now)+f.underWay(c, now) == 0
 	w := c.target(f, first, now)
-	if w == nil {
+	if w == nil || !first && c.crowded(now) {
 		return false
 	}
 	s := f.at(w)
