--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,7 +36,7 @@
 	barShare      = 1.0  // first bar, of the longest target time; doubles
 	barMost       = 8.0  // longest bar, likewise
 	overdue       = 5.0  // a launch unanswered for so many mean answer times counts as a failure
-	tolerance     = 2.0  // the present answer time may be so many shortest ones before the limit falls
+	tolerance     = 1.2  // the present answer time may be so many shortest ones before the limit falls
 	firstLimit    = 16.0 // in-flight limit to start from
 	leastLimit    = 2.0
 	timeoutShare  = 0.9 // launch time-out, of the target time
