--- a/choice/choice.go
+++ b/choice/choice.go
@@ -661,6 +661,7 @@
 		s.copies = 0
 		c.fail(w, now)
 	case TimedOut:
+		c.pace(w, e, o.Took, now)
 		if e.sent >= w.lastGood {
 			c.fail(w, now)
 		}
@@ -814,7 +815,7 @@
 func (f *function) instances(c *Chooser, now time.Duration) int {
 	n := 0
 	for _, s := range f.stands {
-		if c.room(s.w, now) {
+		if c.usable(s.w, now) {
 			n += s.copies
 		}
 	}
