--- a/choice/choice.go
+++ b/choice/choice.go
@@ -790,7 +790,7 @@
 		if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
 			s = c.spill(f, e, now)
 			if s == nil && c.crowded(now) {
-				if e.risk == nil && (e.over || now+c.expected(f) > e.came+e.typ.Target) {
+				if e.risk == nil {
 					st.Answers = append(st.Answers, c.give(e, now))
 					continue
 				}
