--- a/choice/choice.go
+++ b/choice/choice.go
@@ -96,6 +96,7 @@
 	took, count ring
 	short       time.Duration // shortest mean answer time, slowly forgotten
 	mean        time.Duration
+	patience    time.Duration // most that a client has shown
 }
 
 type tenant struct {
@@ -489,7 +490,9 @@
 		c.fns[e.Function] = f
 	}
 	f.typ, f.lanes, f.load = t, max(1, e.Lanes), e.LoadTime
+	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
+	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
 	f.arrived++
 	if c.rationed {
 		c.took.add(now, 1)
@@ -755,8 +758,10 @@
 	})
 	for _, f := range c.active {
 		c.refresh(f, now)
-		wake = min(wake, c.serve(f, now, &st))
-		wake = min(wake, c.tick(f, now, &st))
+		c.serve(f, false, now, &st)
+	}
+	for _, f := range c.active {
+		wake = min(wake, c.serve(f, true, now, &st), c.tick(f, now, &st))
 	}
 	kept := c.active[:0]
 	for _, f := range c.active {
@@ -777,8 +782,9 @@
 }
 
 // serve releases a function's held events, oldest first, and gives up those past hope (rule 1: always
-// before their patience ends).
-func (c *Chooser) serve(f *function, now time.Duration, st *Steps) time.Duration {
+// before their patience ends). Events that can't make their target time any more come in a second round,
+// after those of all functions that can: an old one must not make a younger one late too.
+func (c *Chooser) serve(f *function, late bool, now time.Duration, st *Steps) time.Duration {
 	wake := time.Duration(math.MaxInt64)
 	kept := f.queue[:0]
 	for _, e := range f.queue {
@@ -786,26 +792,27 @@
 		if e.ended {
 			continue
 		}
-		s := c.warm(f, e, now)
-		if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
-			s = c.spill(f, e, now)
-			if s == nil && c.crowded(now) {
-				if e.risk == nil {
+		var s *standing
+		if last := e.ends - c.lastCall(e); now >= last || !c.goesOn(e, now) {
+			st.Answers = append(st.Answers, c.give(e, now))
+			continue
+		} else {
+			wake = min(wake, last)
+		}
+		if late == (now+c.expected(f) > e.due) {
+			s = c.warm(f, e, now)
+			if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
+				if s = c.spill(f, e, now); s == nil && e.risk == nil && c.crowded(now) {
 					st.Answers = append(st.Answers, c.give(e, now))
 					continue
 				}
 			}
 		}
-		last := e.ends - c.lastCall(e)
-		switch {
-		case s != nil:
+		if s != nil {
 			st.Answers = append(st.Answers, c.launch(e, s, false, now))
-		case now >= last || !c.goesOn(e, now):
-			st.Answers = append(st.Answers, c.give(e, now))
-		default:
+		} else {
 			e.queued = true
 			kept = append(kept, e)
-			wake = min(wake, last)
 		}
 	}
 	f.queue = kept
--- a/choice/types.go
+++ b/choice/types.go
@@ -50,6 +50,7 @@
 	fn       *function
 	came     time.Duration
 	ends     time.Duration
+	due      time.Duration // end of the target time of its first try
 	launches int
 	out      *standing     // where a launch is outstanding
 	sent     time.Duration // when the outstanding or the last launch left
