--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,17 +44,11 @@
 	coldSafety    = 0.5 // part of the cold budget that is used
 	coldAvoid     = 0.5 // no loads to workers below this share of their capacity, if others are there
 	manyShare     = 0.75
-	crowdedShare  = 0.25
+	crowdedShare  = 0.25 // fewer workers than this with room: a jam
+	believed      = 0.5  // no more workers than this can be bad at once
 	ringSlots     = 16
 )
 
-// ring sums a measure over a sliding window in fixed buckets that are used again.
-type ring struct {
-	width time.Duration
-	slots [ringSlots]float64
-	at    int64
-}
-
 func newRing(window time.Duration) ring {
 	return ring{width: max(1, (window+ringSlots-3)/(ringSlots-2))}
 }
@@ -91,101 +85,6 @@
 	innerWindow = ringSlots - 4 // lies inside the window
 )
 
-type evtType struct {
-	EventType
-	took, count ring
-	short       time.Duration // shortest mean answer time, slowly forgotten
-	mean        time.Duration
-	patience    time.Duration // most that a client has shown
-}
-
-type tenant struct {
-	quota float64 // events a second within its share, at this front end
-	came  ring
-}
-
-type worker struct {
-	Listing
-	hash     uint64
-	listed   bool
-	out      []*Event // launches outstanding, oldest first
-	lastGood time.Duration
-	row      int // failures in a row
-	barred   time.Duration
-	barFor   time.Duration
-	trial    bool
-	limit    float64
-	took     ring
-	want     ring
-	sent     ring
-	shut     time.Duration // answered full: nothing more until then
-}
-
-// standing is what is believed of one function at one worker.
-type standing struct {
-	w       *worker
-	fn      *function
-	copies  int // believed loaded
-	busy    int // own events there
-	others  int // events of other front ends there, as last told
-	until   time.Duration
-	loading int // loads under way
-	loadEnd time.Duration
-	shut    time.Duration
-}
-
-type function struct {
-	id      uint64
-	typ     *evtType
-	lanes   int
-	load    time.Duration
-	queue   []*Event
-	stands  []*standing
-	past    [averaged]time.Duration
-	pasts   int
-	arrived int // since the last advance
-	next    time.Duration
-	active  bool
-}
-
-// Chooser decides for one front end.
-type Chooser struct {
-	chance        uint64
-	self, peers   int
-	quantum       time.Duration
-	types         map[string]*evtType
-	tenants       map[string]*tenant
-	workers       map[string]*worker
-	list          []*worker // by name
-	fns           map[uint64]*function
-	active        []*function
-	mostLaunches  int
-	cancel        bool
-	nameBack      bool
-	mostBack      time.Duration
-	orders        bool
-	loadsOnMiss   bool
-	keep          time.Duration
-	orderLimit    time.Duration
-	orderFree     float64
-	orderShare    float64
-	rationed      bool
-	ordered, took ring
-	loads         ring
-	loadCount     ring
-	coldFrom      float64
-	warmAfter     time.Duration
-	multiple      float64
-	fall          time.Duration
-	work          ring // launches of all workers, weighted
-	ask           bool
-	askAt         time.Duration
-	askWait       time.Duration
-	probing       bool
-	recall        []*Event      // outstanding at workers just barred
-	longest       time.Duration // longest target time
-}
-
 // New starts the Chooser of front end self of peers; quantum is the least time between two calls.
 func New(seed uint64, self, peers int, quantum time.Duration) *Chooser {
 	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
@@ -221,13 +120,12 @@
 // Loading tells how functions come to workers, and how long an idle copy and an order last.
 func (c *Chooser) Loading(orders, onMiss bool, keep, orderLimit time.Duration) {
 	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, orderLimit
-	c.loads, c.loadCount = newRing(max(keep, time.Second)), newRing(max(keep, time.Second))
 }
 
 // Ration limits load orders within a window to free plus a share of the events taken in it.
 func (c *Chooser) Ration(window time.Duration, free, share float64) {
 	c.rationed, c.orderFree, c.orderShare = window > 0, free, share
-	c.ordered, c.took = newRing(window), newRing(window)
+	c.ordered, c.taken = newRing(window), newRing(window)
 }
 
 // ColdStarts tells what a worker that has just started stands.
@@ -241,9 +139,6 @@
 	c.ask, c.askWait = true, max(within/8, time.Millisecond)
 }
 
-// Probing says that probes are allowed.
-func (c *Chooser) Probing(allowed bool) { c.probing = allowed }
-
 func mix(x uint64) uint64 {
 	x = (x ^ x>>31) * 0x7fb5d329728ea185
 	x = (x ^ x>>27) * 0x81dadef4bc2dd44d
@@ -298,9 +193,6 @@
 	}
 }
 
-// Heard takes a load report that came with an answer or a probe.
-func (c *Chooser) Heard(now time.Duration, name string, r Report) {}
-
 // share is the least part of its capacity that a worker has by now.
 func (c *Chooser) share(w *worker, now time.Duration) float64 {
 	if w.Started <= 0 || c.warmAfter <= 0 || now >= w.Started+c.warmAfter {
@@ -326,40 +218,33 @@
 // (rule 3). If more than half of the list is barred the bars are not believed: judging too many of them
 // bad must not leave the front end without any.
 func (c *Chooser) usable(w *worker, now time.Duration) bool {
-	if !w.listed || w.Condition != In {
+	if !w.listed || w.Condition != In || now < w.shut {
 		return false
 	}
-	if now < w.barred || w.trial && len(w.out) > 0 {
-		bad, in := 0, 0
-		for _, v := range c.list {
-			if v.listed && v.Condition == In {
-				in++
-				if now < v.barred || v.trial {
-					bad++
-				}
-			}
-		}
-		return 2*bad > in
-	}
-	return now >= w.shut
+	return now >= w.barred && (!w.trial || len(w.out) == 0) ||
+		c.part(func(v *worker) bool { return now < v.barred || v.trial }) > believed
+}
+
+func (c *Chooser) room(w *worker, now time.Duration) bool {
+	return c.usable(w, now) && float64(len(w.out)) < w.limit
 }
 
 // crowded tells of a jam: few workers have room left.
 func (c *Chooser) crowded(now time.Duration) bool {
-	in, free := 0, 0
+	return c.part(func(w *worker) bool { return c.room(w, now) }) < crowdedShare
+}
+
+// part is the share of the listed workers of which something is true.
+func (c *Chooser) part(of func(*worker) bool) float64 {
+	in, n := 0, 0
 	for _, w := range c.list {
 		if w.listed && w.Condition == In {
-			in++
-			if c.room(w, now) {
-				free++
+			if in++; of(w) {
+				n++
 			}
 		}
 	}
-	return float64(free) < crowdedShare*float64(in)
-}
-
-func (c *Chooser) room(w *worker, now time.Duration) bool {
-	return c.usable(w, now) && float64(len(w.out)) < w.limit
+	return float64(n) / float64(max(in, 1))
 }
 
 // fail counts a failure; enough in a row bar the worker, longer each time and not to the same moment.
@@ -495,7 +380,7 @@
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
 	f.arrived++
 	if c.rationed {
-		c.took.add(now, 1)
+		c.taken.add(now, 1)
 	}
 	if n := c.tenants[e.Tenant]; n != nil {
 		if e.over = n.came.sum(now, wholeWindow) >= max(1, n.quota); !e.over {
@@ -732,9 +617,6 @@
 	}
 }
 
-// Probed takes the answer to a probe of a barred worker.
-func (c *Chooser) Probed(now time.Duration, name string, r Result) {}
-
 // Wait answers what is due now, and how long to wait until something else is.
 func (c *Chooser) Wait(now time.Duration) Steps {
 	var st Steps
@@ -819,24 +701,14 @@
 	return wake
 }
 
-func (f *function) instances(c *Chooser, now time.Duration) int {
-	n := 0
-	for _, s := range f.stands {
-		if c.usable(s.w, now) {
-			n += s.copies
-		}
-	}
-	return n
-}
-
-func (f *function) underWay(c *Chooser, now time.Duration) int {
-	n := 0
+// count adds up a function's copies and the loads under way; a worker that can't be used has neither.
+func (c *Chooser) count(f *function, now time.Duration) (have, under int) {
 	for _, s := range f.stands {
 		if c.usable(s.w, now) {
-			n += s.loading
+			have, under = have+s.copies, under+s.loading
 		}
 	}
-	return n
+	return have, under
 }
 
 // tick is the four-condition rule. It advances only for a queue that is not empty or after arrivals.
@@ -849,7 +721,8 @@
 	}
 	length := time.Duration(tickShare * float64(f.typ.Target))
 	f.next = now + max(length, c.quantum, time.Microsecond)
-	queued, under, have := len(f.queue), f.underWay(c, now), f.instances(c, now)
+	have, under := c.count(f, now)
+	queued := len(f.queue)
 	power := float64(length) / float64(f.mean()) * float64(f.lanes)
 	required := int(math.Ceil(float64(queued) / power))
 	short, total := 0, have+under
@@ -867,17 +740,17 @@
 		f.arrived = 0
 	}
 	for range min(short, queued) {
-		if !c.load(f, now, st) {
+		if !c.load(f, total == 0, now, st) {
 			break
 		}
+		total++
 	}
 	return f.next
 }
 
 // load orders one copy: the function's first at the first worker of the order that all front ends share,
 // the others at random. Where no order may be given the oldest event itself goes there to bring it.
-func (c *Chooser) load(f *function, now time.Duration, st *Steps) bool {
-	first := f.instances(c, now)+f.underWay(c, now) == 0
+func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
 	if w == nil || !first && c.crowded(now) {
 		return false
@@ -908,7 +781,7 @@
 // allowed keeps load orders rationed (rule 5), this one included, counted to the safe side.
 func (c *Chooser) allowed(now time.Duration) bool {
 	return !c.rationed || c.ordered.sum(now, wholeWindow)+1 <=
-		c.orderFree+c.orderShare*c.took.sum(now, innerWindow)
+		c.orderFree+c.orderShare*c.taken.sum(now, innerWindow)
 }
 
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
--- a/choice/types.go
+++ b/choice/types.go
@@ -147,11 +147,6 @@
 	Started   time.Duration // 0: long ago
 }
 
-// Report is what a worker says of its load; a field it does not tell is below 0.
-type Report struct {
-	InFlight, Queue, Util, MemoryHeld, Loads float64
-}
-
 // Order asks a worker to hold copies of a function.
 type Order struct {
 	Worker   string
@@ -163,7 +158,104 @@
 type Steps struct {
 	Answers []Answer
 	Orders  []Order
-	Probes  []string
 	Ask     bool          // subscribe to the list of workers
 	Next    time.Duration // how long to wait at the most; 0: until news comes
 }
+
+// ring sums a measure over a sliding window in fixed buckets that are used again.
+type ring struct {
+	width time.Duration
+	slots [ringSlots]float64
+	at    int64
+}
+
+type evtType struct {
+	EventType
+	took, count ring
+	short       time.Duration // shortest mean answer time, slowly forgotten
+	mean        time.Duration
+	patience    time.Duration // most that a client has shown
+}
+
+type tenant struct {
+	quota float64 // events a second within its share, at this front end
+	came  ring
+}
+
+type worker struct {
+	Listing
+	hash     uint64
+	listed   bool
+	out      []*Event // launches outstanding, oldest first
+	lastGood time.Duration
+	row      int // failures in a row
+	barred   time.Duration
+	barFor   time.Duration
+	trial    bool
+	limit    float64
+	took     ring
+	want     ring
+	sent     ring
+	shut     time.Duration // answered full: nothing more until then
+}
+
+// standing is what is believed of one function at one worker.
+type standing struct {
+	w       *worker
+	fn      *function
+	copies  int // believed loaded
+	busy    int // own events there
+	others  int // events of other front ends there, as last told
+	until   time.Duration
+	loading int // loads under way
+	loadEnd time.Duration
+	shut    time.Duration
+}
+
+type function struct {
+	id      uint64
+	typ     *evtType
+	lanes   int
+	load    time.Duration
+	queue   []*Event
+	stands  []*standing
+	past    [averaged]time.Duration
+	pasts   int
+	arrived int // since the last advance
+	next    time.Duration
+	active  bool
+}
+
+// Chooser decides for one front end.
+type Chooser struct {
+	chance      uint64 // state of the generator
+	self, peers int
+	quantum     time.Duration
+	longest     time.Duration // longest target time
+
+	types   map[string]*evtType
+	tenants map[string]*tenant
+	workers map[string]*worker
+	list    []*worker // all workers ever listed, by name
+	fns     map[uint64]*function
+	active  []*function // with held events
+	recall  []*Event    // outstanding at workers just barred
+
+	mostLaunches int
+	cancel       bool
+	nameBack     bool
+	mostBack     time.Duration
+
+	orders, loadsOnMiss   bool
+	keep, orderLimit      time.Duration
+	rationed              bool
+	orderFree, orderShare float64
+	ordered, taken        ring // load orders and events in the ration's window
+
+	coldFrom, multiple float64
+	warmAfter, fall    time.Duration
+	work               ring // launches to all workers, weighted
+
+	ask            bool
+	askAt, askWait time.Duration
+}
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -138,14 +138,10 @@
 			in.wakes = in.wakes[:len(in.wakes)-1]
 		}
 	case "ECHO":
-		worker := line.Word("worker")
+		line.Word("worker")
 		line.Time("time", true)
-		result := outcome(line)
-		stats := line.Pairs("load report")
-		if line.Done() == nil {
-			h.heard(in, worker, stats)
-			in.chooser.Probed(h.now, worker, result)
-		}
+		outcome(line)
+		line.Pairs("load report")
 	case "LOAD_RESULT":
 		order := choice.Order{Worker: line.Word("worker"), Function: line.Whole("function", false)}
 		result := outcome(line)
@@ -202,7 +198,6 @@
 	if set["registry_mode"] == "ask" {
 		c.Asking(set.Time("rules.must_ask_in", 0))
 	}
-	c.Probing(set.Flag("policy_limits.probing", false))
 	if line.Done() == nil {
 		h.instances[name] = in
 	}
@@ -301,7 +296,7 @@
 	o.Final = line.Flag("finished")
 	line.Whole("attempt", false)
 	o.Result = outcome(line)
-	stats := line.Pairs("load report")
+	line.Pairs("load report")
 	if err := line.Done(); err != nil {
 		return err
 	}
@@ -312,7 +307,6 @@
 		o.Company = int(note / 8)
 	}
 	h.touch(in)
-	h.heard(in, o.Worker, stats)
 	if e != nil {
 		answer := in.chooser.After(h.now, e, o)
 		in.drop(e, o.Final)
@@ -328,20 +322,6 @@
 	}
 }
 
-func (h *Host) heard(in *instance, worker string, stats map[string]float64) {
-	if stats == nil {
-		return
-	}
-	value := func(name string) float64 {
-		if v, told := stats[name]; told {
-			return v
-		}
-		return -1
-	}
-	in.chooser.Heard(h.now, worker, choice.Report{InFlight: value("busy_reqs"), Queue: value("pending"),
-		Util: value("cpu_share"), MemoryHeld: value("x0"), Loads: value("x1")})
-}
-
 func outcome(line *simwire.Line) choice.Result {
 	words := strings.Fields("OK INTERNAL RESOURCE_EXHAUSTED DEADLINE_EXCEEDED UNAVAILABLE ABORTED CANCELLED TOO_LATE NOT_FOUND")
 	got := line.Word("outcome")
@@ -382,9 +362,6 @@
 	for _, o := range steps.Orders {
 		h.out.Line("BRING_UP", in.name, o.Worker, o.Function, o.Copies)
 	}
-	for _, worker := range steps.Probes {
-		h.out.Line("TOUCH", in.name, worker)
-	}
 	if steps.Next > 0 {
 		at := h.now + steps.Next
 		if n := len(in.wakes); n == 0 || at < in.wakes[n-1] {
