--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,6 +47,8 @@
 	crowdedShare  = 0.25 // fewer workers than this with room: a jam
 	believed      = 0.5  // no more workers than this can be bad at once
 	ringSlots     = 16
+	wholeWindow   = ringSlots - 2 // buckets before the present one that cover a ring's window
+	innerWindow   = ringSlots - 4 // those that lie inside it
 )
 
 func newRing(window time.Duration) ring {
@@ -69,8 +71,7 @@
 	r.slots[r.at%ringSlots] += v
 }
 
-// sum adds up the present bucket and the n before it. All of the window lies in ringSlots-2 buckets
-// before; ringSlots-4 before lie wholly inside it.
+// sum adds up the present bucket and the n before it.
 func (r *ring) sum(now time.Duration, n int64) float64 {
 	r.roll(now)
 	total := 0.0
@@ -80,17 +81,12 @@
 	return total
 }
 
-const (
-	wholeWindow = ringSlots - 2 // covers the window and a little more
-	innerWindow = ringSlots - 4 // lies inside the window
-)
-
 // New starts the Chooser of front end self of peers; quantum is the least time between two calls.
 func New(seed uint64, self, peers int, quantum time.Duration) *Chooser {
 	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1}
+		mostLaunches: 1, ordered: newRing(0), taken: newRing(0), work: newRing(0)}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -218,7 +214,7 @@
 // (rule 3). If more than half of the list is barred the bars are not believed: judging too many of them
 // bad must not leave the front end without any.
 func (c *Chooser) usable(w *worker, now time.Duration) bool {
-	if !w.listed || w.Condition != In || now < w.shut {
+	if !w.listed || w.Condition != In {
 		return false
 	}
 	return now >= w.barred && (!w.trial || len(w.out) == 0) ||
@@ -364,10 +360,9 @@
 // Place answers where to send an event that has just come.
 func (c *Chooser) Place(now time.Duration, e *Event) Answer {
 	t := c.types[e.Type]
-	if t == nil {
-		t = &evtType{EventType: EventType{Name: e.Type, Effect: AtMostOnce, Target: max(e.Patience, time.Millisecond)}}
-		t.took, t.count = newRing(4*t.Target), newRing(4*t.Target)
-		c.types[e.Type] = t
+	if t == nil { // a type that the settings did not name: nothing is known to be safe
+		c.AddType(EventType{Name: e.Type, Effect: AtMostOnce, Target: e.Patience})
+		t = c.types[e.Type]
 	}
 	f := c.fns[e.Function]
 	if f == nil {
@@ -379,9 +374,7 @@
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
 	f.arrived++
-	if c.rationed {
-		c.taken.add(now, 1)
-	}
+	c.taken.add(now, 1)
 	if n := c.tenants[e.Tenant]; n != nil {
 		if e.over = n.came.sum(now, wholeWindow) >= max(1, n.quota); !e.over {
 			n.came.add(now, 1)
@@ -409,7 +402,7 @@
 	}
 	f.queue = append(f.queue, nil)
 	copy(f.queue[i+1:], f.queue[i:])
-	f.queue[i], e.queued = e, true
+	f.queue[i] = e
 	if !f.active {
 		f.active = true
 		c.active = append(c.active, f)
@@ -429,16 +422,20 @@
 		e.typ.Group == GroupCell && w.Cell == e.risk.Cell && w.Zone == e.risk.Zone
 }
 
+// fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
+func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
+	w := s.w
+	return s.copies > 0 && now >= s.shut && c.room(w, now) && c.mayGo(e, w, now) && c.coldRoom(w, c.weigh(e), now) &&
+		(!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
+}
+
 // warm finds the believed-warm free lane that comes first in the function's salted order.
 func (c *Chooser) warm(f *function, e *Event, now time.Duration) *standing {
 	var best *standing
 	var first uint64
 	for _, s := range f.stands {
-		if s.busy+s.others >= s.copies*f.lanes || now < s.shut || s.w == e.avoid || !c.room(s.w, now) ||
-			!c.mayGo(e, s.w, now) || !c.coldRoom(s.w, c.weigh(e), now) {
-			continue
-		}
-		if r := rank(s.w, f.id, c.self+1); best == nil || r < first {
+		r := rank(s.w, f.id, c.self+1)
+		if s.busy+s.others < s.copies*f.lanes && s.w != e.avoid && (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
 		}
 	}
@@ -449,8 +446,7 @@
 func (c *Chooser) spill(f *function, e *Event, now time.Duration) *standing {
 	var best *standing
 	for _, s := range f.stands {
-		if s.copies > 0 && now >= s.shut && c.room(s.w, now) && c.mayGo(e, s.w, now) &&
-			c.coldRoom(s.w, c.weigh(e), now) && (best == nil || len(s.w.out) < len(best.w.out)) {
+		if (best == nil || len(s.w.out) < len(best.w.out)) && c.fits(s, e, now) {
 			best = s
 		}
 	}
@@ -481,9 +477,8 @@
 	e.launches++
 	s.busy++
 	s.w.out = append(s.w.out, e)
-	e.weight = c.weigh(e)
-	s.w.sent.add(now, e.weight)
-	c.work.add(now, e.weight)
+	s.w.sent.add(now, c.weigh(e))
+	c.work.add(now, c.weigh(e))
 	if cold {
 		s.loading = max(s.loading, 1)
 		s.loadEnd = now + time.Duration(loadPatience*float64(c.usualLoad(e.fn)))
@@ -546,7 +541,7 @@
 	case Missing:
 		s.copies, s.loading = 0, 0
 	case Unreached, Broken:
-		s.copies = 0
+		c.forget(w)
 		c.fail(w, now)
 	case TimedOut:
 		c.pace(w, e, o.Took, now)
@@ -608,11 +603,10 @@
 	if o.Copies > 0 {
 		s.copies, s.until = o.Copies, now+c.keep
 	}
-	switch r {
-	case Full:
+	if r == Full {
 		s.shut = now + c.usualLoad(f)
-	case Unreached, Broken:
-		s.copies = 0
+	} else if r == Unreached || r == Broken {
+		c.forget(w)
 		c.fail(w, now)
 	}
 }
@@ -670,31 +664,27 @@
 	wake := time.Duration(math.MaxInt64)
 	kept := f.queue[:0]
 	for _, e := range f.queue {
-		e.queued = false
 		if e.ended {
 			continue
 		}
 		var s *standing
-		if last := e.ends - c.lastCall(e); now >= last || !c.goesOn(e, now) {
-			st.Answers = append(st.Answers, c.give(e, now))
-			continue
-		} else {
-			wake = min(wake, last)
-		}
-		if late == (now+c.expected(f) > e.due) {
+		last := e.ends - c.lastCall(e)
+		give := now >= last || !c.goesOn(e, now)
+		if !give && late == (now+c.expected(f) > e.due) {
 			s = c.warm(f, e, now)
 			if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
-				if s = c.spill(f, e, now); s == nil && e.risk == nil && c.crowded(now) {
-					st.Answers = append(st.Answers, c.give(e, now))
-					continue
-				}
+				s = c.spill(f, e, now)
+				give = s == nil && e.risk == nil && c.crowded(now)
 			}
 		}
-		if s != nil {
+		switch {
+		case give:
+			st.Answers = append(st.Answers, c.give(e, now))
+		case s != nil:
 			st.Answers = append(st.Answers, c.launch(e, s, false, now))
-		} else {
-			e.queued = true
+		default:
 			kept = append(kept, e)
+			wake = min(wake, last)
 		}
 	}
 	f.queue = kept
@@ -759,9 +749,7 @@
 	if c.orders && c.allowed(now) && s.copies+s.loading < 16 {
 		s.loading++
 		s.loadEnd = now + min(time.Duration(loadPatience*float64(c.usualLoad(f))), c.orderLimit)
-		if c.rationed {
-			c.ordered.add(now, 1)
-		}
+		c.ordered.add(now, 1)
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
 		return true
 	}
@@ -773,7 +761,6 @@
 		return false
 	}
 	f.queue = f.queue[1:]
-	e.queued = false
 	st.Answers = append(st.Answers, c.launch(e, s, true, now))
 	return true
 }
@@ -802,11 +789,12 @@
 	if !first {
 		return fit[c.random(len(fit))]
 	}
-	sort.Slice(fit, func(i, j int) bool { return rank(fit[i], f.id, 0) < rank(fit[j], f.id, 0) })
+	best := fit[0]
 	for _, w := range fit {
-		if float64(len(w.out)) < manyShare*w.limit {
-			return w
+		many, most := float64(len(w.out)) >= manyShare*w.limit, float64(len(best.out)) >= manyShare*best.limit
+		if many == most && rank(w, f.id, 0) < rank(best, f.id, 0) || most && !many {
+			best = w
 		}
 	}
-	return fit[0]
+	return best
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -58,8 +58,6 @@
 	risk     *worker       // worker of the first launch that may have run
 	riskAt   time.Duration
 	avoid    *worker
-	weight   float64
-	queued   bool
 	over     bool // beyond its tenant's share when it came
 	ended    bool
 }
@@ -196,7 +194,6 @@
 	took     ring
 	want     ring
 	sent     ring
-	shut     time.Duration // answered full: nothing more until then
 }
 
 // standing is what is believed of one function at one worker.
