--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,9 +21,13 @@
 package choice
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
+	"strings"
 	"time"
+
+	"lupinpond/internal/window"
 )
 
 // Tuned values: shares and multiples of what the settings or the events say.
@@ -46,47 +50,14 @@
 	manyShare     = 0.75
 	crowdedShare  = 0.25 // fewer workers than this with room: a jam
 	believed      = 0.5  // no more workers than this can be bad at once
-	ringSlots     = 16
-	wholeWindow   = ringSlots - 2 // buckets before the present one that cover a ring's window
-	innerWindow   = ringSlots - 4 // those that lie inside it
 )
 
-func newRing(window time.Duration) ring {
-	return ring{width: max(1, (window+ringSlots-3)/(ringSlots-2))}
-}
-
-func (r *ring) roll(now time.Duration) {
-	b := int64(now / r.width)
-	if b-r.at >= ringSlots {
-		r.slots = [ringSlots]float64{}
-		r.at = b
-	}
-	for ; r.at < b; r.at++ {
-		r.slots[(r.at+1)%ringSlots] = 0
-	}
-}
-
-func (r *ring) add(now time.Duration, v float64) {
-	r.roll(now)
-	r.slots[r.at%ringSlots] += v
-}
-
-// sum adds up the present bucket and the n before it.
-func (r *ring) sum(now time.Duration, n int64) float64 {
-	r.roll(now)
-	total := 0.0
-	for b := r.at; b >= 0 && b >= r.at-n; b-- {
-		total += r.slots[b%ringSlots]
-	}
-	return total
-}
-
 // New starts the Chooser of front end self of peers; quantum is the least time between two calls.
 func New(seed uint64, self, peers int, quantum time.Duration) *Chooser {
 	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, ordered: newRing(0), taken: newRing(0), work: newRing(0)}
+		mostLaunches: 1, ordered: window.New(0), taken: window.New(0), work: window.New(0)}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -98,13 +69,13 @@
 // AddType tells of an event type.
 func (c *Chooser) AddType(t EventType) {
 	t.Target = max(t.Target, time.Millisecond)
-	c.types[t.Name] = &evtType{EventType: t, took: newRing(4 * t.Target), count: newRing(4 * t.Target)}
+	c.types[t.Name] = &evtType{EventType: t, took: window.New(4 * t.Target), count: window.New(4 * t.Target)}
 	c.longest = max(c.longest, t.Target)
 }
 
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
 func (c *Chooser) AddTenant(name string, quota float64) {
-	c.tenants[name] = &tenant{quota: quota / float64(c.peers), came: newRing(time.Second)}
+	c.tenants[name] = &tenant{quota: quota / float64(c.peers), came: window.New(time.Second)}
 }
 
 // Launches limits the launches of an event.
@@ -119,15 +90,15 @@
 }
 
 // Ration limits load orders within a window to free plus a share of the events taken in it.
-func (c *Chooser) Ration(window time.Duration, free, share float64) {
-	c.rationed, c.orderFree, c.orderShare = window > 0, free, share
-	c.ordered, c.taken = newRing(window), newRing(window)
+func (c *Chooser) Ration(within time.Duration, free, share float64) {
+	c.rationed, c.orderFree, c.orderShare = within > 0, free, share
+	c.ordered, c.taken = window.New(within), window.New(within)
 }
 
 // ColdStarts tells what a worker that has just started stands.
 func (c *Chooser) ColdStarts(from float64, warmAfter time.Duration, multiple float64, fall time.Duration) {
 	c.coldFrom, c.warmAfter, c.multiple, c.fall = from, warmAfter, multiple, max(fall, time.Millisecond)
-	c.work = newRing(8 * c.fall)
+	c.work = window.New(8 * c.fall)
 }
 
 // Asking says that the list of workers must be asked for, at least so often unless subscribed.
@@ -154,15 +125,15 @@
 	for _, l := range news {
 		w := c.workers[l.Worker]
 		if w == nil {
-			w = &worker{limit: firstLimit, took: newRing(2 * c.longest), want: newRing(2 * c.longest),
-				sent: newRing(c.fall)}
+			w = &worker{limit: firstLimit, took: window.New(2 * c.longest), want: window.New(2 * c.longest),
+				sent: window.New(c.fall)}
 			for _, b := range []byte(l.Worker) {
 				w.hash = mix(w.hash ^ uint64(b))
 			}
 			w.Listing = l
 			c.workers[l.Worker] = w
 			c.list = append(c.list, w)
-			sort.Slice(c.list, func(i, j int) bool { return c.list[i].Worker < c.list[j].Worker })
+			slices.SortFunc(c.list, func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) })
 		}
 		if l.Started != w.Started {
 			c.forget(w) // a worker that starts is empty
@@ -205,8 +176,8 @@
 	if s >= 1 || c.multiple <= 0 {
 		return true
 	}
-	sent := w.sent.sum(now, wholeWindow)
-	mean := c.work.sum(now, innerWindow) / 8 / float64(max(1, len(c.list)))
+	sent := w.sent.All(now)
+	mean := c.work.Inner(now) / 8 / float64(max(1, len(c.list)))
 	return sent == 0 || sent+weight <= coldSafety*c.multiple*s*mean
 }
 
@@ -285,10 +256,10 @@
 // pace moves a worker's in-flight limit by the ratio of the shortest answer time to the present one.
 func (c *Chooser) pace(w *worker, e *Event, took, now time.Duration) {
 	t := e.typ
-	t.took.add(now, float64(took))
-	t.count.add(now, 1)
-	if n := t.count.sum(now, wholeWindow); n >= averaged {
-		t.mean = time.Duration(t.took.sum(now, wholeWindow) / n)
+	t.took.Add(now, float64(took))
+	t.count.Add(now, 1)
+	if n := t.count.All(now); n >= averaged {
+		t.mean = time.Duration(t.took.All(now) / n)
 		if t.short == 0 || t.mean < t.short {
 			t.short = t.mean
 		} else {
@@ -298,26 +269,33 @@
 	if t.short == 0 {
 		return
 	}
-	w.took.add(now, float64(took))
-	w.want.add(now, float64(t.short))
-	ratio := min(1, tolerance*w.want.sum(now, wholeWindow)/w.took.sum(now, wholeWindow))
+	w.took.Add(now, float64(took))
+	w.want.Add(now, float64(t.short))
+	ratio := min(1, tolerance*w.want.All(now)/w.took.All(now))
 	aim := w.limit*ratio + math.Sqrt(w.limit)
 	if aim < w.limit || 2*float64(len(w.out)+1) > w.limit {
 		w.limit = max(leastLimit, w.limit+(aim-w.limit)/w.limit)
 	}
 }
 
+// oldest is when the oldest held event came.
+func (f *function) oldest() time.Duration {
+	if len(f.queue) == 0 {
+		return math.MaxInt64
+	}
+	return f.queue[0].came
+}
+
 // mean is the average of a function's last latencies.
 func (f *function) mean() time.Duration {
-	n := min(f.pasts, averaged)
-	if n == 0 {
+	if len(f.past) == 0 {
 		return firstLatency
 	}
 	var sum time.Duration
-	for _, p := range f.past[:n] {
+	for _, p := range f.past {
 		sum += p
 	}
-	return max(1, sum/time.Duration(n))
+	return max(1, sum/time.Duration(len(f.past)))
 }
 
 func (c *Chooser) expected(f *function) time.Duration { return max(f.mean(), f.typ.mean/2) }
@@ -342,19 +320,15 @@
 
 // refresh lets beliefs expire and forgets standings without any.
 func (c *Chooser) refresh(f *function, now time.Duration) {
-	kept := f.stands[:0]
-	for _, s := range f.stands {
+	f.stands = slices.DeleteFunc(f.stands, func(s *standing) bool {
 		if now > s.until && s.busy == 0 {
 			s.copies = 0
 		}
 		if now > s.loadEnd {
 			s.loading = 0
 		}
-		if s.copies > 0 || s.loading > 0 || s.busy > 0 {
-			kept = append(kept, s)
-		}
-	}
-	f.stands = kept
+		return s.copies == 0 && s.loading == 0 && s.busy == 0
+	})
 }
 
 // Place answers where to send an event that has just come.
@@ -374,10 +348,10 @@
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
 	f.arrived++
-	c.taken.add(now, 1)
+	c.taken.Add(now, 1)
 	if n := c.tenants[e.Tenant]; n != nil {
-		if e.over = n.came.sum(now, wholeWindow) >= max(1, n.quota); !e.over {
-			n.came.add(now, 1)
+		if e.over = n.came.All(now) >= max(1, n.quota); !e.over {
+			n.came.Add(now, 1)
 		}
 	}
 	if e.over && c.crowded(now) {
@@ -400,9 +374,7 @@
 	for i > 0 && f.queue[i-1].came > e.came {
 		i--
 	}
-	f.queue = append(f.queue, nil)
-	copy(f.queue[i+1:], f.queue[i:])
-	f.queue[i] = e
+	f.queue = slices.Insert(f.queue, i, e)
 	if !f.active {
 		f.active = true
 		c.active = append(c.active, f)
@@ -425,8 +397,8 @@
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
-	return s.copies > 0 && now >= s.shut && c.room(w, now) && c.mayGo(e, w, now) && c.coldRoom(w, c.weigh(e), now) &&
-		(!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
+	return s.copies > 0 && now >= s.shut && c.room(w, now) && c.mayGo(e, w, now) &&
+		c.coldRoom(w, c.weigh(e), now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
 
 // warm finds the believed-warm free lane that comes first in the function's salted order.
@@ -477,8 +449,8 @@
 	e.launches++
 	s.busy++
 	s.w.out = append(s.w.out, e)
-	s.w.sent.add(now, c.weigh(e))
-	c.work.add(now, c.weigh(e))
+	s.w.sent.Add(now, c.weigh(e))
+	c.work.Add(now, c.weigh(e))
 	if cold {
 		s.loading = max(s.loading, 1)
 		s.loadEnd = now + time.Duration(loadPatience*float64(c.usualLoad(e.fn)))
@@ -511,12 +483,7 @@
 	e.out = nil
 	s.busy--
 	w, f := s.w, e.fn
-	for i, x := range w.out {
-		if x == e {
-			w.out = append(w.out[:i], w.out[i+1:]...)
-			break
-		}
-	}
+	w.out = slices.DeleteFunc(w.out, func(x *Event) bool { return x == e })
 	if e.cold && s.loading > 0 {
 		s.loading--
 	}
@@ -531,8 +498,7 @@
 			s.others = max(0, o.Company-s.busy)
 		}
 		if o.Warmth == FoundWarm || o.Warmth == Untold && !e.cold {
-			f.past[f.pasts%averaged] = o.Took
-			f.pasts++
+			f.past = append(f.past[max(0, len(f.past)-averaged+1):], o.Took)
 			c.pace(w, e, o.Took, now)
 		}
 	case Full:
@@ -628,10 +594,7 @@
 	if c.ask {
 		wake = c.askAt
 	}
-	sort.SliceStable(c.active, func(i, j int) bool {
-		a, b := c.active[i].queue, c.active[j].queue
-		return len(a) > 0 && (len(b) == 0 || a[0].came < b[0].came)
-	})
+	slices.SortStableFunc(c.active, func(f, g *function) int { return int(f.oldest() - g.oldest()) })
 	for _, f := range c.active {
 		c.refresh(f, now)
 		c.serve(f, false, now, &st)
@@ -639,13 +602,10 @@
 	for _, f := range c.active {
 		wake = min(wake, c.serve(f, true, now, &st), c.tick(f, now, &st))
 	}
-	kept := c.active[:0]
-	for _, f := range c.active {
-		if f.active = len(f.queue) > 0; f.active {
-			kept = append(kept, f)
-		}
-	}
-	c.active = kept
+	c.active = slices.DeleteFunc(c.active, func(f *function) bool {
+		f.active = len(f.queue) > 0
+		return !f.active
+	})
 	for _, w := range c.list {
 		if len(w.out) > 0 {
 			wake = min(wake, now+c.longest/8)
@@ -749,7 +709,7 @@
 	if c.orders && c.allowed(now) && s.copies+s.loading < 16 {
 		s.loading++
 		s.loadEnd = now + min(time.Duration(loadPatience*float64(c.usualLoad(f))), c.orderLimit)
-		c.ordered.add(now, 1)
+		c.ordered.Add(now, 1)
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
 		return true
 	}
@@ -767,21 +727,24 @@
 
 // allowed keeps load orders rationed (rule 5), this one included, counted to the safe side.
 func (c *Chooser) allowed(now time.Duration) bool {
-	return !c.rationed || c.ordered.sum(now, wholeWindow)+1 <=
-		c.orderFree+c.orderShare*c.taken.sum(now, innerWindow)
+	return !c.rationed || c.ordered.All(now)+1 <=
+		c.orderFree+c.orderShare*c.taken.Inner(now)
 }
 
+// target chooses the worker for a load. Cold workers are spared while there are others.
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
-	var fit []*worker
-	for _, coldest := range []float64{coldAvoid, 0} {
-		for _, w := range c.list {
-			if c.room(w, now) && c.share(w, now) >= coldest {
+	var fit, cold []*worker
+	for _, w := range c.list {
+		if c.room(w, now) {
+			if c.share(w, now) < coldAvoid {
+				cold = append(cold, w)
+			} else {
 				fit = append(fit, w)
 			}
 		}
-		if len(fit) > 0 {
-			break
-		}
+	}
+	if len(fit) == 0 {
+		fit = cold
 	}
 	if len(fit) == 0 {
 		return nil
@@ -789,12 +752,8 @@
 	if !first {
 		return fit[c.random(len(fit))]
 	}
-	best := fit[0]
-	for _, w := range fit {
-		many, most := float64(len(w.out)) >= manyShare*w.limit, float64(len(best.out)) >= manyShare*best.limit
-		if many == most && rank(w, f.id, 0) < rank(best, f.id, 0) || most && !many {
-			best = w
-		}
-	}
-	return best
+	many := func(w *worker) float64 { return math.Floor(float64(len(w.out)) / w.limit / manyShare) }
+	return slices.MinFunc(fit, func(v, w *worker) int {
+		return cmp.Or(cmp.Compare(many(v), many(w)), cmp.Compare(rank(v, f.id, 0), rank(w, f.id, 0)))
+	})
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -1,6 +1,10 @@
 package choice
 
-import "time"
+import (
+	"time"
+
+	"lupinpond/internal/window"
+)
 
 // Effect says what may happen when an event runs a second time.
 type Effect int
@@ -160,16 +164,9 @@
 	Next    time.Duration // how long to wait at the most; 0: until news comes
 }
 
-// ring sums a measure over a sliding window in fixed buckets that are used again.
-type ring struct {
-	width time.Duration
-	slots [ringSlots]float64
-	at    int64
-}
-
 type evtType struct {
 	EventType
-	took, count ring
+	took, count *window.Window
 	short       time.Duration // shortest mean answer time, slowly forgotten
 	mean        time.Duration
 	patience    time.Duration // most that a client has shown
@@ -177,7 +174,7 @@
 
 type tenant struct {
 	quota float64 // events a second within its share, at this front end
-	came  ring
+	came  *window.Window
 }
 
 type worker struct {
@@ -191,9 +188,9 @@
 	barFor   time.Duration
 	trial    bool
 	limit    float64
-	took     ring
-	want     ring
-	sent     ring
+	took     *window.Window
+	want     *window.Window
+	sent     *window.Window
 }
 
 // standing is what is believed of one function at one worker.
@@ -216,8 +213,7 @@
 	load    time.Duration
 	queue   []*Event
 	stands  []*standing
-	past    [averaged]time.Duration
-	pasts   int
+	past    []time.Duration
 	arrived int // since the last advance
 	next    time.Duration
 	active  bool
@@ -247,11 +243,11 @@
 	keep, orderLimit      time.Duration
 	rationed              bool
 	orderFree, orderShare float64
-	ordered, taken        ring // load orders and events in the ration's window
+	ordered, taken        *window.Window // load orders and events in the ration's window
 
 	coldFrom, multiple float64
 	warmAfter, fall    time.Duration
-	work               ring // launches to all workers, weighted
+	work               *window.Window // launches to all workers, weighted
 
 	ask            bool
 	askAt, askWait time.Duration
