--- a/choice/choice.go
+++ b/choice/choice.go
@@ -347,6 +347,9 @@
 	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
+	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 {
+		c.advance(f, now) // a tick that finds arrivals but no queue advances too
+	}
 	f.arrived++
 	c.taken.Add(now, 1)
 	if n := c.tenants[e.Tenant]; n != nil {
@@ -600,7 +603,7 @@
 		c.serve(f, false, now, &st)
 	}
 	for _, f := range c.active {
-		wake = min(wake, c.serve(f, true, now, &st), c.tick(f, now, &st))
+		wake = min(wake, c.serve(f, true, now, &st), c.provision(f, now, &st))
 	}
 	c.active = slices.DeleteFunc(c.active, func(f *function) bool {
 		f.active = len(f.queue) > 0
@@ -661,19 +664,24 @@
 	return have, under
 }
 
-// tick is the four-condition rule. It advances only for a queue that is not empty or after arrivals.
-func (c *Chooser) tick(f *function, now time.Duration, st *Steps) time.Duration {
+func (f *function) tick() time.Duration { return time.Duration(tickShare * float64(f.typ.Target)) }
+
+// advance begins a function's next tick.
+func (c *Chooser) advance(f *function, now time.Duration) {
+	f.next, f.arrived = now+max(f.tick(), c.quantum, time.Microsecond), 0
+}
+
+// provision is the four-condition rule. It advances only for a queue that is not empty or after arrivals.
+func (c *Chooser) provision(f *function, now time.Duration, st *Steps) time.Duration {
 	if len(f.queue) == 0 {
 		return math.MaxInt64
 	}
 	if now < f.next {
 		return f.next
 	}
-	length := time.Duration(tickShare * float64(f.typ.Target))
-	f.next = now + max(length, c.quantum, time.Microsecond)
 	have, under := c.count(f, now)
 	queued := len(f.queue)
-	power := float64(length) / float64(f.mean()) * float64(f.lanes)
+	power := float64(f.tick()) / float64(f.mean()) * float64(f.lanes)
 	required := int(math.Ceil(float64(queued) / power))
 	short, total := 0, have+under
 	switch {
@@ -686,8 +694,9 @@
 	case float64(f.arrived) >= power*float64(total):
 		short = required - total
 	}
-	if have > 0 {
-		f.arrived = 0
+	arrived := f.arrived
+	if c.advance(f, now); have == 0 {
+		f.arrived = arrived // during first loads arrivals add up
 	}
 	for range min(short, queued) {
 		if !c.load(f, total == 0, now, st) {
