--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,223 @@
+package choice_test
+
+import (
+	"fmt"
+	"time"
+
+	"lupinpond/choice"
+)
+
+// The ordinary path: held, one first load, released to the warm lane, the second waits for the lane.
+func Example_ordinaryPath() {
+	b := newBench(1)
+	e1 := b.place("e1", "redeliverable", 9)
+	st := b.step(0)
+	b.now += 400 * ms
+	b.loaded(st)
+	b.step(0)
+	b.place("e2", "redeliverable", 9)
+	b.now += 100 * ms
+	b.after(e1, choice.Handled, 100*ms)
+	b.step(0)
+	// Output:
+	// 0s e1 hold
+	// 0s load 9 x1 on c
+	// 400ms e1 launch on c
+	// 400ms e2 hold
+	// 500ms e1 nothing
+	// 500ms e2 launch on c
+}
+
+// Rule 1: an event that nothing can serve is answered before its client gives up.
+func Example_answeredInTime() {
+	b := newBench(1)
+	b.Listed(b.now, true, nil)
+	b.place("e1", "at-most-once", 9)
+	for range 30 {
+		b.step(100 * ms)
+	}
+	// Output:
+	// 0s e1 hold
+	// 400ms e1 defer
+}
+
+// Rule 2: what may have run goes again only as its type allows; a launch that never ran may go again.
+func Example_noEffectTwice() {
+	for _, r := range []choice.Result{choice.Full, choice.Broken} {
+		b := newBench(1)
+		for i, kind := range []string{"redeliverable", "keyed", "at-most-once"} {
+			e := b.place(kind, kind, uint64(i))
+			b.loaded(b.step(0))
+			b.step(10 * ms)
+			b.now += 50 * ms
+			b.after(e, r, 50*ms)
+		}
+	}
+	// Output:
+	// 0s redeliverable hold
+	// 0s load 0 x1 on a
+	// 10ms redeliverable launch on a
+	// 60ms redeliverable hold
+	// 60ms keyed hold
+	// 60ms load 1 x1 on b
+	// 70ms keyed launch on b
+	// 120ms keyed hold
+	// 120ms at-most-once hold
+	// 120ms load 2 x1 on c
+	// 130ms at-most-once launch on c
+	// 180ms at-most-once hold
+	// 0s redeliverable hold
+	// 0s load 0 x1 on a
+	// 10ms redeliverable launch on a
+	// 60ms redeliverable hold
+	// 60ms keyed hold
+	// 60ms load 1 x1 on b
+	// 70ms keyed launch on b
+	// 120ms keyed hold
+	// 120ms at-most-once hold
+	// 120ms load 2 x1 on c
+	// 130ms at-most-once launch on c
+	// 180ms at-most-once dead-letter
+}
+
+// Rule 2: outside its window a keyed event that may have run is dead-lettered.
+func Example_keyedWindow() {
+	b := newBench(1)
+	e := b.place("e1", "keyed", 9)
+	b.loaded(b.step(0))
+	b.step(10 * ms)
+	b.now += 2100 * ms
+	b.after(e, choice.TimedOut, 2100*ms)
+	// Output:
+	// 0s e1 hold
+	// 0s load 9 x1 on c
+	// 10ms e1 launch on c
+	// 2.11s e1 dead-letter
+}
+
+// Rule 3: a drained worker gets nothing new, neither launches nor loads.
+func Example_drain() {
+	b := newBench(1)
+	b.Listed(b.now, false, []choice.Listing{{Worker: "a", Condition: choice.Draining}, {Worker: "b", Condition: choice.Gone}})
+	for i := range 4 {
+		b.place(fmt.Sprint("e", i), "redeliverable", uint64(i))
+	}
+	b.loaded(b.step(0))
+	b.Listed(b.now, false, []choice.Listing{{Worker: "c", Condition: choice.Draining}})
+	b.step(10 * ms)
+	// Output:
+	// 0s e0 hold
+	// 0s e1 hold
+	// 0s e2 hold
+	// 0s e3 hold
+	// 0s load 0 x1 on c
+	// 0s load 1 x1 on c
+	// 0s load 2 x1 on c
+	// 0s load 3 x1 on c
+}
+
+// Rule 4: a worker that has just started gets a trickle, a warm one all.
+func Example_coldWorker() {
+	for _, started := range []time.Duration{0, time.Hour} {
+		b := newBench(1)
+		b.Listed(b.now, true, []choice.Listing{{Worker: "a", Started: started}})
+		b.place("e0", "redeliverable", 9)
+		b.loaded(b.step(0))
+		b.step(0)
+		launched := 0
+		for i := range 20 {
+			e := &choice.Event{ID: fmt.Sprint(i), Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 32}
+			if b.Place(b.now, e).Verb == choice.Launch {
+				launched++
+			}
+			b.now += 10 * ms
+		}
+		fmt.Println("launched", launched)
+	}
+	// Output:
+	// 0s e0 hold
+	// 0s load 9 x1 on a
+	// 0s e0 launch on a
+	// launched 15
+	// 0s e0 hold
+	// 0s load 9 x1 on a
+	// 0s e0 launch on a
+	// launched 0
+}
+
+// Rule 5: no more orders than the ration, however many functions are new.
+func Example_ration() {
+	b := newBench(1)
+	b.Ration(5000*ms, 2, 0.1)
+	b.Loading(true, false, 10000*ms, 5000*ms)
+	orders := 0
+	for i := range 100 {
+		b.Place(b.now, &choice.Event{ID: fmt.Sprint(i), Type: "redeliverable", Function: uint64(i), Patience: 3000 * ms})
+		orders += len(b.Wait(b.now).Orders)
+		b.now += 10 * ms
+	}
+	fmt.Println("orders", orders, "of at most", 2+100/10)
+	// Output:
+	// orders 12 of at most 12
+}
+
+// A worker that answers nothing is barred: what may go again is withdrawn and goes elsewhere.
+func Example_silentWorker() {
+	b := newBench(1)
+	var events []*choice.Event
+	for i := range 3 {
+		events = append(events, b.place(fmt.Sprint("e", i), "redeliverable", 9))
+	}
+	for range 5 {
+		b.loaded(b.step(200 * ms))
+	}
+	for _, e := range events {
+		b.after(e, choice.Withdrawn, 600*ms)
+	}
+	b.loaded(b.step(200 * ms))
+	b.step(0)
+	// Output:
+	// 0s e0 hold
+	// 0s e1 hold
+	// 0s e2 hold
+	// 200ms load 9 x1 on c
+	// 400ms e0 launch on c
+	// 400ms e1 launch on c
+	// 400ms e2 launch on c
+	// 1s e0 withdraw
+	// 1s e1 withdraw
+	// 1s e2 withdraw
+	// 1s e0 hold
+	// 1s e1 hold
+	// 1s e2 hold
+	// 1.2s load 9 x1 on a
+	// 1.2s e0 launch on a
+	// 1.2s e1 launch on a
+	// 1.2s e2 launch on a
+}
+
+// Settings that make no sense lead to safe decisions, not to a panic.
+func Example_impossibleSettings() {
+	c := choice.New(0, 0, 0, 0)
+	c.AddType(choice.EventType{Name: "t"})
+	c.AddTenant("n", 0)
+	c.Launches(0, false)
+	c.Loading(false, false, 0, 0)
+	c.Ration(0, 0, 0)
+	c.ColdStarts(0, 0, 0, 0)
+	c.Asking(0)
+	c.Listed(1, true, []choice.Listing{{Worker: "a", Started: 1}})
+	for i, kind := range []string{"t", "t", "unknown"} {
+		e := &choice.Event{ID: fmt.Sprint("e", i), Type: kind, Tenant: "n"}
+		a := c.Place(2, e)
+		fmt.Print(a.Verb, " ")
+		for _, a := range c.Wait(2).Answers {
+			fmt.Print(a.Event.ID, " ", a.Verb, " ", a.Worker, "; ")
+		}
+	}
+	c.Listed(3, true, nil)
+	c.ListFailed(3)
+	fmt.Println(len(c.Wait(3).Answers))
+	// Output:
+	// 0 e0 2 ; 0 e1 2 ; 0 e2 2 ; 0
+}
--- /dev/null
+++ b/choice/help_test.go
@@ -0,0 +1,73 @@
+package choice_test
+
+import (
+	"fmt"
+	"time"
+
+	"lupinpond/choice"
+)
+
+const ms = time.Millisecond
+
+// bench is a Chooser with a clock that prints each of its decisions.
+type bench struct {
+	*choice.Chooser
+	now time.Duration
+}
+
+// newBench starts front end 0 of peers with workers a, b and c, and three event types.
+func newBench(peers int) *bench {
+	b := &bench{Chooser: choice.New(7, 0, peers, 2*ms), now: time.Hour}
+	for i, name := range []string{"redeliverable", "keyed", "at-most-once"} {
+		b.AddType(choice.EventType{Name: name, Effect: choice.Effect(i), Group: choice.GroupCell,
+			Window: 2000 * ms, Target: 1000 * ms, MaxAge: 3000 * ms, Benefit: 1})
+	}
+	b.Launches(4, true)
+	b.Deferrals(true, 500*ms)
+	b.Loading(true, true, 10000*ms, 5000*ms)
+	b.ColdStarts(0.2, 10000*ms, 2, 1000*ms)
+	b.Listed(b.now, true, []choice.Listing{{Worker: "a", Cell: "1"}, {Worker: "b", Cell: "1"}, {Worker: "c", Cell: "2"}})
+	return b
+}
+
+// place takes a new event and prints the answer.
+func (b *bench) place(id, kind string, fn uint64) *choice.Event {
+	e := &choice.Event{ID: id, Type: kind, Function: fn, Patience: 3000 * ms, Lanes: 1, LoadTime: 400 * ms}
+	b.show(b.Place(b.now, e))
+	return e
+}
+
+// after ends the outstanding launch of an event and prints the answer.
+func (b *bench) after(e *choice.Event, r choice.Result, took time.Duration) {
+	b.show(b.After(b.now, e, choice.Outcome{Result: r, Took: took, Final: r == choice.Handled, Company: -1}))
+}
+
+// step lets time pass and prints what is due then.
+func (b *bench) step(d time.Duration) choice.Steps {
+	b.now += d
+	st := b.Wait(b.now)
+	for _, a := range st.Answers {
+		b.show(a)
+	}
+	for _, o := range st.Orders {
+		fmt.Printf("%v load %d x%d on %s\n", b.now-time.Hour, o.Function, o.Copies, o.Worker)
+	}
+	return st
+}
+
+func (b *bench) show(a choice.Answer) {
+	words := map[choice.Verb]string{choice.Hold: "hold", choice.Launch: "launch on", choice.Defer: "defer",
+		choice.DeadLetter: "dead-letter", choice.Withdraw: "withdraw", choice.Nothing: "nothing"}
+	line := fmt.Sprintf("%v %s %s", b.now-time.Hour, a.Event.ID, words[a.Verb])
+	if a.Verb == choice.Launch {
+		line += " " + a.Worker
+	}
+	fmt.Println(line)
+}
+
+// loaded answers every order of st: the copies stand.
+func (b *bench) loaded(st choice.Steps) {
+	for _, o := range st.Orders {
+		b.Loaded(b.now, o, choice.Handled, 400*ms)
+	}
+}
