--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,7 +12,7 @@
 // a four-condition rule each tick that orders loads on random workers; surplus copies starve.
 //
 // Beside it stand six mechanisms:
-//  1. failures in a row bar a worker, a single event on trial brings it back (fail, good, usable)
+//  1. failures in a row bar a worker, a single event on trial brings it back (fail, silent, usable)
 //  2. the in-flight limit follows the shortest to the present answer time (pace)
 //  3. launch time-outs and further launches, as the event type allows (timeout, mayGo, give)
 //  4. overflow before the target time is lost, and deferral of what can't make it in a jam (serve)
@@ -57,7 +57,7 @@
 	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, ordered: window.New(0), taken: window.New(0), work: window.New(0)}
+		mostLaunches: 1, askAt: math.MaxInt64, ordered: window.New(0), taken: window.New(0), work: window.New(0)}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -103,7 +103,7 @@
 
 // Asking says that the list of workers must be asked for, at least so often unless subscribed.
 func (c *Chooser) Asking(within time.Duration) {
-	c.ask, c.askWait = true, max(within/8, time.Millisecond)
+	c.askAt, c.askWait = 0, max(within/8, time.Millisecond)
 }
 
 func mix(x uint64) uint64 {
@@ -141,7 +141,9 @@
 		}
 		w.Listing, w.listed = l, l.Condition != Gone
 	}
-	c.askAt = math.MaxInt64
+	if c.askAt > 0 { // the list of the start is no answer
+		c.askAt = math.MaxInt64
+	}
 }
 
 // ListFailed says that asking for the list failed: ask again a little later, each front end at its own time.
@@ -228,11 +230,6 @@
 	}
 }
 
-// good clears a worker on an answer.
-func (c *Chooser) good(w *worker, now time.Duration) {
-	w.row, w.lastGood, w.barFor, w.trial, w.barred = 0, now, 0, false, 0
-}
-
 // silent counts launches that stay unanswered for long while nothing else comes from their worker.
 func (c *Chooser) silent(now time.Duration) {
 	for _, w := range c.list {
@@ -308,14 +305,12 @@
 }
 
 func (f *function) at(w *worker) *standing {
-	for _, s := range f.stands {
-		if s.w == w {
-			return s
-		}
+	i := slices.IndexFunc(f.stands, func(s *standing) bool { return s.w == w })
+	if i < 0 {
+		i = len(f.stands)
+		f.stands = append(f.stands, &standing{w: w})
 	}
-	s := &standing{w: w, fn: f}
-	f.stands = append(f.stands, s)
-	return s
+	return f.stands[i]
 }
 
 // refresh lets beliefs expire and forgets standings without any.
@@ -390,11 +385,9 @@
 	if e.risk == nil || e.typ.Effect == Redeliverable {
 		return true
 	}
-	if e.typ.Effect != Keyed || now+c.quantum >= e.riskAt+e.typ.Window {
-		return false
-	}
-	return e.typ.Group == GroupAll || e.typ.Group == GroupZone && w.Zone == e.risk.Zone ||
-		e.typ.Group == GroupCell && w.Cell == e.risk.Cell && w.Zone == e.risk.Zone
+	t := e.typ
+	same := t.Group == GroupAll || w.Zone == e.risk.Zone && (t.Group == GroupZone || w.Cell == e.risk.Cell)
+	return same && t.Effect == Keyed && now+c.quantum < e.riskAt+t.Window
 }
 
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
@@ -468,31 +461,29 @@
 		e.typ.Effect == Keyed && e.typ.Group == GroupAll && now < e.riskAt+e.typ.Window
 	if !harmless {
 		return Answer{Event: e, Verb: DeadLetter}
+	} else if !c.nameBack {
+		return Answer{Event: e, Verb: Defer}
 	}
-	back := time.Duration(0)
-	if c.nameBack {
-		back = min(c.mostBack, e.typ.Target/2)
-		back = back/2 + time.Duration(c.random(int(back/2)+1))
-	}
-	return Answer{Event: e, Verb: Defer, Back: back}
+	back := min(c.mostBack, e.typ.Target/2)
+	return Answer{Event: e, Verb: Defer, Back: back/2 + time.Duration(c.random(int(back/2)+1))}
 }
 
 // After answers what to do after the outcome of a launch.
 func (c *Chooser) After(now time.Duration, e *Event, o Outcome) Answer {
-	s := e.out
+	s, f := e.out, e.fn
 	if s == nil {
 		return Answer{Event: e, Verb: Nothing}
 	}
+	w := s.w
 	e.out = nil
 	s.busy--
-	w, f := s.w, e.fn
 	w.out = slices.DeleteFunc(w.out, func(x *Event) bool { return x == e })
-	if e.cold && s.loading > 0 {
-		s.loading--
+	if e.cold {
+		s.loading = max(0, s.loading-1)
 	}
 	switch o.Result {
 	case Handled:
-		c.good(w, now)
+		w.row, w.lastGood, w.barFor, w.trial, w.barred = 0, now, 0, false, 0
 		s.copies, s.until = max(1, s.copies), now+c.keep
 		if o.Warmth == BeganLoad {
 			s.copies = 1
@@ -513,14 +504,11 @@
 		c.forget(w)
 		c.fail(w, now)
 	case TimedOut:
-		c.pace(w, e, o.Took, now)
-		if e.sent >= w.lastGood {
+		if c.pace(w, e, o.Took, now); e.sent >= w.lastGood {
 			c.fail(w, now)
 		}
 	case Failed:
-		if o.Warmth == LoadFailed {
-			s.copies = 0
-		} else {
+		if s.copies = 0; o.Warmth != LoadFailed {
 			c.fail(w, now)
 		}
 	}
@@ -547,15 +535,8 @@
 
 // goesOn tells whether any worker may take another launch of the event.
 func (c *Chooser) goesOn(e *Event, now time.Duration) bool {
-	if e.risk == nil {
-		return true
-	}
-	for _, w := range c.list {
-		if c.usable(w, now) && c.mayGo(e, w, now) {
-			return true
-		}
-	}
-	return false
+	may := func(w *worker) bool { return c.usable(w, now) && c.mayGo(e, w, now) }
+	return e.risk == nil || slices.ContainsFunc(c.list, may)
 }
 
 // Left says that the client has gone.
@@ -583,7 +564,7 @@
 // Wait answers what is due now, and how long to wait until something else is.
 func (c *Chooser) Wait(now time.Duration) Steps {
 	var st Steps
-	if c.ask && now >= c.askAt {
+	if now >= c.askAt {
 		st.Ask, c.askAt = true, now+8*c.askWait
 	}
 	c.silent(now)
@@ -593,10 +574,7 @@
 		}
 	}
 	c.recall = c.recall[:0]
-	wake := time.Duration(math.MaxInt64)
-	if c.ask {
-		wake = c.askAt
-	}
+	wake := c.askAt
 	slices.SortStableFunc(c.active, func(f, g *function) int { return int(f.oldest() - g.oldest()) })
 	for _, f := range c.active {
 		c.refresh(f, now)
@@ -609,10 +587,8 @@
 		f.active = len(f.queue) > 0
 		return !f.active
 	})
-	for _, w := range c.list {
-		if len(w.out) > 0 {
-			wake = min(wake, now+c.longest/8)
-		}
+	if slices.ContainsFunc(c.list, func(w *worker) bool { return len(w.out) > 0 }) {
+		wake = min(wake, now+c.longest/8) // to notice silence
 	}
 	if wake < math.MaxInt64 {
 		st.Next = max(wake-now, c.quantum, time.Microsecond)
@@ -683,7 +659,7 @@
 	queued := len(f.queue)
 	power := float64(f.tick()) / float64(f.mean()) * float64(f.lanes)
 	required := int(math.Ceil(float64(queued) / power))
-	short, total := 0, have+under
+	short, total, arrived := 0, have+under, f.arrived
 	switch {
 	case total == 0:
 		short = 1
@@ -694,7 +670,6 @@
 	case float64(f.arrived) >= power*float64(total):
 		short = required - total
 	}
-	arrived := f.arrived
 	if c.advance(f, now); have == 0 {
 		f.arrived = arrived // during first loads arrivals add up
 	}
@@ -744,12 +719,10 @@
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
 	var fit, cold []*worker
 	for _, w := range c.list {
-		if c.room(w, now) {
-			if c.share(w, now) < coldAvoid {
-				cold = append(cold, w)
-			} else {
-				fit = append(fit, w)
-			}
+		if c.room(w, now) && c.share(w, now) < coldAvoid {
+			cold = append(cold, w)
+		} else if c.room(w, now) {
+			fit = append(fit, w)
 		}
 	}
 	if len(fit) == 0 {
@@ -757,8 +730,7 @@
 	}
 	if len(fit) == 0 {
 		return nil
-	}
-	if !first {
+	} else if !first {
 		return fit[c.random(len(fit))]
 	}
 	many := func(w *worker) float64 { return math.Floor(float64(len(w.out)) / w.limit / manyShare) }
--- a/choice/types.go
+++ b/choice/types.go
@@ -196,7 +196,6 @@
 // standing is what is believed of one function at one worker.
 type standing struct {
 	w       *worker
-	fn      *function
 	copies  int // believed loaded
 	busy    int // own events there
 	others  int // events of other front ends there, as last told
@@ -249,6 +248,5 @@
 	warmAfter, fall    time.Duration
 	work               *window.Window // launches to all workers, weighted
 
-	ask            bool
 	askAt, askWait time.Duration
 }
