Launch time-out of two target times

A launch cut at 0.9 target times could not make its target time elsewhere and its work went on, wasted; silent workers are noticed by the bar.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,7 @@
 	tolerance     = 1.2  // the present answer time may be so many shortest ones before the limit falls
 	firstLimit    = 16.0 // in-flight limit to start from
 	leastLimit    = 2.0
-	timeoutShare  = 0.9 // launch time-out, of the target time
+	timeoutShare  = 2.0 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.5 // part of the cold budget that is used
 	coldAvoid     = 0.5 // no loads to workers below this share of their capacity, if others are there
