--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,14 +39,13 @@
 	rowBar        = 2    // failures in a row that bar a worker
 	barShare      = 1.0  // first bar, of the longest target time; doubles
 	barMost       = 8.0  // longest bar, likewise
-	overdue       = 5.0  // a launch unanswered for so many mean answer times counts as a failure
+	overdue       = 8.0  // a launch unanswered for so many mean answer times counts as a failure
 	tolerance     = 1.2  // the present answer time may be so many shortest ones before the limit falls
 	firstLimit    = 16.0 // in-flight limit to start from
 	leastLimit    = 2.0
 	timeoutShare  = 2.0 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.5 // part of the cold budget that is used
-	coldAvoid     = 0.5 // no loads to workers below this share of their capacity, if others are there
 	manyShare     = 0.75
 	crowdedShare  = 0.25 // fewer workers than this with room: a jam
 	believed      = 0.5  // no more workers than this can be bad at once
@@ -235,7 +234,7 @@
 	for _, w := range c.list {
 		late := 0
 		for _, e := range w.out {
-			patience := time.Duration(overdue * float64(max(e.typ.mean, e.typ.Target/10)))
+			patience := time.Duration(overdue * float64(max(e.typ.mean, e.typ.Target/10)) / c.share(w, now))
 			if e.cold {
 				patience += time.Duration(loadPatience * float64(c.usualLoad(e.fn)))
 			}
@@ -715,19 +714,14 @@
 		c.orderFree+c.orderShare*c.taken.Inner(now)
 }
 
-// target chooses the worker for a load. Cold workers are spared while there are others.
+// target chooses the worker for a load.
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
-	var fit, cold []*worker
+	var fit []*worker
 	for _, w := range c.list {
-		if c.room(w, now) && c.share(w, now) < coldAvoid {
-			cold = append(cold, w)
-		} else if c.room(w, now) {
+		if c.room(w, now) {
 			fit = append(fit, w)
 		}
 	}
-	if len(fit) == 0 {
-		fit = cold
-	}
 	if len(fit) == 0 {
 		return nil
 	} else if !first {
