--- a/choice/choice.go
+++ b/choice/choice.go
@@ -529,7 +529,7 @@
 
 // lastCall is how long before the client gives up an event is given up: an answer is not to be had then.
 func (c *Chooser) lastCall(e *Event) time.Duration {
-	return max(2*c.quantum, min(c.expected(e.fn)/2, e.Patience/4))
+	return max(2*c.quantum, min(2*c.expected(e.fn), e.Patience/2))
 }
 
 // goesOn tells whether any worker may take another launch of the event.
