Each front end finds its own part of the tenants' shares

Clients are spread unevenly where each has a front end of its own. The claim falls in a jam and rises without.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,6 +48,9 @@
 	coldSafety    = 0.5 // part of the cold budget that is used
 	manyShare     = 0.75
 	crowdedShare  = 0.25 // fewer workers than this with room: a jam
+	claimLeast    = 0.5  // least part of the shares that a front end claims, of an even split
+	claimFall     = 0.9  // what a jam leaves of the claim, an eighth of the longest target time later
+	claimRise     = 0.05 // what it gains without a jam, of an even split
 	believed      = 0.5  // no more workers than this can be bad at once
 )
 
@@ -56,7 +59,7 @@
 	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, askAt: math.MaxInt64, ordered: window.New(0), taken: window.New(0), work: window.New(0)}
+		mostLaunches: 1, claim: 1 / float64(max(1, peers)), askAt: math.MaxInt64, ordered: window.New(0), taken: window.New(0), work: window.New(0)}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -74,7 +77,7 @@
 
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
 func (c *Chooser) AddTenant(name string, quota float64) {
-	c.tenants[name] = &tenant{quota: quota / float64(c.peers), came: window.New(time.Second)}
+	c.tenants[name] = &tenant{quota: quota, came: window.New(time.Second)}
 }
 
 // Launches limits the launches of an event.
@@ -346,12 +349,20 @@
 	}
 	f.arrived++
 	c.taken.Add(now, 1)
+	jam := c.crowded(now)
+	if now >= c.claimAt {
+		if c.claimAt = now + c.longest/8; jam {
+			c.claim = max(c.claim*claimFall, claimLeast/float64(c.peers))
+		} else {
+			c.claim = min(1, c.claim+claimRise/float64(c.peers))
+		}
+	}
 	if n := c.tenants[e.Tenant]; n != nil {
-		if e.over = n.came.All(now) >= max(1, n.quota); !e.over {
+		if e.over = n.came.All(now) >= max(1, n.quota*c.claim); !e.over {
 			n.came.Add(now, 1)
 		}
 	}
-	if e.over && c.crowded(now) {
+	if e.over && jam {
 		return c.give(e, now)
 	}
 	if len(f.queue) == 0 {
--- a/choice/types.go
+++ b/choice/types.go
@@ -249,4 +249,7 @@
 	work               *window.Window // launches to all workers, weighted
 
 	askAt, askWait time.Duration
+
+	claim   float64 // part of the tenants' shares that this front end takes for its own
+	claimAt time.Duration
 }
