--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,7 +47,7 @@
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.5 // part of the cold budget that is used
 	manyShare     = 0.75
-	crowdedShare  = 0.25 // fewer workers than this with room: a jam
+	crowdedShare  = 0.5  // fewer workers than this with room: a jam
 	claimLeast    = 0.5  // least part of the shares that a front end claims, of an even split
 	claimFall     = 0.9  // what a jam leaves of the claim, an eighth of the longest target time later
 	claimRise     = 0.05 // what it gains without a jam, of an even split
