--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,12 +36,13 @@
 	overflowShare = 0.4 // overflow wait, of the target time
 	averaged      = 10  // answers in a function's average
 	firstLatency  = 10 * time.Millisecond
-	rowBar        = 2    // failures in a row that bar a worker
-	barShare      = 1.0  // first bar, of the longest target time; doubles
-	barMost       = 8.0  // longest bar, likewise
-	overdue       = 8.0  // a launch unanswered for so many mean answer times counts as a failure
-	tolerance     = 1.2  // the present answer time may be so many shortest ones before the limit falls
-	firstLimit    = 16.0 // in-flight limit to start from
+	rowBar        = 2     // failures in a row that bar a worker
+	barShare      = 1.0   // first bar, of the longest target time; doubles
+	barMost       = 8.0   // longest bar, likewise
+	overdue       = 8.0   // a launch unanswered for so many mean answer times counts as a failure
+	tolerance     = 1.4   // the present answer time may be so many shortest ones before the limit falls
+	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
+	firstLimit    = 16.0  // in-flight limit to start from
 	leastLimit    = 2.0
 	timeoutShare  = 2.0 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
@@ -262,7 +263,7 @@
 		if t.short == 0 || t.mean < t.short {
 			t.short = t.mean
 		} else {
-			t.short += t.short / 1000
+			t.short += t.short / shortLasts
 		}
 	}
 	if t.short == 0 {
@@ -277,14 +278,6 @@
 	}
 }
 
-// oldest is when the oldest held event came.
-func (f *function) oldest() time.Duration {
-	if len(f.queue) == 0 {
-		return math.MaxInt64
-	}
-	return f.queue[0].came
-}
-
 // mean is the average of a function's last latencies.
 func (f *function) mean() time.Duration {
 	if len(f.past) == 0 {
@@ -345,17 +338,15 @@
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
 	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 {
-		c.advance(f, now) // a tick that finds arrivals but no queue advances too
+		f.next, f.arrived = now+c.tick(f), 0 // a tick that finds arrivals but no queue advances too
 	}
 	f.arrived++
 	c.taken.Add(now, 1)
 	jam := c.crowded(now)
-	if now >= c.claimAt {
-		if c.claimAt = now + c.longest/8; jam {
-			c.claim = max(c.claim*claimFall, claimLeast/float64(c.peers))
-		} else {
-			c.claim = min(1, c.claim+claimRise/float64(c.peers))
-		}
+	if now >= c.claimAt && jam {
+		c.claimAt, c.claim = now+c.longest/8, max(c.claim*claimFall, claimLeast/float64(c.peers))
+	} else if now >= c.claimAt {
+		c.claimAt, c.claim = now+c.longest/8, min(1, c.claim+claimRise/float64(c.peers))
 	}
 	if n := c.tenants[e.Tenant]; n != nil {
 		if e.over = n.came.All(now) >= max(1, n.quota*c.claim); !e.over {
@@ -433,20 +424,22 @@
 
 func (c *Chooser) weigh(e *Event) float64 { return float64(max(e.typ.mean, firstLatency)) }
 
+// again tells whether an event could be launched once more at a time, wherever it may have run before.
+func (c *Chooser) again(e *Event, then time.Duration) bool {
+	anywhere := e.typ.Effect == Redeliverable || e.typ.Effect == Keyed && e.typ.Group == GroupAll
+	return anywhere && e.launches+1 < c.mostLaunches && then+c.lastCall(e) < e.ends
+}
+
 // timeout limits a launch that may be followed by another; the others run until the client gives up.
 func (c *Chooser) timeout(e *Event, now time.Duration) time.Duration {
-	t := e.typ
-	if t.Effect == AtMostOnce || t.Effect == Keyed && t.Group != GroupAll || e.launches+1 >= c.mostLaunches {
-		return 0
-	}
-	limit := max(time.Duration(timeoutShare*float64(t.Target)), 6*t.mean)
+	limit := time.Duration(timeoutShare * float64(e.typ.Target))
 	if e.cold {
 		limit += 2 * c.usualLoad(e.fn)
 	}
-	if now+limit+c.expected(e.fn) >= e.ends {
-		return 0
+	if c.again(e, now+limit) {
+		return limit
 	}
-	return limit
+	return 0
 }
 
 func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
@@ -579,13 +572,15 @@
 	}
 	c.silent(now)
 	for _, e := range c.recall {
-		if e.out != nil && !e.ended && c.timeout(e, now) > 0 {
+		if e.out != nil && !e.ended && c.again(e, now) {
 			st.Answers = append(st.Answers, Answer{Event: e, Verb: Withdraw, Launch: e.launches - 1})
 		}
 	}
 	c.recall = c.recall[:0]
 	wake := c.askAt
-	slices.SortStableFunc(c.active, func(f, g *function) int { return int(f.oldest() - g.oldest()) })
+	slices.SortStableFunc(c.active, func(f, g *function) int {
+		return cmp.Compare(f.queue[0].came, g.queue[0].came)
+	})
 	for _, f := range c.active {
 		c.refresh(f, now)
 		c.serve(f, false, now, &st)
@@ -650,11 +645,9 @@
 	return have, under
 }
 
-func (f *function) tick() time.Duration { return time.Duration(tickShare * float64(f.typ.Target)) }
-
-// advance begins a function's next tick.
-func (c *Chooser) advance(f *function, now time.Duration) {
-	f.next, f.arrived = now+max(f.tick(), c.quantum, time.Microsecond), 0
+// tick is the length of a function's tick.
+func (c *Chooser) tick(f *function) time.Duration {
+	return max(time.Duration(tickShare*float64(f.typ.Target)), c.quantum, time.Microsecond)
 }
 
 // provision is the four-condition rule. It advances only for a queue that is not empty or after arrivals.
@@ -667,9 +660,9 @@
 	}
 	have, under := c.count(f, now)
 	queued := len(f.queue)
-	power := float64(f.tick()) / float64(f.mean()) * float64(f.lanes)
+	power := float64(c.tick(f)) / float64(f.mean()) * float64(f.lanes)
 	required := int(math.Ceil(float64(queued) / power))
-	short, total, arrived := 0, have+under, f.arrived
+	short, total := 0, have+under
 	switch {
 	case total == 0:
 		short = 1
@@ -680,8 +673,8 @@
 	case float64(f.arrived) >= power*float64(total):
 		short = required - total
 	}
-	if c.advance(f, now); have == 0 {
-		f.arrived = arrived // during first loads arrivals add up
+	if f.next = now + c.tick(f); have > 0 {
+		f.arrived = 0 // during first loads arrivals add up
 	}
 	for range min(short, queued) {
 		if !c.load(f, total == 0, now, st) {
@@ -707,11 +700,8 @@
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
 		return true
 	}
-	if !first || !c.loadsOnMiss && c.orders || len(f.queue) == 0 {
-		return false
-	}
 	e := f.queue[0]
-	if !c.mayGo(e, w, now) || !c.coldRoom(w, c.weigh(e), now) {
+	if !first || !c.loadsOnMiss && c.orders || !c.mayGo(e, w, now) || !c.coldRoom(w, c.weigh(e), now) {
 		return false
 	}
 	f.queue = f.queue[1:]
