--- a/choice/choice.go
+++ b/choice/choice.go
@@ -128,7 +128,7 @@
 	for _, l := range news {
 		w := c.workers[l.Worker]
 		if w == nil {
-			w = &worker{limit: firstLimit, took: window.New(2 * c.longest), want: window.New(2 * c.longest),
+			w = &worker{limit: max(leastLimit, firstLimit/float64(c.peers)), took: window.New(2 * c.longest), want: window.New(2 * c.longest),
 				sent: window.New(c.fall)}
 			for _, b := range []byte(l.Worker) {
 				w.hash = mix(w.hash ^ uint64(b))
@@ -272,7 +272,7 @@
 	w.took.Add(now, float64(took))
 	w.want.Add(now, float64(t.short))
 	ratio := min(1, tolerance*w.want.All(now)/w.took.All(now))
-	aim := w.limit*ratio + math.Sqrt(w.limit)
+	aim := w.limit*ratio + math.Sqrt(w.limit/float64(c.peers)) // all front ends queue there
 	if aim < w.limit || 2*float64(len(w.out)+1) > w.limit {
 		w.limit = max(leastLimit, w.limit+(aim-w.limit)/w.limit)
 	}
