--- a/choice/choice.go
+++ b/choice/choice.go
@@ -618,7 +618,7 @@
 			s = c.warm(f, e, now)
 			if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
 				s = c.spill(f, e, now)
-				give = s == nil && e.risk == nil && c.crowded(now)
+				give = s == nil && e.risk == nil && (late || e.over) && c.crowded(now)
 			}
 		}
 		switch {
