--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,7 +40,7 @@
 	barShare      = 1.0   // first bar, of the longest target time; doubles
 	barMost       = 8.0   // longest bar, likewise
 	overdue       = 8.0   // a launch unanswered for so many mean answer times counts as a failure
-	tolerance     = 1.4   // the present answer time may be so many shortest ones before the limit falls
+	tolerance     = 1.1   // the present answer time may be so many shortest ones before the limit falls
 	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
 	firstLimit    = 16.0  // in-flight limit to start from
 	leastLimit    = 2.0
@@ -258,7 +258,7 @@
 	t := e.typ
 	t.took.Add(now, float64(took))
 	t.count.Add(now, 1)
-	if n := t.count.All(now); n >= averaged {
+	if n := t.count.All(now); n >= 3*averaged {
 		t.mean = time.Duration(t.took.All(now) / n)
 		if t.short == 0 || t.mean < t.short {
 			t.short = t.mean
@@ -271,7 +271,11 @@
 	}
 	w.took.Add(now, float64(took))
 	w.want.Add(now, float64(t.short))
-	ratio := min(1, tolerance*w.want.All(now)/w.took.All(now))
+	present, enough := w.took.All(now)/w.want.All(now), w.want.All(now) >= float64(averaged*t.short)
+	if w.short += w.short / shortLasts; enough && (w.short == 0 || present < w.short) {
+		w.short = present
+	}
+	ratio := min(1, tolerance*max(1, w.short)/present)
 	aim := w.limit*ratio + math.Sqrt(w.limit/float64(c.peers)) // all front ends queue there
 	if aim < w.limit || 2*float64(len(w.out)+1) > w.limit {
 		w.limit = max(leastLimit, w.limit+(aim-w.limit)/w.limit)
--- a/choice/types.go
+++ b/choice/types.go
@@ -188,6 +188,7 @@
 	barFor   time.Duration
 	trial    bool
 	limit    float64
+	short    float64 // its shortest answer time, of its event types' shortest
 	took     *window.Window
 	want     *window.Window
 	sent     *window.Window
