--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,7 +39,7 @@
 	rowBar        = 2     // failures in a row that bar a worker
 	barShare      = 1.0   // first bar, of the longest target time; doubles
 	barMost       = 8.0   // longest bar, likewise
-	overdue       = 8.0   // a launch unanswered for so many mean answer times counts as a failure
+	overdue       = 18.0  // so many mean answer times of silence, of all launches to a worker, bar it
 	tolerance     = 1.1   // the present answer time may be so many shortest ones before the limit falls
 	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
 	firstLimit    = 16.0  // in-flight limit to start from
@@ -233,21 +233,20 @@
 	}
 }
 
-// silent counts launches that stay unanswered for long while nothing else comes from their worker.
+// silent bars a worker from which nothing comes. Each mean answer time that a launch waits adds to the
+// silence, so a busy worker is found out soon, whatever keeps it from answering.
 func (c *Chooser) silent(now time.Duration) {
 	for _, w := range c.list {
-		late := 0
+		silence := 0.0
 		for _, e := range w.out {
-			patience := time.Duration(overdue * float64(max(e.typ.mean, e.typ.Target/10)) / c.share(w, now))
+			usual := float64(max(e.typ.mean, e.typ.Target/10)) / c.share(w, now)
 			if e.cold {
-				patience += time.Duration(loadPatience * float64(c.usualLoad(e.fn)))
-			}
-			if now > e.sent+patience && e.sent >= w.lastGood {
-				late++
+				usual += loadPatience * float64(c.usualLoad(e.fn))
 			}
+			silence += float64(now-max(e.sent, w.lastGood)) / usual
 		}
-		if late > 0 && w.row+late >= rowBar && now >= w.barred && !w.trial {
-			w.row += late
+		if silence > overdue && now >= w.barred && !w.trial {
+			w.row = rowBar
 			c.fail(w, now)
 		}
 	}
