--- a/choice/choice.go
+++ b/choice/choice.go
@@ -506,8 +506,7 @@
 		w.limit = max(leastLimit, min(w.limit, float64(len(w.out)+1))*0.9)
 	case Missing:
 		s.copies, s.loading = 0, 0
-	case Unreached, Broken:
-		c.forget(w)
+	case Unreached, Broken: // a process that died comes back with a new start; a broken line does not
 		c.fail(w, now)
 	case TimedOut:
 		if c.pace(w, e, o.Took, now); e.sent >= w.lastGood {
@@ -562,7 +561,6 @@
 	if r == Full {
 		s.shut = now + c.usualLoad(f)
 	} else if r == Unreached || r == Broken {
-		c.forget(w)
 		c.fail(w, now)
 	}
 }
