--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,9 +15,9 @@
 //  1. failures in a row bar a worker, a single event on trial brings it back (fail, silent, usable)
 //  2. the in-flight limit follows the shortest to the present answer time (pace)
 //  3. launch time-outs and further launches, as the event type allows (timeout, mayGo, give)
-//  4. overflow before the target time is lost, and deferral of what can't make it in a jam (serve)
-//  5. tenants beyond their share are deferred first in a jam (Place, serve)
-//  6. cold workers get a small part of a warm one's work (coldRoom)
+//  4. in a jam, what can't make its target time or is beyond its tenant's share is deferred (Place, serve)
+//  5. cold workers get a small part of a warm one's work (coldRoom)
+//  6. the loads under way follow what comes of them (Loaded, load)
 package choice
 
 import (
@@ -48,6 +48,9 @@
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.5 // part of the cold budget that is used
 	manyShare     = 0.75
+	firstLoads    = 8.0  // loads that may be under way to start with
+	slowLoad      = 2.0  // a load that takes so many usual ones shows a crowded store
+	loadFall      = 0.8  // what such a load or a refused one leaves of the loads that may be under way
 	crowdedShare  = 0.5  // fewer workers than this with room: a jam
 	claimLeast    = 0.5  // least part of the shares that a front end claims, of an even split
 	claimFall     = 0.9  // what a jam leaves of the claim, an eighth of the longest target time later
@@ -60,7 +63,8 @@
 	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, claim: 1 / float64(max(1, peers)), askAt: math.MaxInt64, ordered: window.New(0), taken: window.New(0), work: window.New(0)}
+		mostLaunches: 1, mostLoads: firstLoads, claim: 1 / float64(max(1, peers)), askAt: math.MaxInt64,
+		ordered: window.New(0), taken: window.New(0), work: window.New(0)}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -84,8 +88,8 @@
 // Launches limits the launches of an event.
 func (c *Chooser) Launches(most int, cancel bool) { c.mostLaunches, c.cancel = max(1, most), cancel }
 
-// Deferrals tells whether a deferral can name a time to come back, and the longest that clients honour.
-func (c *Chooser) Deferrals(named bool, most time.Duration) { c.nameBack, c.mostBack = named, most }
+// Deferrals tells the longest time to come back that clients honour; 0 where none can be named.
+func (c *Chooser) Deferrals(most time.Duration) { c.mostBack = most }
 
 // Loading tells how functions come to workers, and how long an idle copy and an order last.
 func (c *Chooser) Loading(orders, onMiss bool, keep, orderLimit time.Duration) {
@@ -128,8 +132,8 @@
 	for _, l := range news {
 		w := c.workers[l.Worker]
 		if w == nil {
-			w = &worker{limit: max(leastLimit, firstLimit/float64(c.peers)), took: window.New(2 * c.longest), want: window.New(2 * c.longest),
-				sent: window.New(c.fall)}
+			w = &worker{limit: max(leastLimit, firstLimit/float64(c.peers)), took: window.New(2 * c.longest),
+				want: window.New(2 * c.longest), sent: window.New(c.fall)}
 			for _, b := range []byte(l.Worker) {
 				w.hash = mix(w.hash ^ uint64(b))
 			}
@@ -190,11 +194,8 @@
 // (rule 3). If more than half of the list is barred the bars are not believed: judging too many of them
 // bad must not leave the front end without any.
 func (c *Chooser) usable(w *worker, now time.Duration) bool {
-	if !w.listed || w.Condition != In {
-		return false
-	}
-	return now >= w.barred && (!w.trial || len(w.out) == 0) ||
-		c.part(func(v *worker) bool { return now < v.barred || v.trial }) > believed
+	return w.listed && w.Condition == In && (now >= w.barred && (!w.trial || len(w.out) == 0) ||
+		c.part(func(v *worker) bool { return now < v.barred || v.trial }) > believed)
 }
 
 func (c *Chooser) room(w *worker, now time.Duration) bool {
@@ -436,9 +437,6 @@
 // timeout limits a launch that may be followed by another; the others run until the client gives up.
 func (c *Chooser) timeout(e *Event, now time.Duration) time.Duration {
 	limit := time.Duration(timeoutShare * float64(e.typ.Target))
-	if e.cold {
-		limit += 2 * c.usualLoad(e.fn)
-	}
 	if c.again(e, now+limit) {
 		return limit
 	}
@@ -467,8 +465,6 @@
 		e.typ.Effect == Keyed && e.typ.Group == GroupAll && now < e.riskAt+e.typ.Window
 	if !harmless {
 		return Answer{Event: e, Verb: DeadLetter}
-	} else if !c.nameBack {
-		return Answer{Event: e, Verb: Defer}
 	}
 	back := min(c.mostBack, e.typ.Target/2)
 	return Answer{Event: e, Verb: Defer, Back: back/2 + time.Duration(c.random(int(back/2)+1))}
@@ -517,9 +513,8 @@
 			c.fail(w, now)
 		}
 	}
-	ran := o.Result == Failed || o.Result == TimedOut || o.Result == Broken || o.Result == Withdrawn
-	if ran && e.risk == nil {
-		e.risk, e.riskAt = w, e.sent
+	if e.risk == nil && slices.Contains([]Result{Failed, TimedOut, Broken, Withdrawn}, o.Result) {
+		e.risk, e.riskAt = w, e.sent // it may have run
 	}
 	if o.Final || e.ended {
 		e.ended = true
@@ -558,6 +553,14 @@
 	if o.Copies > 0 {
 		s.copies, s.until = o.Copies, now+c.keep
 	}
+	// The loads that may be under way follow what comes of them: a store or a memory that is crowded shows in
+	// loads that are refused or take long, whatever crowds it.
+	c.loadsOut--
+	if r == Handled && took < time.Duration(slowLoad*float64(c.usualLoad(f))) {
+		c.mostLoads = min(c.mostLoads+1/c.mostLoads, float64(max(1, len(c.list))))
+	} else {
+		c.mostLoads = max(1, c.mostLoads*loadFall)
+	}
 	if r == Full {
 		s.shut = now + c.usualLoad(f)
 	} else if r == Unreached || r == Broken {
@@ -690,7 +693,7 @@
 // the others at random. Where no order may be given the oldest event itself goes there to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
-	if w == nil || !first && c.crowded(now) {
+	if w == nil || !first && (c.crowded(now) || float64(c.loadsOut) >= c.mostLoads) {
 		return false
 	}
 	s := f.at(w)
@@ -698,6 +701,7 @@
 		s.loading++
 		s.loadEnd = now + min(time.Duration(loadPatience*float64(c.usualLoad(f))), c.orderLimit)
 		c.ordered.Add(now, 1)
+		c.loadsOut++
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
 		return true
 	}
@@ -718,12 +722,7 @@
 
 // target chooses the worker for a load.
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
-	var fit []*worker
-	for _, w := range c.list {
-		if c.room(w, now) {
-			fit = append(fit, w)
-		}
-	}
+	fit := slices.DeleteFunc(slices.Clone(c.list), func(w *worker) bool { return !c.room(w, now) })
 	if len(fit) == 0 {
 		return nil
 	} else if !first {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -38,7 +38,7 @@
 	}
 	// Output:
 	// 0s e1 hold
-	// 400ms e1 defer
+	// 1s e1 defer
 }
 
 // Rule 2: what may have run goes again only as its type allows; a launch that never ran may go again.
@@ -184,9 +184,9 @@
 	// 400ms e0 launch on c
 	// 400ms e1 launch on c
 	// 400ms e2 launch on c
-	// 1.4s e0 withdraw
-	// 1.4s e1 withdraw
-	// 1.4s e2 withdraw
+	// 1.2s e0 withdraw
+	// 1.2s e1 withdraw
+	// 1.2s e2 withdraw
 	// 1.4s e0 hold
 	// 1.4s e1 hold
 	// 1.4s e2 hold
@@ -196,6 +196,36 @@
 	// 1.6s e2 launch on a
 }
 
+// Where loads are refused (the memory or the store is crowded) fewer are under way at a time (if72a76).
+func Example_crowdedStore() {
+	for _, r := range []choice.Result{choice.Handled, choice.Full} {
+		b := newBench(1)
+		place := func(fn uint64) {
+			b.Place(b.now, &choice.Event{Type: "redeliverable", Function: fn, Patience: 3000 * ms, Lanes: 1})
+		}
+		for fn := range uint64(12) {
+			place(fn)
+		}
+		for _, o := range b.Wait(b.now).Orders {
+			b.Loaded(b.now, o, r, 100*ms)
+		}
+		for range 12 {
+			place(99)
+		}
+		orders := len(b.Wait(b.now).Orders)
+		b.now += 200 * ms
+		for _, o := range b.Wait(b.now).Orders {
+			if o.Function == 99 {
+				orders++
+			}
+		}
+		fmt.Println("refused", r == choice.Full, "under way", orders)
+	}
+	// Output:
+	// refused false under way 3
+	// refused true under way 1
+}
+
 // Settings that make no sense lead to safe decisions, not to a panic.
 func Example_impossibleSettings() {
 	c := choice.New(0, 0, 0, 0)
--- a/choice/help_test.go
+++ b/choice/help_test.go
@@ -23,7 +23,7 @@
 			Window: 2000 * ms, Target: 1000 * ms, MaxAge: 3000 * ms, Benefit: 1})
 	}
 	b.Launches(4, true)
-	b.Deferrals(true, 500*ms)
+	b.Deferrals(500 * ms)
 	b.Loading(true, true, 10000*ms, 5000*ms)
 	b.ColdStarts(0.2, 10000*ms, 2, 1000*ms)
 	b.Listed(b.now, true, []choice.Listing{{Worker: "a", Cell: "1"}, {Worker: "b", Cell: "1"}, {Worker: "c", Cell: "2"}})
--- a/choice/types.go
+++ b/choice/types.go
@@ -236,7 +236,6 @@
 
 	mostLaunches int
 	cancel       bool
-	nameBack     bool
 	mostBack     time.Duration
 
 	orders, loadsOnMiss   bool
@@ -245,6 +244,9 @@
 	orderFree, orderShare float64
 	ordered, taken        *window.Window // load orders and events in the ration's window
 
+	loadsOut  int     // orders not answered yet
+	mostLoads float64 // so many of them before only first copies are ordered
+
 	coldFrom, multiple float64
 	warmAfter, fall    time.Duration
 	work               *window.Window // launches to all workers, weighted
