--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	tolerance     = 1.1   // the present answer time may be so many shortest ones before the limit falls
 	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
 	firstLimit    = 16.0  // in-flight limit to start from
+	fullFall      = 0.9   // what a refusal as full leaves of the in-flight limit
 	leastLimit    = 2.0
 	timeoutShare  = 2.0 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
@@ -163,7 +164,7 @@
 	for _, f := range c.fns {
 		for _, s := range f.stands {
 			if s.w == w {
-				s.copies, s.loading, s.others = 0, 0, 0
+				s.copies, s.loading = 0, 0
 			}
 		}
 	}
@@ -321,7 +322,7 @@
 		if now > s.loadEnd {
 			s.loading = 0
 		}
-		return s.copies == 0 && s.loading == 0 && s.busy == 0
+		return s.copies == 0 && s.loading == 0 && s.busy == 0 && now >= s.shut
 	})
 }
 
@@ -408,7 +409,7 @@
 	var first uint64
 	for _, s := range f.stands {
 		r := rank(s.w, f.id, c.self+1)
-		if s.busy+s.others < s.copies*f.lanes && s.w != e.avoid && (best == nil || r < first) && c.fits(s, e, now) {
+		if s.busy < s.copies*f.lanes && s.w != e.avoid && (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
 		}
 	}
@@ -436,8 +437,7 @@
 
 // timeout limits a launch that may be followed by another; the others run until the client gives up.
 func (c *Chooser) timeout(e *Event, now time.Duration) time.Duration {
-	limit := time.Duration(timeoutShare * float64(e.typ.Target))
-	if c.again(e, now+limit) {
+	if limit := time.Duration(timeoutShare * float64(e.typ.Target)); c.again(e, now+limit) {
 		return limit
 	}
 	return 0
@@ -486,20 +486,18 @@
 	switch o.Result {
 	case Handled:
 		w.row, w.lastGood, w.barFor, w.trial, w.barred = 0, now, 0, false, 0
-		s.copies, s.until = max(1, s.copies), now+c.keep
+		s.copies, s.until, s.refused = max(1, s.copies), now+c.keep, 0
 		if o.Warmth == BeganLoad {
 			s.copies = 1
 		}
-		if o.Company >= 0 {
-			s.others = max(0, o.Company-s.busy)
-		}
 		if o.Warmth == FoundWarm || o.Warmth == Untold && !e.cold {
 			f.past = append(f.past[max(0, len(f.past)-averaged+1):], o.Took)
 			c.pace(w, e, o.Took, now)
 		}
-	case Full:
-		s.shut = now + f.typ.Target/4
-		w.limit = max(leastLimit, min(w.limit, float64(len(w.out)+1))*0.9)
+	case Full: // refused there again and again, whatever the reason, a function is sent and loaded elsewhere
+		s.refused = min(s.refused+1, 6)
+		s.shut = now + f.typ.Target/8<<s.refused
+		w.limit = max(leastLimit, w.limit*fullFall)
 	case Missing:
 		s.copies, s.loading = 0, 0
 	case Unreached, Broken: // a process that died comes back with a new start; a broken line does not
@@ -549,8 +547,7 @@
 		return
 	}
 	s := f.at(w)
-	s.loading = max(0, s.loading-1)
-	if o.Copies > 0 {
+	if s.loading = max(0, s.loading-1); o.Copies > 0 {
 		s.copies, s.until = o.Copies, now+c.keep
 	}
 	// The loads that may be under way follow what comes of them: a store or a memory that is crowded shows in
@@ -642,7 +639,7 @@
 // count adds up a function's copies and the loads under way; a worker that can't be used has neither.
 func (c *Chooser) count(f *function, now time.Duration) (have, under int) {
 	for _, s := range f.stands {
-		if c.usable(s.w, now) {
+		if c.usable(s.w, now) && now >= s.shut {
 			have, under = have+s.copies, under+s.loading
 		}
 	}
@@ -722,7 +719,10 @@
 
 // target chooses the worker for a load.
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
-	fit := slices.DeleteFunc(slices.Clone(c.list), func(w *worker) bool { return !c.room(w, now) })
+	fit := slices.DeleteFunc(slices.Clone(c.list), func(w *worker) bool {
+		refuses := func(s *standing) bool { return s.w == w && now < s.shut }
+		return !c.room(w, now) || slices.ContainsFunc(f.stands, refuses)
+	})
 	if len(fit) == 0 {
 		return nil
 	} else if !first {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -226,6 +226,31 @@
 	// refused true under way 1
 }
 
+// A function that a worker refuses, quickly and again and again, is loaded and sent elsewhere (i94baea).
+func Example_refused() {
+	b := newBench(1)
+	e := b.place("e", "redeliverable", 9)
+	for range 16 {
+		b.loaded(b.step(100 * ms))
+		if e.Outstanding() {
+			b.after(e, choice.Full, 0)
+		}
+	}
+	// Output:
+	// 0s e hold
+	// 100ms load 9 x1 on c
+	// 200ms e launch on c
+	// 200ms e hold
+	// 300ms load 9 x1 on a
+	// 400ms e launch on a
+	// 400ms e hold
+	// 500ms e launch on c
+	// 500ms e hold
+	// 600ms load 9 x1 on b
+	// 700ms e launch on b
+	// 700ms e defer
+}
+
 // Settings that make no sense lead to safe decisions, not to a panic.
 func Example_impossibleSettings() {
 	c := choice.New(0, 0, 0, 0)
--- a/choice/help_test.go
+++ b/choice/help_test.go
@@ -39,7 +39,7 @@
 
 // after ends the outstanding launch of an event and prints the answer.
 func (b *bench) after(e *choice.Event, r choice.Result, took time.Duration) {
-	b.show(b.After(b.now, e, choice.Outcome{Result: r, Took: took, Final: r == choice.Handled, Company: -1}))
+	b.show(b.After(b.now, e, choice.Outcome{Result: r, Took: took, Final: r == choice.Handled}))
 }
 
 // step lets time pass and prints what is due then.
--- a/choice/types.go
+++ b/choice/types.go
@@ -122,12 +122,11 @@
 
 // Outcome is the end of one launch.
 type Outcome struct {
-	Worker  string
-	Took    time.Duration
-	Result  Result
-	Final   bool // the event has ended with this outcome or before
-	Warmth  Warmth
-	Company int // events of the function that the worker held; -1 where untold
+	Worker string
+	Took   time.Duration
+	Result Result
+	Final  bool // the event has ended with this outcome or before
+	Warmth Warmth
 }
 
 // Condition is a worker's state in the list.
@@ -199,11 +198,11 @@
 	w       *worker
 	copies  int // believed loaded
 	busy    int // own events there
-	others  int // events of other front ends there, as last told
 	until   time.Duration
 	loading int // loads under way
 	loadEnd time.Duration
 	shut    time.Duration
+	refused int // launches turned away in a row
 }
 
 type function struct {
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -292,7 +292,7 @@
 
 func (h *Host) settled(in *instance, line *simwire.Line) error {
 	e := in.events[line.Word("request")]
-	o := choice.Outcome{Took: line.Time("time", true), Company: -1}
+	o := choice.Outcome{Took: line.Time("time", true)}
 	note := line.Whole("note", true)
 	o.Worker = line.Word("worker")
 	o.Final = line.Flag("finished")
@@ -305,9 +305,6 @@
 	if note&7 <= 4 {
 		o.Warmth = choice.Warmth(note & 7)
 	}
-	if note >= 8 {
-		o.Company = int(note / 8)
-	}
 	h.touch(in)
 	if e != nil {
 		answer := in.chooser.After(h.now, e, o)
