--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,6 +35,7 @@
 	tickShare     = 0.2 // a function's tick, of its target time
 	overflowShare = 0.4 // overflow wait, of the target time
 	averaged      = 10  // answers in a function's average
+	freshSpan     = 5 * time.Second
 	firstLatency  = 10 * time.Millisecond
 	rowBar        = 2     // failures in a row that bar a worker
 	barShare      = 1.0   // first bar, of the longest target time; doubles
@@ -65,7 +66,8 @@
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
 		mostLaunches: 1, mostLoads: firstLoads, claim: 1 / float64(max(1, peers)), askAt: math.MaxInt64,
-		ordered: window.New(0), taken: window.New(0), work: window.New(0)}
+		ordered: window.New(0), taken: window.New(0), work: window.New(0),
+		fresh: window.New(freshSpan)}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -83,6 +85,7 @@
 
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
 func (c *Chooser) AddTenant(name string, quota float64) {
+	c.shares += quota
 	c.tenants[name] = &tenant{quota: quota, came: window.New(time.Second)}
 }
 
@@ -191,6 +194,16 @@
 	return sent == 0 || sent+weight <= coldSafety*c.multiple*s*mean
 }
 
+// portion is this front end's part of all traffic: an even split, or what it sees itself of the shares of all
+// tenants where that is more. Clients may be spread unevenly.
+func (c *Chooser) portion(now time.Duration) float64 {
+	even := 1 / float64(c.peers)
+	if c.shares == 0 {
+		return even
+	}
+	return min(1, max(even, c.fresh.All(now)/(c.shares*freshSpan.Seconds())))
+}
+
 // usable tells whether new work may go to a worker at all. Drained and gone ones are cut off at once
 // (rule 3). If more than half of the list is barred the bars are not believed: judging too many of them
 // bad must not leave the front end without any.
@@ -277,7 +290,7 @@
 		w.short = present
 	}
 	ratio := min(1, tolerance*max(1, w.short)/present)
-	aim := w.limit*ratio + math.Sqrt(w.limit/float64(c.peers)) // all front ends queue there
+	aim := w.limit*ratio + math.Sqrt(w.limit*c.portion(now)) // others queue there too
 	if aim < w.limit || 2*float64(len(w.out)+1) > w.limit {
 		w.limit = max(leastLimit, w.limit+(aim-w.limit)/w.limit)
 	}
@@ -347,9 +360,12 @@
 	}
 	f.arrived++
 	c.taken.Add(now, 1)
+	if !e.Repeat {
+		c.fresh.Add(now, 1)
+	}
 	jam := c.crowded(now)
 	if now >= c.claimAt && jam {
-		c.claimAt, c.claim = now+c.longest/8, max(c.claim*claimFall, claimLeast/float64(c.peers))
+		c.claimAt, c.claim = now+c.longest/8, max(c.claim*claimFall, claimLeast*c.portion(now))
 	} else if now >= c.claimAt {
 		c.claimAt, c.claim = now+c.longest/8, min(1, c.claim+claimRise/float64(c.peers))
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -252,6 +252,8 @@
 
 	askAt, askWait time.Duration
 
-	claim   float64 // part of the tenants' shares that this front end takes for its own
+	shares  float64        // events a second within the shares of all tenants
+	fresh   *window.Window // first tries
+	claim   float64        // part of the tenants' shares that this front end takes for its own
 	claimAt time.Duration
 }
