--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,14 +50,11 @@
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.5 // part of the cold budget that is used
 	manyShare     = 0.75
-	firstLoads    = 8.0  // loads that may be under way to start with
-	slowLoad      = 2.0  // a load that takes so many usual ones shows a crowded store
-	loadFall      = 0.8  // what such a load or a refused one leaves of the loads that may be under way
-	crowdedShare  = 0.5  // fewer workers than this with room: a jam
-	claimLeast    = 0.5  // least part of the shares that a front end claims, of an even split
-	claimFall     = 0.9  // what a jam leaves of the claim, an eighth of the longest target time later
-	claimRise     = 0.05 // what it gains without a jam, of an even split
-	believed      = 0.5  // no more workers than this can be bad at once
+	firstLoads    = 8.0 // loads that may be under way to start with
+	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
+	loadFall      = 0.8 // what such a load or a refused one leaves of the loads that may be under way
+	crowdedShare  = 0.5 // fewer workers than this with room: a jam
+	believed      = 0.5 // no more workers than this can be bad at once
 )
 
 // New starts the Chooser of front end self of peers; quantum is the least time between two calls.
@@ -65,7 +62,7 @@
 	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, mostLoads: firstLoads, claim: 1 / float64(max(1, peers)), askAt: math.MaxInt64,
+		mostLaunches: 1, mostLoads: firstLoads, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
 		fresh: window.New(freshSpan)}
 }
@@ -197,16 +194,15 @@
 // portion is this front end's part of all traffic: an even split, or what it sees itself of the shares of all
 // tenants where that is more. Clients may be spread unevenly.
 func (c *Chooser) portion(now time.Duration) float64 {
-	even := 1 / float64(c.peers)
-	if c.shares == 0 {
-		return even
+	seen := 0.0
+	if c.shares > 0 {
+		seen = c.fresh.All(now) / (c.shares * freshSpan.Seconds())
 	}
-	return min(1, max(even, c.fresh.All(now)/(c.shares*freshSpan.Seconds())))
+	return min(1, max(1/float64(c.peers), seen))
 }
 
-// usable tells whether new work may go to a worker at all. Drained and gone ones are cut off at once
-// (rule 3). If more than half of the list is barred the bars are not believed: judging too many of them
-// bad must not leave the front end without any.
+// usable tells whether new work may go to a worker at all. Drained and gone ones are not (rule 3).
+// If most of the list is barred the bars are not believed: that must not leave the front end without any.
 func (c *Chooser) usable(w *worker, now time.Duration) bool {
 	return w.listed && w.Condition == In && (now >= w.barred && (!w.trial || len(w.out) == 0) ||
 		c.part(func(v *worker) bool { return now < v.barred || v.trial }) > believed)
@@ -359,22 +355,15 @@
 		f.next, f.arrived = now+c.tick(f), 0 // a tick that finds arrivals but no queue advances too
 	}
 	f.arrived++
-	c.taken.Add(now, 1)
-	if !e.Repeat {
+	if c.taken.Add(now, 1); !e.Repeat {
 		c.fresh.Add(now, 1)
 	}
-	jam := c.crowded(now)
-	if now >= c.claimAt && jam {
-		c.claimAt, c.claim = now+c.longest/8, max(c.claim*claimFall, claimLeast*c.portion(now))
-	} else if now >= c.claimAt {
-		c.claimAt, c.claim = now+c.longest/8, min(1, c.claim+claimRise/float64(c.peers))
-	}
 	if n := c.tenants[e.Tenant]; n != nil {
-		if e.over = n.came.All(now) >= max(1, n.quota*c.claim); !e.over {
+		if e.over = n.came.All(now) >= max(1, n.quota*c.portion(now)); !e.over {
 			n.came.Add(now, 1)
 		}
 	}
-	if e.over && jam {
+	if e.over && c.crowded(now) {
 		return c.give(e, now)
 	}
 	if len(f.queue) == 0 {
@@ -462,8 +451,7 @@
 func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
 	e.cold, e.sent, e.out, e.avoid = cold, now, s, nil
 	limit := c.timeout(e, now)
-	e.launches++
-	s.busy++
+	e.launches, s.busy = e.launches+1, s.busy+1
 	s.w.out = append(s.w.out, e)
 	s.w.sent.Add(now, c.weigh(e))
 	c.work.Add(now, c.weigh(e))
@@ -493,8 +481,7 @@
 		return Answer{Event: e, Verb: Nothing}
 	}
 	w := s.w
-	e.out = nil
-	s.busy--
+	e.out, s.busy = nil, s.busy-1
 	w.out = slices.DeleteFunc(w.out, func(x *Event) bool { return x == e })
 	if e.cold {
 		s.loading = max(0, s.loading-1)
@@ -549,8 +536,9 @@
 
 // goesOn tells whether any worker may take another launch of the event.
 func (c *Chooser) goesOn(e *Event, now time.Duration) bool {
-	may := func(w *worker) bool { return c.usable(w, now) && c.mayGo(e, w, now) }
-	return e.risk == nil || slices.ContainsFunc(c.list, may)
+	return e.risk == nil || slices.ContainsFunc(c.list, func(w *worker) bool {
+		return c.usable(w, now) && c.mayGo(e, w, now)
+	})
 }
 
 // Left says that the client has gone.
@@ -566,10 +554,8 @@
 	if s.loading = max(0, s.loading-1); o.Copies > 0 {
 		s.copies, s.until = o.Copies, now+c.keep
 	}
-	// The loads that may be under way follow what comes of them: a store or a memory that is crowded shows in
-	// loads that are refused or take long, whatever crowds it.
-	c.loadsOut--
-	if r == Handled && took < time.Duration(slowLoad*float64(c.usualLoad(f))) {
+	// A crowded store or memory shows in loads that are refused or take long, whatever crowds it.
+	if c.loadsOut--; r == Handled && took < time.Duration(slowLoad*float64(c.usualLoad(f))) {
 		c.mostLoads = min(c.mostLoads+1/c.mostLoads, float64(max(1, len(c.list))))
 	} else {
 		c.mostLoads = max(1, c.mostLoads*loadFall)
@@ -676,10 +662,9 @@
 		return f.next
 	}
 	have, under := c.count(f, now)
-	queued := len(f.queue)
+	short, total, queued := 0, have+under, len(f.queue)
 	power := float64(c.tick(f)) / float64(f.mean()) * float64(f.lanes)
 	required := int(math.Ceil(float64(queued) / power))
-	short, total := 0, have+under
 	switch {
 	case total == 0:
 		short = 1
