Cold workers get 0.9 of their budget, told from the listed workers only

Half of the budget, and a mean over workers long gone, left new workers nearly idle in a release of the workers.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,6 +22,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -48,7 +49,7 @@
 	leastLimit    = 2.0
 	timeoutShare  = 2.0 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
-	coldSafety    = 0.5 // part of the cold budget that is used
+	coldSafety    = 0.9 // part of the cold budget that is used
 	manyShare     = 0.75
 	firstLoads    = 8.0 // loads that may be under way to start with
 	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
@@ -140,8 +141,6 @@
 			}
 			w.Listing = l
 			c.workers[l.Worker] = w
-			c.list = append(c.list, w)
-			slices.SortFunc(c.list, func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) })
 		}
 		if l.Started != w.Started {
 			c.forget(w) // a worker that starts is empty
@@ -149,6 +148,9 @@
 		}
 		w.Listing, w.listed = l, l.Condition != Gone
 	}
+	byName := func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) }
+	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
+	c.list = slices.DeleteFunc(c.list, func(w *worker) bool { return !w.listed && len(w.out) == 0 })
 	if c.askAt > 0 { // the list of the start is no answer
 		c.askAt = math.MaxInt64
 	}
@@ -183,12 +185,9 @@
 // by its own part, all together keep to it. One event in the window is always let through.
 func (c *Chooser) coldRoom(w *worker, weight float64, now time.Duration) bool {
 	s := c.share(w, now)
-	if s >= 1 || c.multiple <= 0 {
-		return true
-	}
 	sent := w.sent.All(now)
 	mean := c.work.Inner(now) / 8 / float64(max(1, len(c.list)))
-	return sent == 0 || sent+weight <= coldSafety*c.multiple*s*mean
+	return s >= 1 || c.multiple <= 0 || sent == 0 || sent+weight <= coldSafety*c.multiple*s*mean
 }
 
 // portion is this front end's part of all traffic: an even split, or what it sees itself of the shares of all
--- a/choice/types.go
+++ b/choice/types.go
@@ -228,7 +228,7 @@
 	types   map[string]*evtType
 	tenants map[string]*tenant
 	workers map[string]*worker
-	list    []*worker // all workers ever listed, by name
+	list    []*worker // those listed or with launches outstanding, by name
 	fns     map[uint64]*function
 	active  []*function // with held events
 	recall  []*Event    // outstanding at workers just barred
