--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,9 +33,9 @@
 
 // Tuned values: shares and multiples of what the settings or the events say.
 const (
-	tickShare     = 0.2 // a function's tick, of its target time
-	overflowShare = 0.4 // overflow wait, of the target time
-	averaged      = 10  // answers in a function's average
+	tickShare     = 0.2  // a function's tick, of its target time
+	overflowShare = 0.25 // overflow wait, of the target time
+	averaged      = 10   // answers in a function's average
 	freshSpan     = 5 * time.Second
 	firstLatency  = 10 * time.Millisecond
 	rowBar        = 2     // failures in a row that bar a worker
