--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,17 +2,16 @@
 //
 //	Place: where to send this event (or not yet, or never)
 //	After: what to do after this outcome
-//	Wait:  what is due now (releases, load orders, probes, final answers) and how long to wait then
+//	Wait:  what is due now (releases, load orders, final answers) and how long to wait then
 //
-// Facts are fed in between: Listed, Heard, Loaded, Probed, Left. The plain types of the interface stand
-// in types.go; the caller keeps the timers and the events in hand. Time is whatever clock the caller
-// passes, as whole nanoseconds. A Chooser shares nothing with any other.
+// Facts are fed in between: Listed, ListFailed, Loaded, Left. The interface's plain types stand in types.go; the
+// caller keeps the timers and the events in hand. Time is any clock of whole nanoseconds. Nothing is shared.
 //
 // The design (docs/design.md): a queue per function, released oldest first to a believed-warm free lane;
 // a four-condition rule each tick that orders loads on random workers; surplus copies starve.
 //
 // Beside it stand six mechanisms:
-//  1. failures in a row bar a worker, a single event on trial brings it back (fail, silent, usable)
+//  1. failures in a row bar a worker, one event on trial brings it back (fail, silent, usable)
 //  2. the in-flight limit follows the shortest to the present answer time (pace)
 //  3. launch time-outs and further launches, as the event type allows (timeout, mayGo, give)
 //  4. in a jam, what can't make its target time or is beyond its tenant's share is deferred (Place, serve)
@@ -180,9 +179,8 @@
 	return c.coldFrom + (1-c.coldFrom)*float64(max(0, now-w.Started))/float64(c.warmAfter)
 }
 
-// coldRoom keeps a cold worker from being pushed over (rule 4). Its capacity is not told, so the mean work
-// that this front end sends to a worker stands for its part of it: when each front end keeps to the budget
-// by its own part, all together keep to it. One event in the window is always let through.
+// coldRoom keeps a cold worker from being pushed over (rule 4). Its capacity is not told: the mean work that each
+// front end sends to a worker stands for its part of it. One event in the window is always let through.
 func (c *Chooser) coldRoom(w *worker, weight float64, now time.Duration) bool {
 	s := c.share(w, now)
 	sent := w.sent.All(now)
@@ -580,7 +578,11 @@
 	}
 	c.recall = c.recall[:0]
 	wake := c.askAt
+	jam := c.crowded(now)
 	slices.SortStableFunc(c.active, func(f, g *function) int {
+		if jam && f.typ != g.typ { // what is worth most for its work first
+			return cmp.Compare(g.typ.Benefit*float64(f.typ.mean), f.typ.Benefit*float64(g.typ.mean))
+		}
 		return cmp.Compare(f.queue[0].came, g.queue[0].came)
 	})
 	for _, f := range c.active {
--- a/choice/types.go
+++ b/choice/types.go
@@ -33,9 +33,7 @@
 	Group   Group
 	Window  time.Duration // how long a repeat of a keyed event is dropped
 	Target  time.Duration
-	MaxAge  time.Duration
 	Benefit float64
-	Late    float64 // share of the benefit that an answer past the target time earns
 }
 
 // Event is one event in hand. The exported fields are facts; the rest is the Chooser's.
@@ -45,7 +43,6 @@
 	Tenant   string
 	Function uint64
 	Patience time.Duration // how long the client still waits
-	Memory   float64       // of one copy, in MB
 	Lanes    int           // events that one copy runs at a time
 	LoadTime time.Duration // usual time of a load; 0 where it is not told
 	Repeat   bool          // the client marked it as a repeat
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -180,8 +180,7 @@
 		age := set.Time(at+"give_up", 0)
 		c.AddType(choice.EventType{Name: set[at+"name"], Effect: effect(set[at+"effect"]),
 			Group: group(set[at+"dedup_scope"]), Window: set.Time(at+"window", 0),
-			Target: set.Time(at+"aim", age), MaxAge: age,
-			Benefit: set.Number(at+"gain", 1), Late: set.Number(at+"late_worth", 0)})
+			Target: set.Time(at+"aim", age), Benefit: set.Number(at+"gain", 1)})
 	}
 	for i := range int(set.Number("orgs.count", 0)) {
 		at := "orgs." + strconv.Itoa(i) + "."
@@ -277,7 +276,7 @@
 	e := &choice.Event{ID: line.Word("request"), Type: line.Word("class"), Tenant: line.Maybe("tenant"),
 		Function: line.Whole("function", false), Patience: line.Time("patience", false)}
 	line.Number("cost", true)
-	e.Memory = line.Number("memory", true)
+	line.Number("memory", true)
 	e.Lanes = int(line.Number("lanes", true))
 	e.LoadTime = time.Duration(line.Number("load time", true) * float64(time.Millisecond))
 	e.Repeat = line.Whole("flags", true)&2 != 0
