--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,8 +4,8 @@
 //	After: what to do after this outcome
 //	Wait:  what is due now (releases, load orders, final answers) and how long to wait then
 //
-// Facts are fed in between: Listed, ListFailed, Loaded, Left. The interface's plain types stand in types.go; the
-// caller keeps the timers and the events in hand. Time is any clock of whole nanoseconds. Nothing is shared.
+// Facts are fed in between: Listed, ListFailed, Loaded, Left. The interface's plain types stand in types.go.
+// The caller keeps the timers and the events in hand. Time is any clock of whole nanoseconds. Nothing is shared.
 //
 // The design (docs/design.md): a queue per function, released oldest first to a believed-warm free lane;
 // a four-condition rule each tick that orders loads on random workers; surplus copies starve.
@@ -179,8 +179,8 @@
 	return c.coldFrom + (1-c.coldFrom)*float64(max(0, now-w.Started))/float64(c.warmAfter)
 }
 
-// coldRoom keeps a cold worker from being pushed over (rule 4). Its capacity is not told: the mean work that each
-// front end sends to a worker stands for its part of it. One event in the window is always let through.
+// coldRoom keeps a cold worker from being pushed over (rule 4). Its capacity is not told: the mean work that
+// each front end sends to a worker is taken for its part. One event in the window is always let through.
 func (c *Chooser) coldRoom(w *worker, weight float64, now time.Duration) bool {
 	s := c.share(w, now)
 	sent := w.sent.All(now)
