Four failures in a row bar a worker; silence bars it sooner

Two in a row barred workers whose connections break or whose clients leave early. A worker that fails fast takes two events more before it is barred.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	averaged      = 10   // answers in a function's average
 	freshSpan     = 5 * time.Second
 	firstLatency  = 10 * time.Millisecond
-	rowBar        = 2     // failures in a row that bar a worker
+	rowBar        = 4     // failures in a row that bar a worker
 	barShare      = 1.0   // first bar, of the longest target time; doubles
 	barMost       = 8.0   // longest bar, likewise
 	overdue       = 18.0  // so many mean answer times of silence, of all launches to a worker, bar it
