--- a/choice/choice.go
+++ b/choice/choice.go
@@ -5,7 +5,7 @@
 //	Wait:  what is due now (releases, load orders, final answers) and how long to wait then
 //
 // Facts are fed in between: Listed, ListFailed, Loaded, Left. The interface's plain types stand in types.go.
-// The caller keeps the timers and the events in hand. Time is any clock of whole nanoseconds. Nothing is shared.
+// The caller keeps the timers and the events in hand; time is any clock of whole nanoseconds.
 //
 // The design (docs/design.md): a queue per function, released oldest first to a believed-warm free lane;
 // a four-condition rule each tick that orders loads on random workers; surplus copies starve.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -98,7 +98,8 @@
 // Rule 3: a drained worker gets nothing new, neither launches nor loads.
 func Example_drain() {
 	b := newBench(1)
-	b.Listed(b.now, false, []choice.Listing{{Worker: "a", Condition: choice.Draining}, {Worker: "b", Condition: choice.Gone}})
+	b.Listed(b.now, false, []choice.Listing{
+		{Worker: "a", Condition: choice.Draining}, {Worker: "b", Condition: choice.Gone}})
 	for i := range 4 {
 		b.place(fmt.Sprint("e", i), "redeliverable", uint64(i))
 	}
@@ -152,7 +153,8 @@
 	b.Loading(true, false, 10000*ms, 5000*ms)
 	orders := 0
 	for i := range 100 {
-		b.Place(b.now, &choice.Event{ID: fmt.Sprint(i), Type: "redeliverable", Function: uint64(i), Patience: 3000 * ms})
+		e := &choice.Event{ID: fmt.Sprint(i), Type: "redeliverable", Function: uint64(i), Patience: 3000 * ms}
+		b.Place(b.now, e)
 		orders += len(b.Wait(b.now).Orders)
 		b.now += 10 * ms
 	}
--- a/choice/help_test.go
+++ b/choice/help_test.go
@@ -26,7 +26,8 @@
 	b.Deferrals(500 * ms)
 	b.Loading(true, true, 10000*ms, 5000*ms)
 	b.ColdStarts(0.2, 10000*ms, 2, 1000*ms)
-	b.Listed(b.now, true, []choice.Listing{{Worker: "a", Cell: "1"}, {Worker: "b", Cell: "1"}, {Worker: "c", Cell: "2"}})
+	b.Listed(b.now, true, []choice.Listing{
+		{Worker: "a", Cell: "1"}, {Worker: "b", Cell: "1"}, {Worker: "c", Cell: "2"}})
 	return b
 }
 
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -5,8 +5,8 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"lupinpond/choice"
@@ -320,13 +320,13 @@
 	}
 }
 
+// outcome decodes a code; they stand in the order of choice's results.
 func outcome(line *simwire.Line) choice.Result {
-	words := strings.Fields("OK INTERNAL RESOURCE_EXHAUSTED DEADLINE_EXCEEDED UNAVAILABLE ABORTED CANCELLED TOO_LATE NOT_FOUND")
+	outcomes := []string{"OK", "INTERNAL", "RESOURCE_EXHAUSTED", "DEADLINE_EXCEEDED", "UNAVAILABLE", "ABORTED",
+		"CANCELLED", "TOO_LATE", "NOT_FOUND"}
 	got := line.Word("outcome")
-	for i, word := range words {
-		if got == word {
-			return choice.Result(i)
-		}
+	if i := slices.Index(outcomes, got); i >= 0 {
+		return choice.Result(i)
 	}
 	line.Complain("an outcome code, got " + strconv.Quote(got))
 	return choice.Failed
