--- a/choice/choice.go
+++ b/choice/choice.go
@@ -548,7 +548,7 @@
 		return
 	}
 	s := f.at(w)
-	if s.loading = max(0, s.loading-1); o.Copies > 0 {
+	if s.loading = max(0, s.loading-1); r == Handled || r == Full || r == Failed { // else nothing was heard
 		s.copies, s.until = o.Copies, now+c.keep
 	}
 	// A crowded store or memory shows in loads that are refused or take long, whatever crowds it.
