First copies of a busy function spread over as many workers as its events fill

Now the first copy goes among the first of the shared order, as many as the function's part of the traffic keeps busy. Other causes remain.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,7 @@
 	firstLoads    = 8.0 // loads that may be under way to start with
 	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
 	loadFall      = 0.8 // what such a load or a refused one leaves of the loads that may be under way
+	spread        = 2.0 // a function's first copies stand on so many times the workers that its events fill
 	crowdedShare  = 0.5 // fewer workers than this with room: a jam
 	believed      = 0.5 // no more workers than this can be bad at once
 )
@@ -64,7 +65,7 @@
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
 		mostLaunches: 1, mostLoads: firstLoads, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
-		fresh: window.New(freshSpan)}
+		fresh: window.New(freshSpan), came: window.New(2 * freshSpan)}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -341,15 +342,20 @@
 	}
 	f := c.fns[e.Function]
 	if f == nil {
-		f = &function{id: e.Function}
+		f = &function{id: e.Function, came: window.New(2 * freshSpan)}
 		c.fns[e.Function] = f
 	}
 	f.typ, f.lanes, f.load = t, max(1, e.Lanes), e.LoadTime
 	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
+	f.came.Add(now, 1)
+	c.came.Add(now, 1)
 	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 {
 		f.next, f.arrived = now+c.tick(f), 0 // a tick that finds arrivals but no queue advances too
+		if c.homes(f, now) > 1 {
+			c.grown = append(c.grown, f)
+		}
 	}
 	f.arrived++
 	if c.taken.Add(now, 1); !e.Repeat {
@@ -589,6 +595,12 @@
 		c.refresh(f, now)
 		c.serve(f, false, now, &st)
 	}
+	for _, f := range c.grown {
+		if w := c.target(f, true, now); w != nil && f.at(w).copies+f.at(w).loading == 0 {
+			c.load(f, true, now, &st)
+		}
+	}
+	c.grown = c.grown[:0]
 	for _, f := range c.active {
 		wake = min(wake, c.serve(f, true, now, &st), c.provision(f, now, &st))
 	}
@@ -704,6 +716,9 @@
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
 		return true
 	}
+	if len(f.queue) == 0 {
+		return false
+	}
 	e := f.queue[0]
 	if !first || !c.loadsOnMiss && c.orders || !c.mayGo(e, w, now) || !c.coldRoom(w, c.weigh(e), now) {
 		return false
@@ -731,7 +746,19 @@
 		return fit[c.random(len(fit))]
 	}
 	many := func(w *worker) float64 { return math.Floor(float64(len(w.out)) / w.limit / manyShare) }
-	return slices.MinFunc(fit, func(v, w *worker) int {
+	slices.SortFunc(fit, func(v, w *worker) int {
 		return cmp.Or(cmp.Compare(many(v), many(w)), cmp.Compare(rank(v, f.id, 0), rank(w, f.id, 0)))
 	})
+	return slices.MinFunc(fit[:min(len(fit), c.homes(f, now))], func(v, w *worker) int {
+		return cmp.Compare(rank(v, f.id, c.self+1), rank(w, f.id, c.self+1))
+	})
+}
+
+// homes is the number of workers among which the front ends spread their first copies of a function: as many
+// as its part of the traffic keeps busy. Each front end sees only a few of its events at the first worker of
+// the shared order, all of them together may be more than that worker can do.
+func (c *Chooser) homes(f *function, now time.Duration) int {
+	n := f.came.All(now)
+	part := (n - math.Sqrt(n)) / (c.came.All(now) + averaged) // less the error of chance
+	return max(1, min(c.peers, int(spread*part*float64(len(c.list)))))
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -211,6 +211,7 @@
 	stands  []*standing
 	past    []time.Duration
 	arrived int // since the last advance
+	came    *window.Window
 	next    time.Duration
 	active  bool
 }
@@ -228,6 +229,7 @@
 	list    []*worker // those listed or with launches outstanding, by name
 	fns     map[uint64]*function
 	active  []*function // with held events
+	grown   []*function // whose first copy may belong elsewhere
 	recall  []*Event    // outstanding at workers just barred
 
 	mostLaunches int
@@ -249,8 +251,7 @@
 
 	askAt, askWait time.Duration
 
-	shares  float64        // events a second within the shares of all tenants
-	fresh   *window.Window // first tries
-	claim   float64        // part of the tenants' shares that this front end takes for its own
-	claimAt time.Duration
+	shares float64        // events a second within the shares of all tenants
+	fresh  *window.Window // first tries
+	came   *window.Window // events
 }
