Cold workers are paced for all front ends together; event types average their last answers

Now each front end keeps a pause between its launches to a cold worker, from the work it saw handled, and begins with a random part of it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,9 +32,11 @@
 
 // Tuned values: shares and multiples of what the settings or the events say.
 const (
-	tickShare     = 0.2  // a function's tick, of its target time
-	overflowShare = 0.25 // overflow wait, of the target time
-	averaged      = 10   // answers in a function's average
+	tickShare     = 0.2   // a function's tick, of its target time
+	overflowShare = 0.25  // overflow wait, of the target time
+	averaged      = 10    // answers in a function's average
+	typeAveraged  = 100   // answers in an event type's average
+	firstShare    = 0.125 // an answer's time, of the target time, before any answer
 	freshSpan     = 5 * time.Second
 	firstLatency  = 10 * time.Millisecond
 	rowBar        = 4     // failures in a row that bar a worker
@@ -48,7 +50,8 @@
 	leastLimit    = 2.0
 	timeoutShare  = 2.0 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
-	coldSafety    = 0.9 // part of the cold budget that is used
+	coldSafety    = 0.5 // part of the cold budget that is used
+	coldChance    = 1.5 // so many times the error of chance is kept free of it
 	manyShare     = 0.75
 	firstLoads    = 8.0 // loads that may be under way to start with
 	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
@@ -65,7 +68,7 @@
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
 		mostLaunches: 1, mostLoads: firstLoads, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
-		fresh: window.New(freshSpan), came: window.New(2 * freshSpan)}
+		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
 }
 
 // random draws below n, by multiply-with-carry.
@@ -77,7 +80,7 @@
 // AddType tells of an event type.
 func (c *Chooser) AddType(t EventType) {
 	t.Target = max(t.Target, time.Millisecond)
-	c.types[t.Name] = &evtType{EventType: t, took: window.New(4 * t.Target), count: window.New(4 * t.Target)}
+	c.types[t.Name] = &evtType{EventType: t, seen: 1, mean: time.Duration(firstShare * float64(t.Target))}
 	c.longest = max(c.longest, t.Target)
 }
 
@@ -135,16 +138,17 @@
 		w := c.workers[l.Worker]
 		if w == nil {
 			w = &worker{limit: max(leastLimit, firstLimit/float64(c.peers)), took: window.New(2 * c.longest),
-				want: window.New(2 * c.longest), sent: window.New(c.fall)}
+				want: window.New(2 * c.longest)}
 			for _, b := range []byte(l.Worker) {
 				w.hash = mix(w.hash ^ uint64(b))
 			}
-			w.Listing = l
+			w.Listing, w.coldLast, w.coldPart = l, now, float64(c.random(1000))/1000
 			c.workers[l.Worker] = w
 		}
 		if l.Started != w.Started {
 			c.forget(w) // a worker that starts is empty
 			w.row, w.barred, w.barFor, w.trial, w.limit = 0, 0, 0, false, leastLimit
+			w.coldLast, w.coldPart = now, float64(c.random(1000))/1000
 		}
 		w.Listing, w.listed = l, l.Condition != Gone
 	}
@@ -180,13 +184,21 @@
 	return c.coldFrom + (1-c.coldFrom)*float64(max(0, now-w.Started))/float64(c.warmAfter)
 }
 
-// coldRoom keeps a cold worker from being pushed over (rule 4). Its capacity is not told: the mean work that
-// each front end sends to a worker is taken for its part. One event in the window is always let through.
-func (c *Chooser) coldRoom(w *worker, weight float64, now time.Duration) bool {
-	s := c.share(w, now)
-	sent := w.sent.All(now)
+// coldPause keeps a cold worker from being pushed over (rule 4): the least time between two launches to it.
+// Its capacity is not told: the mean work that each front end sees handled is taken for its part. Launches of
+// many front ends that know nothing of each other bunch by chance, which the budget has to bear.
+func (c *Chooser) coldPause(w *worker, weight float64, now time.Duration) time.Duration {
+	most := time.Duration(c.peers) * c.fall // with nothing known all front ends together send one in c.fall
 	mean := c.work.Inner(now) / 8 / float64(max(1, len(c.list)))
-	return s >= 1 || c.multiple <= 0 || sent == 0 || sent+weight <= coldSafety*c.multiple*s*mean
+	all := coldSafety * c.multiple * c.share(w, now) * mean / c.portion(now) / weight
+	all = max(all-coldChance*math.Sqrt(min(all, float64(c.peers))), all/4)
+	return time.Duration(min(float64(c.fall)/max(all*c.portion(now), 1e-9), float64(most)))
+}
+
+// coldRoom begins with a random part of the pause: front ends that hear of a start at once do not send at once.
+func (c *Chooser) coldRoom(w *worker, e *Event, now time.Duration) bool {
+	return c.multiple <= 0 || c.share(w, now) >= 1 ||
+		now >= w.coldLast+time.Duration(w.coldPart*float64(c.coldPause(w, c.weigh(e), now)))
 }
 
 // portion is this front end's part of all traffic: an even split, or what it sees itself of the shares of all
@@ -264,14 +276,10 @@
 // pace moves a worker's in-flight limit by the ratio of the shortest answer time to the present one.
 func (c *Chooser) pace(w *worker, e *Event, took, now time.Duration) {
 	t := e.typ
-	t.took.Add(now, float64(took))
-	t.count.Add(now, 1)
-	if n := t.count.All(now); n >= 3*averaged {
-		t.mean = time.Duration(t.took.All(now) / n)
-		if t.short == 0 || t.mean < t.short {
+	t.seen = min(t.seen+1, typeAveraged)
+	if t.mean += (took - t.mean) / t.seen; t.seen >= 3*averaged {
+		if t.short += t.short / shortLasts; t.short == 0 || t.mean < t.short {
 			t.short = t.mean
-		} else {
-			t.short += t.short / shortLasts
 		}
 	}
 	if t.short == 0 {
@@ -342,7 +350,7 @@
 	}
 	f := c.fns[e.Function]
 	if f == nil {
-		f = &function{id: e.Function, came: window.New(2 * freshSpan)}
+		f = &function{id: e.Function, came: window.New(4 * freshSpan)}
 		c.fns[e.Function] = f
 	}
 	f.typ, f.lanes, f.load = t, max(1, e.Lanes), e.LoadTime
@@ -408,7 +416,7 @@
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
 	return s.copies > 0 && now >= s.shut && c.room(w, now) && c.mayGo(e, w, now) &&
-		c.coldRoom(w, c.weigh(e), now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
+		c.coldRoom(w, e, now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
 
 // warm finds the believed-warm free lane that comes first in the function's salted order.
@@ -456,8 +464,7 @@
 	limit := c.timeout(e, now)
 	e.launches, s.busy = e.launches+1, s.busy+1
 	s.w.out = append(s.w.out, e)
-	s.w.sent.Add(now, c.weigh(e))
-	c.work.Add(now, c.weigh(e))
+	s.w.coldLast, s.w.coldPart = now, 1
 	if cold {
 		s.loading = max(s.loading, 1)
 		s.loadEnd = now + time.Duration(loadPatience*float64(c.usualLoad(e.fn)))
@@ -491,6 +498,7 @@
 	}
 	switch o.Result {
 	case Handled:
+		c.work.Add(now, c.weigh(e))
 		w.row, w.lastGood, w.barFor, w.trial, w.barred = 0, now, 0, false, 0
 		s.copies, s.until, s.refused = max(1, s.copies), now+c.keep, 0
 		if o.Warmth == BeganLoad {
@@ -720,7 +728,7 @@
 		return false
 	}
 	e := f.queue[0]
-	if !first || !c.loadsOnMiss && c.orders || !c.mayGo(e, w, now) || !c.coldRoom(w, c.weigh(e), now) {
+	if !first || !c.loadsOnMiss && c.orders || !c.mayGo(e, w, now) || !c.coldRoom(w, e, now) {
 		return false
 	}
 	f.queue = f.queue[1:]
@@ -759,6 +767,6 @@
 // the shared order, all of them together may be more than that worker can do.
 func (c *Chooser) homes(f *function, now time.Duration) int {
 	n := f.came.All(now)
-	part := (n - math.Sqrt(n)) / (c.came.All(now) + averaged) // less the error of chance
+	part := (n - 1) / (c.came.All(now) + averaged) // one event tells nothing
 	return max(1, min(c.peers, int(spread*part*float64(len(c.list)))))
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -162,10 +162,10 @@
 
 type evtType struct {
 	EventType
-	took, count *window.Window
-	short       time.Duration // shortest mean answer time, slowly forgotten
-	mean        time.Duration
-	patience    time.Duration // most that a client has shown
+	seen     time.Duration // answers in the average
+	mean     time.Duration // of the answer time
+	short    time.Duration // shortest mean answer time, slowly forgotten
+	patience time.Duration // most that a client has shown
 }
 
 type tenant struct {
@@ -187,7 +187,8 @@
 	short    float64 // its shortest answer time, of its event types' shortest
 	took     *window.Window
 	want     *window.Window
-	sent     *window.Window
+	coldLast time.Duration // last launch while cold, or when it was heard of
+	coldPart float64       // part of the pause that is kept from then
 }
 
 // standing is what is believed of one function at one worker.
