--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,6 +58,7 @@
 	loadFall      = 0.8 // what such a load or a refused one leaves of the loads that may be under way
 	spread        = 2.0 // a function's first copies stand on so many times the workers that its events fill
 	crowdedShare  = 0.5 // fewer workers than this with room: a jam
+	backedShare   = 0.5 // a report of waiting events is believed for so many of the longest target time
 	believed      = 0.5 // no more workers than this can be bad at once
 )
 
@@ -224,7 +225,7 @@
 
 // crowded tells of a jam: few workers have room left.
 func (c *Chooser) crowded(now time.Duration) bool {
-	return c.part(func(w *worker) bool { return c.room(w, now) }) < crowdedShare
+	return c.part(func(w *worker) bool { return c.room(w, now) && now >= w.backed }) < crowdedShare
 }
 
 // part is the share of the listed workers of which something is true.
@@ -361,7 +362,7 @@
 	c.came.Add(now, 1)
 	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 {
 		f.next, f.arrived = now+c.tick(f), 0 // a tick that finds arrivals but no queue advances too
-		if c.homes(f, now) > 1 {
+		if c.homes(f, now) > 1 || !slices.ContainsFunc(f.stands, func(s *standing) bool { return now >= s.w.backed }) {
 			c.grown = append(c.grown, f)
 		}
 	}
@@ -424,7 +425,10 @@
 	var best *standing
 	var first uint64
 	for _, s := range f.stands {
-		r := rank(s.w, f.id, c.self+1)
+		r := rank(s.w, f.id, c.self+1) >> 1
+		if now < s.w.backed { // after those where nothing waits
+			r |= 1 << 63
+		}
 		if s.busy < s.copies*f.lanes && s.w != e.avoid && (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
 		}
@@ -491,6 +495,7 @@
 		return Answer{Event: e, Verb: Nothing}
 	}
 	w := s.w
+	c.told(w, o.Load, now)
 	e.out, s.busy = nil, s.busy-1
 	w.out = slices.DeleteFunc(w.out, func(x *Event) bool { return x == e })
 	if e.cold {
@@ -540,6 +545,17 @@
 	return Answer{Event: e, Verb: Hold}
 }
 
+// told takes a worker's load report. Where events wait a lane is not free, whoever sent them: other front ends'
+// events are seen in no other way.
+func (c *Chooser) told(w *worker, l Load, now time.Duration) {
+	if l.Told {
+		w.backed = 0
+		if l.Waiting >= 1 {
+			w.backed = now + time.Duration(backedShare*float64(c.longest))
+		}
+	}
+}
+
 // lastCall is how long before the client gives up an event is given up: an answer is not to be had then.
 func (c *Chooser) lastCall(e *Event) time.Duration {
 	return max(2*c.quantum, min(2*c.expected(e.fn), e.Patience/2))
@@ -604,7 +620,7 @@
 		c.serve(f, false, now, &st)
 	}
 	for _, f := range c.grown {
-		if w := c.target(f, true, now); w != nil && f.at(w).copies+f.at(w).loading == 0 {
+		if w := c.target(f, true, now); w != nil && now >= w.backed && !jam && f.at(w).copies+f.at(w).loading == 0 {
 			c.load(f, true, now, &st)
 		}
 	}
@@ -753,7 +769,12 @@
 	} else if !first {
 		return fit[c.random(len(fit))]
 	}
-	many := func(w *worker) float64 { return math.Floor(float64(len(w.out)) / w.limit / manyShare) }
+	many := func(w *worker) float64 {
+		if now < w.backed {
+			return math.Inf(1)
+		}
+		return math.Floor(float64(len(w.out)) / w.limit / manyShare)
+	}
 	slices.SortFunc(fit, func(v, w *worker) int {
 		return cmp.Or(cmp.Compare(many(v), many(w)), cmp.Compare(rank(v, f.id, 0), rank(w, f.id, 0)))
 	})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -123,7 +123,7 @@
 		b := newBench(1)
 		b.Listed(b.now, true, []choice.Listing{{Worker: "a", Started: started}})
 		b.place("e0", "redeliverable", 9)
-		b.loaded(b.step(1000 * ms))
+		b.loaded(b.step(0))
 		b.step(1000 * ms)
 		launched := 0
 		for i := range 20 {
--- a/choice/types.go
+++ b/choice/types.go
@@ -124,6 +124,13 @@
 	Result Result
 	Final  bool // the event has ended with this outcome or before
 	Warmth Warmth
+	Load   Load
+}
+
+// Load is what a worker reports of itself, for all that it serves.
+type Load struct {
+	Told    bool    // false where no report came
+	Waiting float64 // events that wait there
 }
 
 // Condition is a worker's state in the list.
@@ -183,6 +190,7 @@
 	barred   time.Duration
 	barFor   time.Duration
 	trial    bool
+	backed   time.Duration // until then it is believed to have events waiting
 	limit    float64
 	short    float64 // its shortest answer time, of its event types' shortest
 	took     *window.Window
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -297,7 +297,7 @@
 	o.Final = line.Flag("finished")
 	line.Whole("attempt", false)
 	o.Result = outcome(line)
-	line.Pairs("load report")
+	o.Load = load(line)
 	if err := line.Done(); err != nil {
 		return err
 	}
@@ -313,6 +313,13 @@
 	return nil
 }
 
+// load decodes a load report.
+func load(line *simwire.Line) choice.Load {
+	pairs := line.Pairs("load report")
+	waiting, told := pairs["pending"]
+	return choice.Load{Told: told, Waiting: waiting}
+}
+
 // drop forgets an event once it has ended and no launch is outstanding.
 func (in *instance) drop(e *choice.Event, ended bool) {
 	if ended && !e.Outstanding() {
