--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,6 +58,8 @@
 	loadFall      = 0.8 // what such a load or a refused one leaves of the loads that may be under way
 	spread        = 2.0 // a function's first copies stand on so many times the workers that its events fill
 	crowdedShare  = 0.5 // fewer workers than this with room: a jam
+	repeatsFree   = 1.0 // a tenant's marked repeats that are taken in any case
+	repeatShare   = 0.1 // and so many for each of its first tries
 	backedShare   = 0.5 // a report of waiting events is believed for so many of the longest target time
 	believed      = 0.5 // no more workers than this can be bad at once
 )
@@ -88,7 +90,8 @@
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
 func (c *Chooser) AddTenant(name string, quota float64) {
 	c.shares += quota
-	c.tenants[name] = &tenant{quota: quota, came: window.New(time.Second)}
+	c.tenants[name] = &tenant{quota: quota, came: window.New(time.Second), first: window.New(freshSpan),
+		again: window.New(freshSpan)}
 }
 
 // Launches limits the launches of an event.
@@ -374,6 +377,13 @@
 		if e.over = n.came.All(now) >= max(1, n.quota*c.portion(now)); !e.over {
 			n.came.Add(now, 1)
 		}
+		if !e.Repeat {
+			n.first.Add(now, 1)
+		} else if n.again.All(now) >= repeatsFree+repeatShare*n.first.All(now) {
+			return c.give(e, now)
+		} else {
+			n.again.Add(now, 1)
+		}
 	}
 	if e.over && c.crowded(now) {
 		return c.give(e, now)
--- a/choice/types.go
+++ b/choice/types.go
@@ -178,6 +178,8 @@
 type tenant struct {
 	quota float64 // events a second within its share, at this front end
 	came  *window.Window
+	first *window.Window // its first tries
+	again *window.Window // its marked repeats that were taken
 }
 
 type worker struct {
