--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,6 +97,9 @@
 // Launches limits the launches of an event.
 func (c *Chooser) Launches(most int, cancel bool) { c.mostLaunches, c.cancel = max(1, most), cancel }
 
+// Probing allows probes.
+func (c *Chooser) Probing(allowed bool) { c.probing = allowed }
+
 // Deferrals tells the longest time to come back that clients honour; 0 where none can be named.
 func (c *Chooser) Deferrals(most time.Duration) { c.mostBack = most }
 
@@ -390,7 +393,7 @@
 	}
 	if len(f.queue) == 0 {
 		c.refresh(f, now)
-		if s := c.warm(f, e, now); s != nil {
+		if s := c.warm(f, e, now); s != nil && c.known(s.w, now) {
 			return c.launch(e, s, false, now)
 		}
 	}
@@ -555,10 +558,31 @@
 	return Answer{Event: e, Verb: Hold}
 }
 
+// known tells whether a worker's load was reported lately. If not it is probed, and the event waits a moment.
+func (c *Chooser) known(w *worker, now time.Duration) bool {
+	if !c.probing || now < w.toldAt+time.Duration(backedShare*float64(c.longest)) {
+		return true
+	}
+	if !w.probed {
+		w.probed, w.probedAt = true, now
+		c.probes = append(c.probes, w.Worker)
+	}
+	return now >= w.probedAt+firstLatency
+}
+
+// Probed takes the answer to a probe.
+func (c *Chooser) Probed(now time.Duration, name string, l Load) {
+	if w := c.workers[name]; w != nil {
+		w.probed = false
+		c.told(w, l, now)
+	}
+}
+
 // told takes a worker's load report. Where events wait a lane is not free, whoever sent them: other front ends'
 // events are seen in no other way.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
+		w.toldAt = now
 		w.backed = 0
 		if l.Waiting >= 1 {
 			w.backed = now + time.Duration(backedShare*float64(c.longest))
@@ -642,6 +666,7 @@
 		f.active = len(f.queue) > 0
 		return !f.active
 	})
+	st.Probes, c.probes = c.probes, nil
 	if slices.ContainsFunc(c.list, func(w *worker) bool { return len(w.out) > 0 }) {
 		wake = min(wake, now+c.longest/8) // to notice silence
 	}
@@ -665,8 +690,9 @@
 		last := e.ends - c.lastCall(e)
 		give := now >= last || !c.goesOn(e, now)
 		if !give && late == (now+c.expected(f) > e.due) {
-			s = c.warm(f, e, now)
-			if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
+			if s = c.warm(f, e, now); s != nil && !c.known(s.w, now) {
+				s, wake = nil, min(wake, now+firstLatency)
+			} else if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
 				s = c.spill(f, e, now)
 				give = s == nil && e.risk == nil && (late || e.over) && c.crowded(now)
 			}
--- a/choice/types.go
+++ b/choice/types.go
@@ -163,6 +163,7 @@
 type Steps struct {
 	Answers []Answer
 	Orders  []Order
+	Probes  []string      // workers to probe
 	Ask     bool          // subscribe to the list of workers
 	Next    time.Duration // how long to wait at the most; 0: until news comes
 }
@@ -192,6 +193,9 @@
 	barred   time.Duration
 	barFor   time.Duration
 	trial    bool
+	toldAt   time.Duration // its last load report
+	probed   bool          // a probe is out since probedAt
+	probedAt time.Duration
 	backed   time.Duration // until then it is believed to have events waiting
 	limit    float64
 	short    float64 // its shortest answer time, of its event types' shortest
@@ -245,6 +249,8 @@
 
 	mostLaunches int
 	cancel       bool
+	probing      bool
+	probes       []string // workers to probe
 	mostBack     time.Duration
 
 	orders, loadsOnMiss   bool
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -138,10 +138,13 @@
 			in.wakes = in.wakes[:len(in.wakes)-1]
 		}
 	case "ECHO":
-		line.Word("worker")
+		worker := line.Word("worker")
 		line.Time("time", true)
 		outcome(line)
-		line.Pairs("load report")
+		report := load(line)
+		if line.Done() == nil {
+			in.chooser.Probed(h.now, worker, report)
+		}
 	case "LOAD_RESULT":
 		order := choice.Order{Worker: line.Word("worker"), Function: line.Whole("function", false)}
 		result := outcome(line)
@@ -187,6 +190,7 @@
 		c.AddTenant(set[at+"name"], set.Number(at+"quota_per_s", 0))
 	}
 	c.Launches(int(set.Number("policy_limits.send_cap", 1)), set.Flag("policy_limits.cancel", false))
+	c.Probing(set.Flag("policy_limits.probing", false))
 	if set.Flag("policy_limits.retry_after", false) {
 		c.Deferrals(set.Time("policy_limits.max_retry_after", 0))
 	}
@@ -364,6 +368,9 @@
 	for _, a := range steps.Answers {
 		h.answer(in, a)
 	}
+	for _, worker := range steps.Probes {
+		h.out.Line("TOUCH", in.name, worker)
+	}
 	for _, o := range steps.Orders {
 		h.out.Line("BRING_UP", in.name, o.Worker, o.Function, o.Copies)
 	}
