--- a/choice/choice.go
+++ b/choice/choice.go
@@ -578,13 +578,13 @@
 	}
 }
 
-// told takes a worker's load report. Where events wait a lane is not free, whoever sent them: other front ends'
-// events are seen in no other way.
+// told takes a worker's load report. Where more events wait than this front end
+// has there a lane is not free: other front ends' events are seen in no other way. Its own obey the limit.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
 		w.toldAt = now
 		w.backed = 0
-		if l.Waiting >= 1 {
+		if l.Waiting > float64(len(w.out)) {
 			w.backed = now + time.Duration(backedShare*float64(c.longest))
 		}
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -131,6 +131,7 @@
 type Load struct {
 	Told    bool    // false where no report came
 	Waiting float64 // events that wait there
+	Busy    float64 // part of its cores in use; 0 where it is not told
 }
 
 // Condition is a worker's state in the list.
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -321,7 +321,7 @@
 func load(line *simwire.Line) choice.Load {
 	pairs := line.Pairs("load report")
 	waiting, told := pairs["pending"]
-	return choice.Load{Told: told, Waiting: waiting}
+	return choice.Load{Told: told, Waiting: waiting, Busy: pairs["cpu_share"]}
 }
 
 // drop forgets an event once it has ended and no launch is outstanding.
