One in-flight limit for all workers together beside each worker's

A front end sees enough answers of all workers to judge them together. It now falls only when answers take over half the target time.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 	barMost       = 8.0   // longest bar, likewise
 	overdue       = 18.0  // so many mean answer times of silence, of all launches to a worker, bar it
 	tolerance     = 1.1   // the present answer time may be so many shortest ones before the limit falls
+	enoughShare   = 0.5   // answers may take so much of the target time before the limit of all workers falls
 	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
 	firstLimit    = 16.0  // in-flight limit to start from
 	fullFall      = 0.9   // what a refusal as full leaves of the in-flight limit
@@ -85,6 +86,7 @@
 	t.Target = max(t.Target, time.Millisecond)
 	c.types[t.Name] = &evtType{EventType: t, seen: 1, mean: time.Duration(firstShare * float64(t.Target))}
 	c.longest = max(c.longest, t.Target)
+	c.took, c.want = window.New(2*c.longest), window.New(2*c.longest)
 }
 
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
@@ -162,6 +164,9 @@
 	byName := func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) }
 	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
 	c.list = slices.DeleteFunc(c.list, func(w *worker) bool { return !w.listed && len(w.out) == 0 })
+	if c.limit == 0 {
+		c.limit = max(leastLimit, firstLimit*float64(len(c.list))/float64(c.peers))
+	}
 	if c.askAt > 0 { // the list of the start is no answer
 		c.askAt = math.MaxInt64
 	}
@@ -231,7 +236,7 @@
 
 // crowded tells of a jam: few workers have room left.
 func (c *Chooser) crowded(now time.Duration) bool {
-	return c.part(func(w *worker) bool { return c.room(w, now) && now >= w.backed }) < crowdedShare
+	return c.full(now) || c.part(func(w *worker) bool { return c.room(w, now) && now >= w.backed }) < crowdedShare
 }
 
 // part is the share of the listed workers of which something is true.
@@ -292,6 +297,7 @@
 	if t.short == 0 {
 		return
 	}
+	c.paceAll(t, took, now)
 	w.took.Add(now, float64(took))
 	w.want.Add(now, float64(t.short))
 	present, enough := w.took.All(now)/w.want.All(now), w.want.All(now) >= float64(averaged*t.short)
@@ -305,6 +311,33 @@
 	}
 }
 
+// paceAll does the same for all workers together. Among many front ends each meets a worker too seldom to
+// judge it alone, and the least limit of each adds up to more than any worker can do.
+func (c *Chooser) paceAll(t *evtType, took, now time.Duration) {
+	c.took.Add(now, float64(took))
+	c.want.Add(now, max(tolerance*float64(t.short), enoughShare*float64(t.Target)))
+	ratio := min(1, c.want.All(now)/c.took.All(now))
+	aim := c.limit*ratio + math.Sqrt(c.limit*c.portion(now))
+	if aim < c.limit || float64(2*c.inFlight(now)+2) > c.limit {
+		c.limit = max(1, c.limit+(aim-c.limit)/c.limit)
+	}
+}
+
+// inFlight counts the launches that can still be answered in their target time.
+func (c *Chooser) inFlight(now time.Duration) (n int) {
+	for _, w := range c.list {
+		for _, e := range w.out {
+			if now < e.sent+e.typ.Target {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// full tells that the limit of all workers together is reached.
+func (c *Chooser) full(now time.Duration) bool { return float64(c.inFlight(now)) >= c.limit }
+
 // mean is the average of a function's last latencies.
 func (f *function) mean() time.Duration {
 	if len(f.past) == 0 {
@@ -429,7 +462,7 @@
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
-	return s.copies > 0 && now >= s.shut && c.room(w, now) && c.mayGo(e, w, now) &&
+	return s.copies > 0 && now >= s.shut && c.room(w, now) && !c.full(now) && c.mayGo(e, w, now) &&
 		c.coldRoom(w, e, now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -248,6 +248,9 @@
 	grown   []*function // whose first copy may belong elsewhere
 	recall  []*Event    // outstanding at workers just barred
 
+	limit      float64 // launches in flight at all workers
+	took, want *window.Window
+
 	mostLaunches int
 	cancel       bool
 	probing      bool
