--- a/choice/choice.go
+++ b/choice/choice.go
@@ -319,7 +319,7 @@
 	ratio := min(1, c.want.All(now)/c.took.All(now))
 	aim := c.limit*ratio + math.Sqrt(c.limit*c.portion(now))
 	if aim < c.limit || float64(2*c.inFlight(now)+2) > c.limit {
-		c.limit = max(1, c.limit+(aim-c.limit)/c.limit)
+		c.limit = max(leastLimit, c.limit+(aim-c.limit)/c.limit)
 	}
 }
 
