--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,12 +44,13 @@
 	barMost       = 8.0   // longest bar, likewise
 	overdue       = 18.0  // so many mean answer times of silence, of all launches to a worker, bar it
 	tolerance     = 1.1   // the present answer time may be so many shortest ones before the limit falls
+	growth        = 0.3   // of its root, by which the limit of all workers grows an answer time while answers are in good time
 	enoughShare   = 0.5   // answers may take so much of the target time before the limit of all workers falls
 	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
 	firstLimit    = 16.0  // in-flight limit to start from
 	fullFall      = 0.9   // what a refusal as full leaves of the in-flight limit
 	leastLimit    = 2.0
-	timeoutShare  = 2.0 // launch time-out, of the target time
+	timeoutShare  = 4.0 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.5 // part of the cold budget that is used
 	coldChance    = 1.5 // so many times the error of chance is kept free of it
@@ -317,7 +318,10 @@
 	c.took.Add(now, float64(took))
 	c.want.Add(now, max(tolerance*float64(t.short), enoughShare*float64(t.Target)))
 	ratio := min(1, c.want.All(now)/c.took.All(now))
-	aim := c.limit*ratio + math.Sqrt(c.limit*c.portion(now))
+	aim := c.limit + growth*math.Sqrt(c.limit)
+	if ratio < 1 {
+		aim = c.limit*ratio + math.Sqrt(c.limit*c.portion(now))
+	}
 	if aim < c.limit || float64(2*c.inFlight(now)+2) > c.limit {
 		c.limit = max(leastLimit, c.limit+(aim-c.limit)/c.limit)
 	}
