--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,7 +58,7 @@
 	firstLoads    = 8.0 // loads that may be under way to start with
 	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
 	loadFall      = 0.8 // what such a load or a refused one leaves of the loads that may be under way
-	spread        = 2.0 // a function's first copies stand on so many times the workers that its events fill
+	spread        = 4.0 // a function's first copies stand on so many times the workers that its events fill
 	crowdedShare  = 0.5 // fewer workers than this with room: a jam
 	repeatsFree   = 1.0 // a tenant's marked repeats that are taken in any case
 	repeatShare   = 0.1 // and so many for each of its first tries
@@ -862,5 +862,5 @@
 func (c *Chooser) homes(f *function, now time.Duration) int {
 	n := f.came.All(now)
 	part := (n - 1) / (c.came.All(now) + averaged) // one event tells nothing
-	return max(1, min(c.peers, int(spread*part*float64(len(c.list)))))
+	return max(1, int(spread*part*float64(min(c.peers, len(c.list)))))
 }
