--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	"strings"
 	"time"
 
+	"lupinpond/internal/chance"
 	"lupinpond/internal/window"
 )
 
@@ -50,7 +51,6 @@
 	firstLimit    = 16.0  // in-flight limit to start from
 	fullFall      = 0.9   // what a refusal as full leaves of the in-flight limit
 	leastLimit    = 2.0
-	timeoutShare  = 4.0 // launch time-out, of the target time
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.5 // part of the cold budget that is used
 	coldChance    = 1.5 // so many times the error of chance is kept free of it
@@ -68,7 +68,7 @@
 
 // New starts the Chooser of front end self of peers; quantum is the least time between two calls.
 func New(seed uint64, self, peers int, quantum time.Duration) *Chooser {
-	return &Chooser{chance: mix(seed | 1<<63), self: self, peers: max(1, peers),
+	return &Chooser{chance: chance.New(seed), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
 		mostLaunches: 1, mostLoads: firstLoads, askAt: math.MaxInt64,
@@ -76,12 +76,6 @@
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
 }
 
-// random draws below n, by multiply-with-carry.
-func (c *Chooser) random(n int) int {
-	c.chance = (c.chance&0xffffffff)*4294957665 + c.chance>>32
-	return int((c.chance & 0x7fffffff) % uint64(max(n, 1)))
-}
-
 // AddType tells of an event type.
 func (c *Chooser) AddType(t EventType) {
 	t.Target = max(t.Target, time.Millisecond)
@@ -128,14 +122,10 @@
 	c.askAt, c.askWait = 0, max(within/8, time.Millisecond)
 }
 
-func mix(x uint64) uint64 {
-	x = (x ^ x>>31) * 0x7fb5d329728ea185
-	x = (x ^ x>>27) * 0x81dadef4bc2dd44d
-	return x ^ x>>33
-}
-
 // rank orders the workers of a function by hash; salt 0 gives the order that all front ends share.
-func rank(w *worker, fn uint64, salt int) uint64 { return mix(w.hash ^ mix(fn+uint64(salt)<<44)) }
+func rank(w *worker, fn uint64, salt int) uint64 {
+	return chance.Mix(w.hash ^ chance.Mix(fn+uint64(salt)<<44))
+}
 
 // Listed takes news of the list; whole says that workers it does not name are gone.
 func (c *Chooser) Listed(now time.Duration, whole bool, news []Listing) {
@@ -147,18 +137,15 @@
 	for _, l := range news {
 		w := c.workers[l.Worker]
 		if w == nil {
-			w = &worker{limit: max(leastLimit, firstLimit/float64(c.peers)), took: window.New(2 * c.longest),
+			w = &worker{hash: chance.Hash(l.Worker), limit: max(leastLimit, firstLimit/float64(c.peers)), took: window.New(2 * c.longest),
 				want: window.New(2 * c.longest)}
-			for _, b := range []byte(l.Worker) {
-				w.hash = mix(w.hash ^ uint64(b))
-			}
-			w.Listing, w.coldLast, w.coldPart = l, now, float64(c.random(1000))/1000
+			w.Listing, w.coldLast, w.coldPart = l, now, float64(c.chance.Below(1000))/1000
 			c.workers[l.Worker] = w
 		}
 		if l.Started != w.Started {
 			c.forget(w) // a worker that starts is empty
 			w.row, w.barred, w.barFor, w.trial, w.limit = 0, 0, 0, false, leastLimit
-			w.coldLast, w.coldPart = now, float64(c.random(1000))/1000
+			w.coldLast, w.coldPart = now, float64(c.chance.Below(1000))/1000
 		}
 		w.Listing, w.listed = l, l.Condition != Gone
 	}
@@ -175,7 +162,7 @@
 
 // ListFailed says that asking for the list failed: ask again a little later, each front end at its own time.
 func (c *Chooser) ListFailed(now time.Duration) {
-	c.askAt = now + c.askWait/2 + time.Duration(c.random(int(c.askWait)))
+	c.askAt = now + c.askWait/2 + time.Duration(c.chance.Below(int(c.askWait)))
 }
 
 // forget drops what is believed to be loaded at a worker.
@@ -259,7 +246,7 @@
 	if (w.row >= rowBar || w.trial) && now >= w.barred {
 		least := time.Duration(barShare * float64(c.longest))
 		w.barFor = min(max(2*w.barFor, least), time.Duration(barMost*float64(c.longest)))
-		w.barred = now + w.barFor + time.Duration(c.random(int(w.barFor/2)))
+		w.barred = now + w.barFor + time.Duration(c.chance.Below(int(w.barFor/2)))
 		w.trial, w.limit = true, leastLimit
 		if c.cancel {
 			c.recall = append(c.recall, w.out...)
@@ -505,17 +492,8 @@
 	return anywhere && e.launches+1 < c.mostLaunches && then+c.lastCall(e) < e.ends
 }
 
-// timeout limits a launch that may be followed by another; the others run until the client gives up.
-func (c *Chooser) timeout(e *Event, now time.Duration) time.Duration {
-	if limit := time.Duration(timeoutShare * float64(e.typ.Target)); c.again(e, now+limit) {
-		return limit
-	}
-	return 0
-}
-
 func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
 	e.cold, e.sent, e.out, e.avoid = cold, now, s, nil
-	limit := c.timeout(e, now)
 	e.launches, s.busy = e.launches+1, s.busy+1
 	s.w.out = append(s.w.out, e)
 	s.w.coldLast, s.w.coldPart = now, 1
@@ -523,7 +501,7 @@
 		s.loading = max(s.loading, 1)
 		s.loadEnd = now + time.Duration(loadPatience*float64(c.usualLoad(e.fn)))
 	}
-	return Answer{Event: e, Verb: Launch, Worker: s.w.Worker, Limit: limit}
+	return Answer{Event: e, Verb: Launch, Worker: s.w.Worker}
 }
 
 // give ends an event as its type allows: deferred where another try is harmless, else dead-lettered.
@@ -535,7 +513,7 @@
 		return Answer{Event: e, Verb: DeadLetter}
 	}
 	back := min(c.mostBack, e.typ.Target/2)
-	return Answer{Event: e, Verb: Defer, Back: back/2 + time.Duration(c.random(int(back/2)+1))}
+	return Answer{Event: e, Verb: Defer, Back: back/2 + time.Duration(c.chance.Below(int(back/2)+1))}
 }
 
 // After answers what to do after the outcome of a launch.
@@ -840,7 +818,7 @@
 	if len(fit) == 0 {
 		return nil
 	} else if !first {
-		return fit[c.random(len(fit))]
+		return fit[c.chance.Below(len(fit))]
 	}
 	many := func(w *worker) float64 {
 		if now < w.backed {
--- a/choice/types.go
+++ b/choice/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lupinpond/internal/chance"
 	"lupinpond/internal/window"
 )
 
@@ -84,7 +85,6 @@
 	Event  *Event
 	Verb   Verb
 	Worker string
-	Limit  time.Duration // time-out of a launch; 0: until the client gives up
 	Launch int           // with Withdraw: which launch, counted from 0
 	Back   time.Duration // with Defer: when to come back; 0: not named
 }
@@ -234,7 +234,7 @@
 
 // Chooser decides for one front end.
 type Chooser struct {
-	chance      uint64 // state of the generator
+	chance      chance.Source
 	self, peers int
 	quantum     time.Duration
 	longest     time.Duration // longest target time
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -347,7 +347,7 @@
 func (h *Host) answer(in *instance, a choice.Answer) {
 	switch a.Verb {
 	case choice.Launch:
-		h.out.Line("SEND", in.name, a.Event.ID, a.Worker, a.Limit)
+		h.out.Line("SEND", in.name, a.Event.ID, a.Worker)
 	case choice.Defer:
 		h.out.Line("SAY_NO", in.name, a.Event.ID, a.Back)
 		in.drop(a.Event, true)
--- a/internal/simhost/host_test.go
+++ b/internal/simhost/host_test.go
@@ -27,7 +27,7 @@
 	// BRING_UP end-0 worker.a 77 1
 	// SLEEP end-0 1 0.2
 	// OK 2
-	// SEND end-0 e1 worker.a 0
+	// SEND end-0 e1 worker.a
 	// SLEEP end-0 1 0.125
 	// OK 3
 	// OK 4
