--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,9 +55,6 @@
 	coldSafety    = 0.5 // part of the cold budget that is used
 	coldChance    = 1.5 // so many times the error of chance is kept free of it
 	manyShare     = 0.75
-	firstLoads    = 8.0 // loads that may be under way to start with
-	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
-	loadFall      = 0.8 // what such a load or a refused one leaves of the loads that may be under way
 	spread        = 8.0 // a function's first copies stand on so many times the workers that its events fill
 	crowdedShare  = 0.5 // fewer workers than this with room: a jam
 	repeatsFree   = 1.0 // a tenant's marked repeats that are taken in any case
@@ -71,7 +68,7 @@
 	return &Chooser{chance: chance.New(seed), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, mostLoads: firstLoads, askAt: math.MaxInt64,
+		mostLaunches: 1, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
 }
@@ -261,9 +258,6 @@
 		silence := 0.0
 		for _, e := range w.out {
 			usual := float64(max(e.typ.mean, e.typ.Target/10)) / c.share(w, now)
-			if e.cold {
-				usual += loadPatience * float64(c.usualLoad(e.fn))
-			}
 			silence += float64(now-max(e.sent, w.lastGood)) / usual
 		}
 		if silence > overdue && now >= w.barred && !w.trial {
@@ -287,12 +281,8 @@
 	}
 	c.paceAll(t, took, now)
 	w.took.Add(now, float64(took))
-	w.want.Add(now, float64(t.short))
-	present, enough := w.took.All(now)/w.want.All(now), w.want.All(now) >= float64(averaged*t.short)
-	if w.short += w.short / shortLasts; enough && (w.short == 0 || present < w.short) {
-		w.short = present
-	}
-	ratio := min(1, tolerance*max(1, w.short)/present)
+	w.want.Add(now, tolerance*float64(t.short))
+	ratio := min(1, w.want.All(now)/w.took.All(now))
 	aim := w.limit*ratio + math.Sqrt(w.limit*c.portion(now)) // others queue there too
 	if aim < w.limit || 2*float64(len(w.out)+1) > w.limit {
 		w.limit = max(leastLimit, w.limit+(aim-w.limit)/w.limit)
@@ -630,12 +620,6 @@
 	if s.loading = max(0, s.loading-1); r == Handled || r == Full || r == Failed { // else nothing was heard
 		s.copies, s.until = o.Copies, now+c.keep
 	}
-	// A crowded store or memory shows in loads that are refused or take long, whatever crowds it.
-	if c.loadsOut--; r == Handled && took < time.Duration(slowLoad*float64(c.usualLoad(f))) {
-		c.mostLoads = min(c.mostLoads+1/c.mostLoads, float64(max(1, len(c.list))))
-	} else {
-		c.mostLoads = max(1, c.mostLoads*loadFall)
-	}
 	if r == Full {
 		s.shut = now + c.usualLoad(f)
 	} else if r == Unreached || r == Broken {
@@ -659,9 +643,6 @@
 	wake := c.askAt
 	jam := c.crowded(now)
 	slices.SortStableFunc(c.active, func(f, g *function) int {
-		if jam && f.typ != g.typ { // what is worth most for its work first
-			return cmp.Compare(g.typ.Benefit*float64(f.typ.mean), f.typ.Benefit*float64(g.typ.mean))
-		}
 		return cmp.Compare(f.queue[0].came, g.queue[0].came)
 	})
 	for _, f := range c.active {
@@ -779,7 +760,7 @@
 // the others at random. Where no order may be given the oldest event itself goes there to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
-	if w == nil || !first && (c.crowded(now) || float64(c.loadsOut) >= c.mostLoads) {
+	if w == nil || !first && c.crowded(now) {
 		return false
 	}
 	s := f.at(w)
@@ -787,7 +768,6 @@
 		s.loading++
 		s.loadEnd = now + min(time.Duration(loadPatience*float64(c.usualLoad(f))), c.orderLimit)
 		c.ordered.Add(now, 1)
-		c.loadsOut++
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
 		return true
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -29,12 +29,11 @@
 
 // EventType is what is known beforehand of the events of one type.
 type EventType struct {
-	Name    string
-	Effect  Effect
-	Group   Group
-	Window  time.Duration // how long a repeat of a keyed event is dropped
-	Target  time.Duration
-	Benefit float64
+	Name   string
+	Effect Effect
+	Group  Group
+	Window time.Duration // how long a repeat of a keyed event is dropped
+	Target time.Duration
 }
 
 // Event is one event in hand. The exported fields are facts; the rest is the Chooser's.
@@ -199,7 +198,6 @@
 	probedAt time.Duration
 	backed   time.Duration // until then it is believed to have events waiting
 	limit    float64
-	short    float64 // its shortest answer time, of its event types' shortest
 	took     *window.Window
 	want     *window.Window
 	coldLast time.Duration // last launch while cold, or when it was heard of
@@ -263,9 +261,6 @@
 	orderFree, orderShare float64
 	ordered, taken        *window.Window // load orders and events in the ration's window
 
-	loadsOut  int     // orders not answered yet
-	mostLoads float64 // so many of them before only first copies are ordered
-
 	coldFrom, multiple float64
 	warmAfter, fall    time.Duration
 	work               *window.Window // launches to all workers, weighted
