--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,8 +52,8 @@
 	fullFall      = 0.9   // what a refusal as full leaves of the in-flight limit
 	leastLimit    = 2.0
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
-	coldSafety    = 0.8 // part of the cold budget that is used
-	coldChance    = 2.0 // so many times the error of chance is kept free of it
+	coldSafety    = 0.9 // part of the cold budget that is used
+	coldChance    = 1.0 // so many times the error of chance is kept free of it
 	manyShare     = 0.75
 	spread        = 8.0 // a function's first copies stand on so many times the workers that its events fill
 	crowdedShare  = 0.5 // fewer workers than this with room: a jam
