Refusals as full count for the tenant at that worker; functions and workers long gone are forgotten

A refusal of a worker that reports no waiting events no longer lowers its limit for others. One survey of the workers answers each question once, so that bars no longer cost the square of the workers.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -134,21 +134,22 @@
 	for _, l := range news {
 		w := c.workers[l.Worker]
 		if w == nil {
-			w = &worker{hash: chance.Hash(l.Worker), limit: max(leastLimit, firstLimit/float64(c.peers)), took: window.New(2 * c.longest),
-				want: window.New(2 * c.longest)}
-			w.Listing, w.coldLast, w.coldPart = l, now, float64(c.chance.Below(1000))/1000
+			w = &worker{Listing: l, hash: chance.Hash(l.Worker), limit: max(leastLimit, firstLimit/float64(c.peers)),
+				refuses: map[string]refusal{}, took: window.New(2 * c.longest), want: window.New(2 * c.longest), coldLast: -1}
 			c.workers[l.Worker] = w
 		}
 		if l.Started != w.Started {
 			c.forget(w) // a worker that starts is empty
-			w.row, w.barred, w.barFor, w.trial, w.limit = 0, 0, 0, false, leastLimit
+			w.row, w.barred, w.barFor, w.trial, w.limit, w.coldLast = 0, 0, 0, false, leastLimit, -1
+		}
+		if w.coldLast < 0 {
 			w.coldLast, w.coldPart = now, float64(c.chance.Below(1000))/1000
 		}
 		w.Listing, w.listed = l, l.Condition != Gone
 	}
+	maps.DeleteFunc(c.workers, func(_ string, w *worker) bool { return !w.listed && len(w.out) == 0 })
 	byName := func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) }
 	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
-	c.list = slices.DeleteFunc(c.list, func(w *worker) bool { return !w.listed && len(w.out) == 0 })
 	if c.limit == 0 {
 		c.limit = max(leastLimit, firstLimit*float64(len(c.list))/float64(c.peers))
 	}
@@ -208,34 +209,44 @@
 	return min(1, max(1/float64(c.peers), seen))
 }
 
+// survey counts once for each question what is asked of all workers: whether the bars are believed, the launches
+// that can still be answered in their target time, and whether there is a jam: few workers have room left.
+func (c *Chooser) survey(now time.Duration) {
+	in, bad, free := 0, 0, 0
+	c.inFlight = 0
+	for _, w := range c.list {
+		for _, e := range w.out {
+			if now < e.sent+e.typ.Target {
+				c.inFlight++
+			}
+		}
+		if w.listed && w.Condition == In {
+			if in++; now < w.barred || w.trial {
+				bad++
+			}
+		}
+	}
+	c.unbelieved = float64(bad) > believed*float64(in)
+	for _, w := range c.list {
+		if c.room(w, now) && now >= w.backed {
+			free++
+		}
+	}
+	c.jam = c.full() || float64(free) < crowdedShare*float64(max(in, 1))
+}
+
 // usable tells whether new work may go to a worker at all. Drained and gone ones are not (rule 3).
 // If most of the list is barred the bars are not believed: that must not leave the front end without any.
 func (c *Chooser) usable(w *worker, now time.Duration) bool {
-	return w.listed && w.Condition == In && (now >= w.barred && (!w.trial || len(w.out) == 0) ||
-		c.part(func(v *worker) bool { return now < v.barred || v.trial }) > believed)
+	return w.listed && w.Condition == In && (now >= w.barred && (!w.trial || len(w.out) == 0) || c.unbelieved)
 }
 
 func (c *Chooser) room(w *worker, now time.Duration) bool {
 	return c.usable(w, now) && float64(len(w.out)) < w.limit
 }
 
-// crowded tells of a jam: few workers have room left.
-func (c *Chooser) crowded(now time.Duration) bool {
-	return c.full(now) || c.part(func(w *worker) bool { return c.room(w, now) && now >= w.backed }) < crowdedShare
-}
-
-// part is the share of the listed workers of which something is true.
-func (c *Chooser) part(of func(*worker) bool) float64 {
-	in, n := 0, 0
-	for _, w := range c.list {
-		if w.listed && w.Condition == In {
-			if in++; of(w) {
-				n++
-			}
-		}
-	}
-	return float64(n) / float64(max(in, 1))
-}
+// full tells that the limit of all workers together is reached.
+func (c *Chooser) full() bool { return float64(c.inFlight) >= c.limit }
 
 // fail counts a failure; enough in a row bar the worker, longer each time and not to the same moment.
 func (c *Chooser) fail(w *worker, now time.Duration) {
@@ -299,26 +310,11 @@
 	if ratio < 1 {
 		aim = c.limit*ratio + math.Sqrt(c.limit*c.portion(now))
 	}
-	if aim < c.limit || float64(2*c.inFlight(now)+2) > c.limit {
+	if aim < c.limit || float64(2*c.inFlight+2) > c.limit {
 		c.limit = max(leastLimit, c.limit+(aim-c.limit)/c.limit)
 	}
 }
 
-// inFlight counts the launches that can still be answered in their target time.
-func (c *Chooser) inFlight(now time.Duration) (n int) {
-	for _, w := range c.list {
-		for _, e := range w.out {
-			if now < e.sent+e.typ.Target {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// full tells that the limit of all workers together is reached.
-func (c *Chooser) full(now time.Duration) bool { return float64(c.inFlight(now)) >= c.limit }
-
 // mean is the average of a function's last latencies.
 func (f *function) mean() time.Duration {
 	if len(f.past) == 0 {
@@ -369,12 +365,20 @@
 		c.AddType(EventType{Name: e.Type, Effect: AtMostOnce, Target: e.Patience})
 		t = c.types[e.Type]
 	}
+	c.survey(now)
 	f := c.fns[e.Function]
 	if f == nil {
+		if len(c.fns) >= 2*c.kept+averaged { // functions long idle are forgotten
+			maps.DeleteFunc(c.fns, func(_ uint64, g *function) bool {
+				c.refresh(g, now)
+				return len(g.stands)+len(g.queue) == 0 && g.came.All(now) == 0
+			})
+			c.kept = len(c.fns)
+		}
 		f = &function{id: e.Function, came: window.New(4 * freshSpan)}
 		c.fns[e.Function] = f
 	}
-	f.typ, f.lanes, f.load = t, max(1, e.Lanes), e.LoadTime
+	f.typ, f.tenant, f.lanes, f.load = t, e.Tenant, max(1, e.Lanes), e.LoadTime
 	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
@@ -402,12 +406,12 @@
 			n.again.Add(now, 1)
 		}
 	}
-	if e.over && c.crowded(now) {
+	if e.over && c.jam {
 		return c.give(e, now)
 	}
 	if len(f.queue) == 0 {
 		c.refresh(f, now)
-		if s := c.warm(f, e, now); s != nil && c.known(s.w, now) {
+		if s := c.warm(f, e, false, now); s != nil && c.known(s.w, now) {
 			return c.launch(e, s, false, now)
 		}
 	}
@@ -443,49 +447,43 @@
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
-	return s.copies > 0 && now >= s.shut && c.room(w, now) && !c.full(now) && c.mayGo(e, w, now) &&
+	return s.copies > 0 && now >= s.shut && now >= w.refuses[e.Tenant].until && c.room(w, now) && !c.full() && c.mayGo(e, w, now) &&
 		c.coldRoom(w, e, now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
 
-// warm finds the believed-warm free lane that comes first in the function's salted order.
-func (c *Chooser) warm(f *function, e *Event, now time.Duration) *standing {
-	var best *standing
+// warm finds a believed-warm copy for an event: with a free lane the first of the function's salted order, those
+// last where others' events wait; with spill the one with the fewest own events in flight, lane or not.
+func (c *Chooser) warm(f *function, e *Event, spill bool, now time.Duration) (best *standing) {
 	var first uint64
 	for _, s := range f.stands {
 		r := rank(s.w, f.id, c.self+1) >> 1
-		if now < s.w.backed { // after those where nothing waits
+		if spill {
+			r = uint64(len(s.w.out))
+		} else if s.busy >= s.copies*f.lanes || s.w == e.avoid {
+			continue
+		} else if now < s.w.backed {
 			r |= 1 << 63
 		}
-		if s.busy < s.copies*f.lanes && s.w != e.avoid && (best == nil || r < first) && c.fits(s, e, now) {
+		if (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
 		}
 	}
 	return best
 }
 
-// spill finds the warm worker with the fewest own events in flight, free lane or not.
-func (c *Chooser) spill(f *function, e *Event, now time.Duration) *standing {
-	var best *standing
-	for _, s := range f.stands {
-		if (best == nil || len(s.w.out) < len(best.w.out)) && c.fits(s, e, now) {
-			best = s
-		}
-	}
-	return best
-}
-
 func (c *Chooser) weigh(e *Event) float64 { return float64(max(e.typ.mean, firstLatency)) }
 
-// again tells whether an event could be launched once more at a time, wherever it may have run before.
-func (c *Chooser) again(e *Event, then time.Duration) bool {
+// again tells whether an event could be launched once more, wherever it may have run before.
+func (c *Chooser) again(e *Event, now time.Duration) bool {
 	anywhere := e.typ.Effect == Redeliverable || e.typ.Effect == Keyed && e.typ.Group == GroupAll
-	return anywhere && e.launches+1 < c.mostLaunches && then+c.lastCall(e) < e.ends
+	return anywhere && e.launches+1 < c.mostLaunches && now+c.lastCall(e) < e.ends
 }
 
 func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
 	e.cold, e.sent, e.out, e.avoid = cold, now, s, nil
 	e.launches, s.busy = e.launches+1, s.busy+1
 	s.w.out = append(s.w.out, e)
+	c.inFlight++
 	s.w.coldLast, s.w.coldPart = now, 1
 	if cold {
 		s.loading = max(s.loading, 1)
@@ -513,6 +511,7 @@
 		return Answer{Event: e, Verb: Nothing}
 	}
 	w := s.w
+	c.survey(now)
 	c.told(w, o.Load, now)
 	e.out, s.busy = nil, s.busy-1
 	w.out = slices.DeleteFunc(w.out, func(x *Event) bool { return x == e })
@@ -523,7 +522,10 @@
 	case Handled:
 		c.work.Add(now, c.weigh(e))
 		w.row, w.lastGood, w.barFor, w.trial, w.barred = 0, now, 0, false, 0
-		s.copies, s.until, s.refused = max(1, s.copies), now+c.keep, 0
+		s.copies, s.until = max(1, s.copies), now+c.keep
+		if r := w.refuses[e.Tenant]; r.row > 0 {
+			w.refuses[e.Tenant] = refusal{row: r.row - 1}
+		}
 		if o.Warmth == BeganLoad {
 			s.copies = 1
 		}
@@ -531,10 +533,12 @@
 			f.past = append(f.past[max(0, len(f.past)-averaged+1):], o.Took)
 			c.pace(w, e, o.Took, now)
 		}
-	case Full: // refused there again and again, whatever the reason, a function is sent and loaded elsewhere
-		s.refused = min(s.refused+1, 6)
-		s.shut = now + f.typ.Target/8<<s.refused
-		w.limit = max(leastLimit, w.limit*fullFall)
+	case Full: // refused there again and again a tenant is served elsewhere; the others only where it has no room
+		row := min(w.refuses[e.Tenant].row+1, 6)
+		w.refuses[e.Tenant] = refusal{row: row, until: now + f.typ.Target/8<<row}
+		if !o.Load.Told || o.Load.Waiting >= 1 {
+			w.limit = max(leastLimit, w.limit*fullFall)
+		}
 	case Missing:
 		s.copies, s.loading = 0, 0
 	case Unreached, Broken: // a process that died comes back with a new start; a broken line does not
@@ -633,6 +637,7 @@
 	if now >= c.askAt {
 		st.Ask, c.askAt = true, now+8*c.askWait
 	}
+	c.survey(now)
 	c.silent(now)
 	for _, e := range c.recall {
 		if e.out != nil && !e.ended && c.again(e, now) {
@@ -641,7 +646,6 @@
 	}
 	c.recall = c.recall[:0]
 	wake := c.askAt
-	jam := c.crowded(now)
 	slices.SortStableFunc(c.active, func(f, g *function) int {
 		return cmp.Compare(f.queue[0].came, g.queue[0].came)
 	})
@@ -650,7 +654,7 @@
 		c.serve(f, false, now, &st)
 	}
 	for _, f := range c.grown {
-		if w := c.target(f, true, now); w != nil && now >= w.backed && !jam && f.at(w).copies+f.at(w).loading == 0 {
+		if w := c.target(f, true, now); w != nil && now >= w.backed && !c.jam && f.at(w).copies+f.at(w).loading == 0 {
 			c.load(f, true, now, &st)
 		}
 	}
@@ -686,11 +690,11 @@
 		last := e.ends - c.lastCall(e)
 		give := now >= last || !c.goesOn(e, now)
 		if !give && late == (now+c.expected(f) > e.due) {
-			if s = c.warm(f, e, now); s != nil && !c.known(s.w, now) {
+			if s = c.warm(f, e, false, now); s != nil && !c.known(s.w, now) {
 				s, wake = nil, min(wake, now+firstLatency)
 			} else if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
-				s = c.spill(f, e, now)
-				give = s == nil && e.risk == nil && (late || e.over) && c.crowded(now)
+				s = c.warm(f, e, true, now)
+				give = s == nil && e.risk == nil && (late || e.over) && c.jam
 			}
 		}
 		switch {
@@ -710,7 +714,7 @@
 // count adds up a function's copies and the loads under way; a worker that can't be used has neither.
 func (c *Chooser) count(f *function, now time.Duration) (have, under int) {
 	for _, s := range f.stands {
-		if c.usable(s.w, now) && now >= s.shut {
+		if c.usable(s.w, now) && now >= s.shut && now >= s.w.refuses[f.tenant].until {
 			have, under = have+s.copies, under+s.loading
 		}
 	}
@@ -760,7 +764,7 @@
 // the others at random. Where no order may be given the oldest event itself goes there to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
-	if w == nil || !first && c.crowded(now) {
+	if w == nil || !first && c.jam {
 		return false
 	}
 	s := f.at(w)
@@ -793,7 +797,7 @@
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
 	fit := slices.DeleteFunc(slices.Clone(c.list), func(w *worker) bool {
 		refuses := func(s *standing) bool { return s.w == w && now < s.shut }
-		return !c.room(w, now) || slices.ContainsFunc(f.stands, refuses)
+		return !c.room(w, now) || now < w.refuses[f.tenant].until || slices.ContainsFunc(f.stands, refuses)
 	})
 	if len(fit) == 0 {
 		return nil
--- a/choice/types.go
+++ b/choice/types.go
@@ -200,8 +200,15 @@
 	limit    float64
 	took     *window.Window
 	want     *window.Window
-	coldLast time.Duration // last launch while cold, or when it was heard of
-	coldPart float64       // part of the pause that is kept from then
+	refuses  map[string]refusal // by tenant
+	coldLast time.Duration      // last launch while cold, or when it was heard of
+	coldPart float64            // part of the pause that is kept from then
+}
+
+// refusal is a tenant's events turned away as full.
+type refusal struct {
+	row   int // in a row
+	until time.Duration
 }
 
 // standing is what is believed of one function at one worker.
@@ -213,11 +220,11 @@
 	loading int // loads under way
 	loadEnd time.Duration
 	shut    time.Duration
-	refused int // launches turned away in a row
 }
 
 type function struct {
 	id      uint64
+	tenant  string
 	typ     *evtType
 	lanes   int
 	load    time.Duration
@@ -246,7 +253,11 @@
 	grown   []*function // whose first copy may belong elsewhere
 	recall  []*Event    // outstanding at workers just barred
 
-	limit      float64 // launches in flight at all workers
+	kept       int     // functions after the last clean-up
+	limit      float64 // of the launches in flight at all workers
+	inFlight   int
+	jam        bool // few workers have room
+	unbelieved bool // too many workers are barred to be believed
 	took, want *window.Window
 
 	mostLaunches int
