--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,6 +55,9 @@
 	coldSafety    = 0.9 // part of the cold budget that is used
 	coldChance    = 1.0 // so many times the error of chance is kept free of it
 	manyShare     = 0.75
+	firstLoads    = 8.0 // loads of ours that may be under way in good times
+	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
+	loadFall      = 0.8 // what such a load or a failed one leaves of the loads that may be under way
 	spread        = 8.0 // a function's first copies stand on so many times the workers that its events fill
 	crowdedShare  = 0.5 // fewer workers than this with room: a jam
 	repeatsFree   = 1.0 // a tenant's marked repeats that are taken in any case
@@ -68,7 +71,7 @@
 	return &Chooser{chance: chance.New(seed), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, askAt: math.MaxInt64,
+		mostLaunches: 1, mostLoads: firstLoads, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
 }
@@ -620,12 +623,19 @@
 	if w == nil || f == nil {
 		return
 	}
+	// A crowded store or memory shows in loads that fail or take long, whatever crowds it.
+	usual := c.usualLoad(f)
+	if c.loadsOut--; r != Handled || took > time.Duration(slowLoad*float64(usual)) {
+		c.mostLoads = max(1, c.mostLoads*loadFall)
+	} else if took > usual/4 { // else the copies stood
+		c.mostLoads = min(c.mostLoads+1/c.mostLoads, firstLoads)
+	}
 	s := f.at(w)
 	if s.loading = max(0, s.loading-1); r == Handled || r == Full || r == Failed { // else nothing was heard
 		s.copies, s.until = o.Copies, now+c.keep
 	}
 	if r == Full {
-		s.shut = now + c.usualLoad(f)
+		s.shut = now + usual
 	} else if r == Unreached || r == Broken {
 		c.fail(w, now)
 	}
@@ -764,7 +774,7 @@
 // the others at random. Where no order may be given the oldest event itself goes there to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
-	if w == nil || !first && c.jam {
+	if w == nil || !first && c.jam || float64(c.loadsOut) >= c.mostLoads {
 		return false
 	}
 	s := f.at(w)
@@ -772,6 +782,7 @@
 		s.loading++
 		s.loadEnd = now + min(time.Duration(loadPatience*float64(c.usualLoad(f))), c.orderLimit)
 		c.ordered.Add(now, 1)
+		c.loadsOut++
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
 		return true
 	}
@@ -824,5 +835,5 @@
 func (c *Chooser) homes(f *function, now time.Duration) int {
 	n := f.came.All(now)
 	part := (n - 1) / (c.came.All(now) + averaged) // one event tells nothing
-	return max(1, int(spread*part*float64(min(c.peers, len(c.list)))))
+	return max(1, int(spread*c.mostLoads/firstLoads*part*float64(min(c.peers, len(c.list)))))
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -253,6 +253,8 @@
 	grown   []*function // whose first copy may belong elsewhere
 	recall  []*Event    // outstanding at workers just barred
 
+	loadsOut   int     // orders not answered yet
+	mostLoads  float64 // so many of them before only first copies are ordered
 	kept       int     // functions after the last clean-up
 	limit      float64 // of the launches in flight at all workers
 	inFlight   int
