--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,11 +41,10 @@
 	freshSpan     = 5 * time.Second
 	firstLatency  = 10 * time.Millisecond
 	rowBar        = 4     // failures in a row that bar a worker
-	barShare      = 1.0   // first bar, of the longest target time; doubles
-	barMost       = 8.0   // longest bar, likewise
+	barMost       = 8     // longest bar, of the longest target time; the first is one, then it doubles
 	overdue       = 18.0  // so many mean answer times of silence, of all launches to a worker, bar it
 	tolerance     = 1.1   // the present answer time may be so many shortest ones before the limit falls
-	growth        = 0.3   // of its root, by which the limit of all workers grows an answer time while answers are in good time
+	growth        = 0.1   // a limit grows at least as if this were its part, while answers come in good time
 	enoughShare   = 0.5   // answers may take so much of the target time before the limit of all workers falls
 	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
 	firstLimit    = 16.0  // in-flight limit to start from
@@ -81,7 +80,6 @@
 	t.Target = max(t.Target, time.Millisecond)
 	c.types[t.Name] = &evtType{EventType: t, seen: 1, mean: time.Duration(firstShare * float64(t.Target))}
 	c.longest = max(c.longest, t.Target)
-	c.took, c.want = window.New(2*c.longest), window.New(2*c.longest)
 }
 
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
@@ -91,14 +89,11 @@
 		again: window.New(freshSpan)}
 }
 
-// Launches limits the launches of an event.
-func (c *Chooser) Launches(most int, cancel bool) { c.mostLaunches, c.cancel = max(1, most), cancel }
-
-// Probing allows probes.
-func (c *Chooser) Probing(allowed bool) { c.probing = allowed }
-
-// Deferrals tells the longest time to come back that clients honour; 0 where none can be named.
-func (c *Chooser) Deferrals(most time.Duration) { c.mostBack = most }
+// Allowed tells how many launches an event may have, whether they may be withdrawn and workers probed, and the
+// longest time to come back that clients honour; 0 where none can be named.
+func (c *Chooser) Allowed(launches int, cancel, probe bool, back time.Duration) {
+	c.mostLaunches, c.cancel, c.probing, c.mostBack = max(1, launches), cancel, probe, back
+}
 
 // Loading tells how functions come to workers, and how long an idle copy and an order last.
 func (c *Chooser) Loading(orders, onMiss bool, keep, orderLimit time.Duration) {
@@ -137,12 +132,11 @@
 	for _, l := range news {
 		w := c.workers[l.Worker]
 		if w == nil {
-			w = &worker{Listing: l, hash: chance.Hash(l.Worker), limit: max(leastLimit, firstLimit/float64(c.peers)),
-				refuses: map[string]refusal{}, took: window.New(2 * c.longest), want: window.New(2 * c.longest), coldLast: -1}
+			w = &worker{Listing: l, hash: chance.Hash(l.Worker), refuses: map[string]refusal{}, coldLast: -1,
+				limited: c.limits(firstLimit)}
 			c.workers[l.Worker] = w
 		}
 		if l.Started != w.Started {
-			c.forget(w) // a worker that starts is empty
 			w.row, w.barred, w.barFor, w.trial, w.limit, w.coldLast = 0, 0, 0, false, leastLimit, -1
 		}
 		if w.coldLast < 0 {
@@ -153,30 +147,25 @@
 	maps.DeleteFunc(c.workers, func(_ string, w *worker) bool { return !w.listed && len(w.out) == 0 })
 	byName := func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) }
 	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
-	if c.limit == 0 {
-		c.limit = max(leastLimit, firstLimit*float64(len(c.list))/float64(c.peers))
+	if c.all.took == nil {
+		c.all = c.limits(firstLimit * float64(len(c.list)))
 	}
 	if c.askAt > 0 { // the list of the start is no answer
 		c.askAt = math.MaxInt64
 	}
 }
 
+// limits starts a limit: this front end's part of so many launches.
+func (c *Chooser) limits(first float64) limited {
+	return limited{limit: max(leastLimit, first/float64(c.peers)),
+		took: window.New(2 * c.longest), may: window.New(2 * c.longest)}
+}
+
 // ListFailed says that asking for the list failed: ask again a little later, each front end at its own time.
 func (c *Chooser) ListFailed(now time.Duration) {
 	c.askAt = now + c.askWait/2 + time.Duration(c.chance.Below(int(c.askWait)))
 }
 
-// forget drops what is believed to be loaded at a worker.
-func (c *Chooser) forget(w *worker) {
-	for _, f := range c.fns {
-		for _, s := range f.stands {
-			if s.w == w {
-				s.copies, s.loading = 0, 0
-			}
-		}
-	}
-}
-
 // share is the least part of its capacity that a worker has by now.
 func (c *Chooser) share(w *worker, now time.Duration) float64 {
 	if w.Started <= 0 || c.warmAfter <= 0 || now >= w.Started+c.warmAfter {
@@ -249,14 +238,13 @@
 }
 
 // full tells that the limit of all workers together is reached.
-func (c *Chooser) full() bool { return float64(c.inFlight) >= c.limit }
+func (c *Chooser) full() bool { return float64(c.inFlight) >= c.all.limit }
 
 // fail counts a failure; enough in a row bar the worker, longer each time and not to the same moment.
 func (c *Chooser) fail(w *worker, now time.Duration) {
 	w.row++
 	if (w.row >= rowBar || w.trial) && now >= w.barred {
-		least := time.Duration(barShare * float64(c.longest))
-		w.barFor = min(max(2*w.barFor, least), time.Duration(barMost*float64(c.longest)))
+		w.barFor = min(max(2*w.barFor, c.longest), barMost*c.longest)
 		w.barred = now + w.barFor + time.Duration(c.chance.Below(int(w.barFor/2)))
 		w.trial, w.limit = true, leastLimit
 		if c.cancel {
@@ -293,57 +281,39 @@
 	if t.short == 0 {
 		return
 	}
-	c.paceAll(t, took, now)
-	w.took.Add(now, float64(took))
-	w.want.Add(now, tolerance*float64(t.short))
-	ratio := min(1, w.want.All(now)/w.took.All(now))
-	aim := w.limit*ratio + math.Sqrt(w.limit*c.portion(now)) // others queue there too
-	if aim < w.limit || 2*float64(len(w.out)+1) > w.limit {
-		w.limit = max(leastLimit, w.limit+(aim-w.limit)/w.limit)
-	}
+	c.all.follow(now, took, max(tolerance*float64(t.short), enoughShare*float64(t.Target)), c.inFlight, c.portion(now))
+	w.follow(now, took, tolerance*float64(t.short), len(w.out), c.portion(now))
 }
 
-// paceAll does the same for all workers together. Among many front ends each meets a worker too seldom to
-// judge it alone, and the least limit of each adds up to more than any worker can do.
-func (c *Chooser) paceAll(t *evtType, took, now time.Duration) {
-	c.took.Add(now, float64(took))
-	c.want.Add(now, max(tolerance*float64(t.short), enoughShare*float64(t.Target)))
-	ratio := min(1, c.want.All(now)/c.took.All(now))
-	aim := c.limit + growth*math.Sqrt(c.limit)
-	if ratio < 1 {
-		aim = c.limit*ratio + math.Sqrt(c.limit*c.portion(now))
+// follow moves a limit by the ratio of what answers may take to what they take. Others queue there too: what
+// is left for growth is the front end's part. The limit of all workers together is for a front end among many,
+// which meets a worker too seldom to judge it alone; the least limits of each add up to more than any can do.
+func (l *limited) follow(now, took time.Duration, may float64, out int, portion float64) {
+	l.took.Add(now, float64(took))
+	l.may.Add(now, may)
+	ratio := min(1, l.may.All(now)/l.took.All(now))
+	if ratio == 1 {
+		portion = max(portion, growth)
 	}
-	if aim < c.limit || float64(2*c.inFlight+2) > c.limit {
-		c.limit = max(leastLimit, c.limit+(aim-c.limit)/c.limit)
+	aim := l.limit*ratio + math.Sqrt(l.limit*portion)
+	if aim < l.limit || 2*float64(out+1) > l.limit {
+		l.limit = max(leastLimit, l.limit+(aim-l.limit)/l.limit)
 	}
 }
 
 // mean is the average of a function's last latencies.
-func (f *function) mean() time.Duration {
-	if len(f.past) == 0 {
-		return firstLatency
-	}
-	var sum time.Duration
-	for _, p := range f.past {
-		sum += p
-	}
-	return max(1, sum/time.Duration(len(f.past)))
-}
+func (f *function) mean() time.Duration { return max(1, f.past.Mean(firstLatency)) }
 
 func (c *Chooser) expected(f *function) time.Duration { return max(f.mean(), f.typ.mean/2) }
 
-func (c *Chooser) usualLoad(f *function) time.Duration {
-	if f.load > 0 {
-		return f.load
-	}
-	return f.typ.Target
-}
+// usualLoad is the usual time of a load, the target time where it is not told.
+func (f *function) usualLoad() time.Duration { return cmp.Or(f.load, f.typ.Target) }
 
 func (f *function) at(w *worker) *standing {
 	i := slices.IndexFunc(f.stands, func(s *standing) bool { return s.w == w })
 	if i < 0 {
 		i = len(f.stands)
-		f.stands = append(f.stands, &standing{w: w})
+		f.stands = append(f.stands, &standing{w: w, started: w.Started})
 	}
 	return f.stands[i]
 }
@@ -351,11 +321,11 @@
 // refresh lets beliefs expire and forgets standings without any.
 func (c *Chooser) refresh(f *function, now time.Duration) {
 	f.stands = slices.DeleteFunc(f.stands, func(s *standing) bool {
-		if now > s.until && s.busy == 0 {
+		if now > s.until && s.busy == 0 || s.started != s.w.Started { // a worker that starts is empty
 			s.copies = 0
 		}
-		if now > s.loadEnd {
-			s.loading = 0
+		if now > s.loadEnd || s.started != s.w.Started {
+			s.loading, s.started = 0, s.w.Started
 		}
 		return s.copies == 0 && s.loading == 0 && s.busy == 0 && now >= s.shut
 	})
@@ -425,10 +395,9 @@
 // hold queues an event by age.
 func (c *Chooser) hold(e *Event) {
 	f := e.fn
-	i := len(f.queue)
-	for i > 0 && f.queue[i-1].came > e.came {
-		i--
-	}
+	i, _ := slices.BinarySearchFunc(f.queue, e.came+1, func(x *Event, t time.Duration) int {
+		return cmp.Compare(x.came, t)
+	})
 	f.queue = slices.Insert(f.queue, i, e)
 	if !f.active {
 		f.active = true
@@ -490,7 +459,7 @@
 	s.w.coldLast, s.w.coldPart = now, 1
 	if cold {
 		s.loading = max(s.loading, 1)
-		s.loadEnd = now + time.Duration(loadPatience*float64(c.usualLoad(e.fn)))
+		s.loadEnd = now + time.Duration(loadPatience*float64(e.fn.usualLoad()))
 	}
 	return Answer{Event: e, Verb: Launch, Worker: s.w.Worker}
 }
@@ -533,7 +502,7 @@
 			s.copies = 1
 		}
 		if o.Warmth == FoundWarm || o.Warmth == Untold && !e.cold {
-			f.past = append(f.past[max(0, len(f.past)-averaged+1):], o.Took)
+			f.past.Add(o.Took, averaged)
 			c.pace(w, e, o.Took, now)
 		}
 	case Full: // refused there again and again a tenant is served elsewhere; the others only where it has no room
@@ -624,7 +593,7 @@
 		return
 	}
 	// A crowded store or memory shows in loads that fail or take long, whatever crowds it.
-	usual := c.usualLoad(f)
+	usual := f.usualLoad()
 	if c.loadsOut--; r != Handled || took > time.Duration(slowLoad*float64(usual)) {
 		c.mostLoads = max(1, c.mostLoads*loadFall)
 	} else if took > usual/4 { // else the copies stood
@@ -780,7 +749,7 @@
 	s := f.at(w)
 	if c.orders && c.allowed(now) && s.copies+s.loading < 16 {
 		s.loading++
-		s.loadEnd = now + min(time.Duration(loadPatience*float64(c.usualLoad(f))), c.orderLimit)
+		s.loadEnd = now + min(time.Duration(loadPatience*float64(f.usualLoad())), c.orderLimit)
 		c.ordered.Add(now, 1)
 		c.loadsOut++
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -155,7 +155,9 @@
 	for i := range 100 {
 		e := &choice.Event{ID: fmt.Sprint(i), Type: "redeliverable", Function: uint64(i), Patience: 3000 * ms}
 		b.Place(b.now, e)
-		orders += len(b.Wait(b.now).Orders)
+		st := b.Wait(b.now)
+		orders += len(st.Orders)
+		b.loaded(st)
 		b.now += 10 * ms
 	}
 	fmt.Println("orders", orders, "of at most", 2+100/10)
@@ -228,7 +230,7 @@
 	c := choice.New(0, 0, 0, 0)
 	c.AddType(choice.EventType{Name: "t"})
 	c.AddTenant("n", 0)
-	c.Launches(0, false)
+	c.Allowed(0, false, false, 0)
 	c.Loading(false, false, 0, 0)
 	c.Ration(0, 0, 0)
 	c.ColdStarts(0, 0, 0, 0)
--- a/choice/help_test.go
+++ b/choice/help_test.go
@@ -22,8 +22,7 @@
 		b.AddType(choice.EventType{Name: name, Effect: choice.Effect(i), Group: choice.GroupCell,
 			Window: 2000 * ms, Target: 1000 * ms})
 	}
-	b.Launches(4, true)
-	b.Deferrals(500 * ms)
+	b.Allowed(4, true, false, 500*ms)
 	b.Loading(true, true, 10000*ms, 5000*ms)
 	b.ColdStarts(0.2, 10000*ms, 2, 1000*ms)
 	b.Listed(b.now, true, []choice.Listing{
--- a/choice/types.go
+++ b/choice/types.go
@@ -183,8 +183,15 @@
 	again *window.Window // its marked repeats that were taken
 }
 
+// limited is a limit of launches in flight and the answer times that move it.
+type limited struct {
+	limit     float64
+	took, may *window.Window
+}
+
 type worker struct {
 	Listing
+	limited
 	hash     uint64
 	listed   bool
 	out      []*Event // launches outstanding, oldest first
@@ -196,10 +203,7 @@
 	toldAt   time.Duration // its last load report
 	probed   bool          // a probe is out since probedAt
 	probedAt time.Duration
-	backed   time.Duration // until then it is believed to have events waiting
-	limit    float64
-	took     *window.Window
-	want     *window.Window
+	backed   time.Duration      // until then it is believed to have events waiting
 	refuses  map[string]refusal // by tenant
 	coldLast time.Duration      // last launch while cold, or when it was heard of
 	coldPart float64            // part of the pause that is kept from then
@@ -214,8 +218,9 @@
 // standing is what is believed of one function at one worker.
 type standing struct {
 	w       *worker
-	copies  int // believed loaded
-	busy    int // own events there
+	started time.Duration // the worker's start that the belief is of
+	copies  int           // believed loaded
+	busy    int           // own events there
 	until   time.Duration
 	loading int // loads under way
 	loadEnd time.Duration
@@ -230,7 +235,7 @@
 	load    time.Duration
 	queue   []*Event
 	stands  []*standing
-	past    []time.Duration
+	past    window.Last
 	arrived int // since the last advance
 	came    *window.Window
 	next    time.Duration
@@ -256,11 +261,10 @@
 	loadsOut   int     // orders not answered yet
 	mostLoads  float64 // so many of them before only first copies are ordered
 	kept       int     // functions after the last clean-up
-	limit      float64 // of the launches in flight at all workers
+	all        limited // launches in flight at all workers
 	inFlight   int
 	jam        bool // few workers have room
 	unbelieved bool // too many workers are barred to be believed
-	took, want *window.Window
 
 	mostLaunches int
 	cancel       bool
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -189,11 +189,12 @@
 		at := "orgs." + strconv.Itoa(i) + "."
 		c.AddTenant(set[at+"name"], set.Number(at+"quota_per_s", 0))
 	}
-	c.Launches(int(set.Number("policy_limits.send_cap", 1)), set.Flag("policy_limits.cancel", false))
-	c.Probing(set.Flag("policy_limits.probing", false))
+	back := time.Duration(0)
 	if set.Flag("policy_limits.retry_after", false) {
-		c.Deferrals(set.Time("policy_limits.max_retry_after", 0))
+		back = set.Time("policy_limits.max_retry_after", 0)
 	}
+	c.Allowed(int(set.Number("policy_limits.send_cap", 1)), set.Flag("policy_limits.cancel", false),
+		set.Flag("policy_limits.probing", false), back)
 	c.Loading(set.Flag("family_info.orders", false), set["family_info.miss_mode"] != "miss",
 		set.Time("family_info.keep", 0), set.Time("family_info.order_limit", 0))
 	c.Ration(set.Time("family_info.loads_within", 0), set.Number("family_info.loads_anyway", 0),
