--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,6 +55,7 @@
 	coldChance    = 1.0 // so many times the error of chance is kept free of it
 	manyShare     = 0.75
 	firstLoads    = 8.0 // loads of ours that may be under way in good times
+	firstCopies   = 3.0 // and so many times as many where a function has no copy
 	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
 	loadFall      = 0.8 // what such a load or a failed one leaves of the loads that may be under way
 	spread        = 8.0 // a function's first copies stand on so many times the workers that its events fill
@@ -743,7 +744,8 @@
 // the others at random. Where no order may be given the oldest event itself goes there to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
-	if w == nil || !first && c.jam || float64(c.loadsOut) >= c.mostLoads {
+	out := float64(c.loadsOut)
+	if w == nil || !first && (c.jam || out >= c.mostLoads) || out >= firstCopies*c.mostLoads {
 		return false
 	}
 	s := f.at(w)
