--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,8 +54,8 @@
 	coldSafety    = 0.9 // part of the cold budget that is used
 	coldChance    = 1.0 // so many times the error of chance is kept free of it
 	manyShare     = 0.75
-	firstLoads    = 8.0 // loads of ours that may be under way in good times
-	firstCopies   = 3.0 // and so many times as many where a function has no copy
+	firstLoads    = 24.0 // loads of ours that may be under way in good times
+	leastLoads    = 3.0
 	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
 	loadFall      = 0.8 // what such a load or a failed one leaves of the loads that may be under way
 	spread        = 8.0 // a function's first copies stand on so many times the workers that its events fill
@@ -596,9 +596,9 @@
 	// A crowded store or memory shows in loads that fail or take long, whatever crowds it.
 	usual := f.usualLoad()
 	if c.loadsOut--; r != Handled || took > time.Duration(slowLoad*float64(usual)) {
-		c.mostLoads = max(1, c.mostLoads*loadFall)
+		c.mostLoads = max(leastLoads, c.mostLoads*loadFall)
 	} else if took > usual/4 { // else the copies stood
-		c.mostLoads = min(c.mostLoads+1/c.mostLoads, firstLoads)
+		c.mostLoads = min(c.mostLoads+1, firstLoads)
 	}
 	s := f.at(w)
 	if s.loading = max(0, s.loading-1); r == Handled || r == Full || r == Failed { // else nothing was heard
@@ -744,8 +744,7 @@
 // the others at random. Where no order may be given the oldest event itself goes there to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
-	out := float64(c.loadsOut)
-	if w == nil || !first && (c.jam || out >= c.mostLoads) || out >= firstCopies*c.mostLoads {
+	if w == nil || !first && c.jam || float64(c.loadsOut) >= c.mostLoads {
 		return false
 	}
 	s := f.at(w)
@@ -806,5 +805,5 @@
 func (c *Chooser) homes(f *function, now time.Duration) int {
 	n := f.came.All(now)
 	part := (n - 1) / (c.came.All(now) + averaged) // one event tells nothing
-	return max(1, int(spread*c.mostLoads/firstLoads*part*float64(min(c.peers, len(c.list)))))
+	return max(1, int(spread*part*float64(min(c.peers, len(c.list)))))
 }
