--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,20 +2,21 @@
 //
 //	Place: where to send this event (or not yet, or never)
 //	After: what to do after this outcome
-//	Wait:  what is due now (releases, load orders, final answers) and how long to wait then
+//	Wait:  what is due now (releases, load orders, probes, final answers) and how long to wait then
 //
-// Facts are fed in between: Listed, ListFailed, Loaded, Left. The interface's plain types stand in types.go.
-// The caller keeps the timers and the events in hand; time is any clock of whole nanoseconds.
+// Facts are fed in between: Listed, ListFailed, Probed, Loaded, Left. Plain types stand in types.go. The caller
+// keeps the timers and the events in hand; time is any clock of whole nanoseconds.
 //
 // The design (docs/design.md): a queue per function, released oldest first to a believed-warm free lane;
 // a four-condition rule each tick that orders loads on random workers; surplus copies starve.
 //
 // Beside it stand six mechanisms:
 //  1. failures in a row bar a worker, one event on trial brings it back (fail, silent, usable)
-//  2. the in-flight limit follows the shortest to the present answer time (pace)
-//  3. launch time-outs and further launches, as the event type allows (timeout, mayGo, give)
-//  4. in a jam, what can't make its target time or is beyond its tenant's share is deferred (Place, serve)
-//  5. cold workers get a small part of a warm one's work (coldRoom)
+//  2. in-flight limits, of each worker and of all, follow the answer times (pace, follow)
+//  3. reports of waiting events, probed for where unknown, put a worker last (told, known)
+//  4. in a jam, what can't make its target time or is beyond its tenant's share is deferred, and so are a
+//     tenant's repeats beyond a part of its first tries; a tenant refused is served elsewhere (Place, serve)
+//  5. cold workers get a small part of a warm one's work (coldPause)
 //  6. the loads under way follow what comes of them (Loaded, load)
 package choice
 
@@ -48,7 +49,6 @@
 	enoughShare   = 0.5   // answers may take so much of the target time before the limit of all workers falls
 	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
 	firstLimit    = 16.0  // in-flight limit to start from
-	fullFall      = 0.9   // what a refusal as full leaves of the in-flight limit
 	leastLimit    = 2.0
 	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
 	coldSafety    = 0.9 // part of the cold budget that is used
@@ -90,7 +90,7 @@
 		again: window.New(freshSpan)}
 }
 
-// Allowed tells how many launches an event may have, whether they may be withdrawn and workers probed, and the
+// Allowed tells the most launches of an event, whether they may be withdrawn and workers probed, and the
 // longest time to come back that clients honour; 0 where none can be named.
 func (c *Chooser) Allowed(launches int, cancel, probe bool, back time.Duration) {
 	c.mostLaunches, c.cancel, c.probing, c.mostBack = max(1, launches), cancel, probe, back
@@ -177,7 +177,7 @@
 
 // coldPause keeps a cold worker from being pushed over (rule 4): the least time between two launches to it.
 // Its capacity is not told: the mean work that each front end sees handled is taken for its part. Launches of
-// many front ends that know nothing of each other bunch by chance, which the budget has to bear.
+// many front ends bunch by chance.
 func (c *Chooser) coldPause(w *worker, weight float64, now time.Duration) time.Duration {
 	most := time.Duration(c.peers) * c.fall // with nothing known all front ends together send one in c.fall
 	mean := c.work.Inner(now) / 8 / float64(max(1, len(c.list)))
@@ -186,7 +186,7 @@
 	return time.Duration(min(float64(c.fall)/max(all*c.portion(now), 1e-9), float64(most)))
 }
 
-// coldRoom begins with a random part of the pause: front ends that hear of a start at once do not send at once.
+// coldRoom begins with a random part of the pause: not all that hear of a start send at once.
 func (c *Chooser) coldRoom(w *worker, e *Event, now time.Duration) bool {
 	return c.multiple <= 0 || c.share(w, now) >= 1 ||
 		now >= w.coldLast+time.Duration(w.coldPart*float64(c.coldPause(w, c.weigh(e), now)))
@@ -202,8 +202,8 @@
 	return min(1, max(1/float64(c.peers), seen))
 }
 
-// survey counts once for each question what is asked of all workers: whether the bars are believed, the launches
-// that can still be answered in their target time, and whether there is a jam: few workers have room left.
+// survey counts once what is asked of all workers: whether the bars are believed, the launches that can still
+// be answered in their target time, and whether there is a jam: few workers have room left.
 func (c *Chooser) survey(now time.Duration) {
 	in, bad, free := 0, 0, 0
 	c.inFlight = 0
@@ -282,13 +282,13 @@
 	if t.short == 0 {
 		return
 	}
-	c.all.follow(now, took, max(tolerance*float64(t.short), enoughShare*float64(t.Target)), c.inFlight, c.portion(now))
-	w.follow(now, took, tolerance*float64(t.short), len(w.out), c.portion(now))
+	may, portion := tolerance*float64(t.short), c.portion(now)
+	w.follow(now, took, may, len(w.out), portion)
+	c.all.follow(now, took, max(may, enoughShare*float64(t.Target)), c.inFlight, portion)
 }
 
-// follow moves a limit by the ratio of what answers may take to what they take. Others queue there too: what
-// is left for growth is the front end's part. The limit of all workers together is for a front end among many,
-// which meets a worker too seldom to judge it alone; the least limits of each add up to more than any can do.
+// follow moves a limit by the ratio of what answers may take to what they take; others queue there too. Among
+// many front ends each meets a worker too seldom to judge it, and least limits add up: so one is for all workers.
 func (l *limited) follow(now, took time.Duration, may float64, out int, portion float64) {
 	l.took.Add(now, float64(took))
 	l.may.Add(now, may)
@@ -360,7 +360,8 @@
 	c.came.Add(now, 1)
 	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 {
 		f.next, f.arrived = now+c.tick(f), 0 // a tick that finds arrivals but no queue advances too
-		if c.homes(f, now) > 1 || !slices.ContainsFunc(f.stands, func(s *standing) bool { return now >= s.w.backed }) {
+		backed := func(s *standing) bool { return now < s.w.backed }
+		if c.homes(f, now) > 1 || slices.ContainsFunc(f.stands, backed) {
 			c.grown = append(c.grown, f)
 		}
 	}
@@ -420,12 +421,12 @@
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
-	return s.copies > 0 && now >= s.shut && now >= w.refuses[e.Tenant].until && c.room(w, now) && !c.full() && c.mayGo(e, w, now) &&
-		c.coldRoom(w, e, now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
+	return s.copies > 0 && now >= s.shut && now >= w.refuses[e.Tenant].until && c.room(w, now) && !c.full() &&
+		c.mayGo(e, w, now) && c.coldRoom(w, e, now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
 
-// warm finds a believed-warm copy for an event: with a free lane the first of the function's salted order, those
-// last where others' events wait; with spill the one with the fewest own events in flight, lane or not.
+// warm finds a believed-warm copy: with a free lane the first of the function's salted order, those last where
+// others' events wait; with spill the one with the fewest own events in flight, lane or not.
 func (c *Chooser) warm(f *function, e *Event, spill bool, now time.Duration) (best *standing) {
 	var first uint64
 	for _, s := range f.stands {
@@ -446,10 +447,14 @@
 
 func (c *Chooser) weigh(e *Event) float64 { return float64(max(e.typ.mean, firstLatency)) }
 
+// anywhere tells whether a repeat is harmless at any worker, a keyed one inside its window.
+func (t *evtType) anywhere() bool {
+	return t.Effect == Redeliverable || t.Effect == Keyed && t.Group == GroupAll
+}
+
 // again tells whether an event could be launched once more, wherever it may have run before.
 func (c *Chooser) again(e *Event, now time.Duration) bool {
-	anywhere := e.typ.Effect == Redeliverable || e.typ.Effect == Keyed && e.typ.Group == GroupAll
-	return anywhere && e.launches+1 < c.mostLaunches && now+c.lastCall(e) < e.ends
+	return e.typ.anywhere() && e.launches+1 < c.mostLaunches && now+c.lastCall(e) < e.ends
 }
 
 func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
@@ -468,9 +473,8 @@
 // give ends an event as its type allows: deferred where another try is harmless, else dead-lettered.
 func (c *Chooser) give(e *Event, now time.Duration) Answer {
 	e.ended = true
-	harmless := e.risk == nil || e.typ.Effect == Redeliverable ||
-		e.typ.Effect == Keyed && e.typ.Group == GroupAll && now < e.riskAt+e.typ.Window
-	if !harmless {
+	late := e.typ.Effect == Keyed && now >= e.riskAt+e.typ.Window
+	if e.risk != nil && (late || !e.typ.anywhere()) {
 		return Answer{Event: e, Verb: DeadLetter}
 	}
 	back := min(c.mostBack, e.typ.Target/2)
@@ -506,12 +510,9 @@
 			f.past.Add(o.Took, averaged)
 			c.pace(w, e, o.Took, now)
 		}
-	case Full: // refused there again and again a tenant is served elsewhere; the others only where it has no room
+	case Full: // whatever the reason, a tenant refused again and again is served elsewhere; others stay
 		row := min(w.refuses[e.Tenant].row+1, 6)
 		w.refuses[e.Tenant] = refusal{row: row, until: now + f.typ.Target/8<<row}
-		if !o.Load.Told || o.Load.Waiting >= 1 {
-			w.limit = max(leastLimit, w.limit*fullFall)
-		}
 	case Missing:
 		s.copies, s.loading = 0, 0
 	case Unreached, Broken: // a process that died comes back with a new start; a broken line does not
@@ -560,8 +561,8 @@
 	}
 }
 
-// told takes a worker's load report. Where more events wait than this front end
-// has there a lane is not free: other front ends' events are seen in no other way. Its own obey the limit.
+// told takes a load report. Where more events wait than this front end has there, others' events take the
+// lanes; they are seen in no other way. Its own obey the limit.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
 		w.toldAt = now
@@ -634,7 +635,8 @@
 		c.serve(f, false, now, &st)
 	}
 	for _, f := range c.grown {
-		if w := c.target(f, true, now); w != nil && now >= w.backed && !c.jam && f.at(w).copies+f.at(w).loading == 0 {
+		w := c.target(f, true, now)
+		if w != nil && now >= w.backed && !c.jam && f.at(w).copies+f.at(w).loading == 0 {
 			c.load(f, true, now, &st)
 		}
 	}
@@ -770,8 +772,7 @@
 
 // allowed keeps load orders rationed (rule 5), this one included, counted to the safe side.
 func (c *Chooser) allowed(now time.Duration) bool {
-	return !c.rationed || c.ordered.All(now)+1 <=
-		c.orderFree+c.orderShare*c.taken.Inner(now)
+	return !c.rationed || c.ordered.All(now)+1 <= c.orderFree+c.orderShare*c.taken.Inner(now)
 }
 
 // target chooses the worker for a load.
@@ -785,11 +786,11 @@
 	} else if !first {
 		return fit[c.chance.Below(len(fit))]
 	}
-	many := func(w *worker) float64 {
-		if now < w.backed {
-			return math.Inf(1)
+	many := func(w *worker) int {
+		if now < w.backed || float64(len(w.out)) >= manyShare*w.limit {
+			return 1
 		}
-		return math.Floor(float64(len(w.out)) / w.limit / manyShare)
+		return 0
 	}
 	slices.SortFunc(fit, func(v, w *worker) int {
 		return cmp.Or(cmp.Compare(many(v), many(w)), cmp.Compare(rank(v, f.id, 0), rank(w, f.id, 0)))
@@ -799,9 +800,8 @@
 	})
 }
 
-// homes is the number of workers among which the front ends spread their first copies of a function: as many
-// as its part of the traffic keeps busy. Each front end sees only a few of its events at the first worker of
-// the shared order, all of them together may be more than that worker can do.
+// homes is the number of workers on which the front ends put their first copies of a function, by its part of
+// the traffic. Each sees few of its events at the first worker of the shared order; together they overrun it.
 func (c *Chooser) homes(f *function, now time.Duration) int {
 	n := f.came.All(now)
 	part := (n - 1) / (c.came.All(now) + averaged) // one event tells nothing
