--- a/choice/choice.go
+++ b/choice/choice.go
@@ -435,7 +435,7 @@
 			r = uint64(len(s.w.out))
 		} else if s.busy >= s.copies*f.lanes || s.w == e.avoid {
 			continue
-		} else if now < s.w.backed {
+		} else if now < s.w.backed || s.w.probed && now >= s.w.probedAt+firstLatency {
 			r |= 1 << 63
 		}
 		if (best == nil || r < first) && c.fits(s, e, now) {
@@ -554,10 +554,12 @@
 }
 
 // Probed takes the answer to a probe.
-func (c *Chooser) Probed(now time.Duration, name string, l Load) {
+func (c *Chooser) Probed(now time.Duration, name string, r Result, l Load) {
 	if w := c.workers[name]; w != nil {
 		w.probed = false
-		c.told(w, l, now)
+		if c.told(w, l, now); r != Handled {
+			w.backed = now + time.Duration(backedShare*float64(c.longest))
+		}
 	}
 }
 
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -140,10 +140,10 @@
 	case "ECHO":
 		worker := line.Word("worker")
 		line.Time("time", true)
-		outcome(line)
+		result := outcome(line)
 		report := load(line)
 		if line.Done() == nil {
-			in.chooser.Probed(h.now, worker, report)
+			in.chooser.Probed(h.now, worker, result, report)
 		}
 	case "LOAD_RESULT":
 		order := choice.Order{Worker: line.Word("worker"), Function: line.Whole("function", false)}
