--- a/choice/choice.go
+++ b/choice/choice.go
@@ -209,7 +209,7 @@
 	c.inFlight = 0
 	for _, w := range c.list {
 		for _, e := range w.out {
-			if now < e.sent+e.typ.Target {
+			if now < e.sent+min(e.typ.Target, 4*e.typ.mean) && !w.trial {
 				c.inFlight++
 			}
 		}
@@ -435,7 +435,7 @@
 			r = uint64(len(s.w.out))
 		} else if s.busy >= s.copies*f.lanes || s.w == e.avoid {
 			continue
-		} else if now < s.w.backed || s.w.probed && now >= s.w.probedAt+firstLatency {
+		} else if now < s.w.backed || s.w.mute(now) {
 			r |= 1 << 63
 		}
 		if (best == nil || r < first) && c.fits(s, e, now) {
@@ -553,6 +553,9 @@
 	return now >= w.probedAt+firstLatency
 }
 
+// mute tells of a probe unanswered: what is loaded or loading there may never be heard of.
+func (w *worker) mute(now time.Duration) bool { return w.probed && now >= w.probedAt+firstLatency }
+
 // Probed takes the answer to a probe.
 func (c *Chooser) Probed(now time.Duration, name string, r Result, l Load) {
 	if w := c.workers[name]; w != nil {
@@ -698,7 +701,7 @@
 // count adds up a function's copies and the loads under way; a worker that can't be used has neither.
 func (c *Chooser) count(f *function, now time.Duration) (have, under int) {
 	for _, s := range f.stands {
-		if c.usable(s.w, now) && now >= s.shut && now >= s.w.refuses[f.tenant].until {
+		if c.usable(s.w, now) && !s.w.mute(now) && now >= s.shut && now >= s.w.refuses[f.tenant].until {
 			have, under = have+s.copies, under+s.loading
 		}
 	}
@@ -751,6 +754,7 @@
 	if w == nil || !first && c.jam || float64(c.loadsOut) >= c.mostLoads {
 		return false
 	}
+	c.known(w, now)
 	s := f.at(w)
 	if c.orders && c.allowed(now) && s.copies+s.loading < 16 {
 		s.loading++
@@ -789,7 +793,7 @@
 		return fit[c.chance.Below(len(fit))]
 	}
 	many := func(w *worker) int {
-		if now < w.backed || float64(len(w.out)) >= manyShare*w.limit {
+		if now < w.backed || w.mute(now) || float64(len(w.out)) >= manyShare*w.limit {
 			return 1
 		}
 		return 0
