A failed probe counts until something is heard again

A worker that leaves probes unanswered is told from a slow store by the probe: the store does not answer probes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -498,7 +498,7 @@
 	switch o.Result {
 	case Handled:
 		c.work.Add(now, c.weigh(e))
-		w.row, w.lastGood, w.barFor, w.trial, w.barred = 0, now, 0, false, 0
+		w.row, w.lastGood, w.barFor, w.trial, w.barred, w.deaf = 0, now, 0, false, 0, false
 		s.copies, s.until = max(1, s.copies), now+c.keep
 		if r := w.refuses[e.Tenant]; r.row > 0 {
 			w.refuses[e.Tenant] = refusal{row: r.row - 1}
@@ -554,14 +554,16 @@
 }
 
 // mute tells of a probe unanswered: what is loaded or loading there may never be heard of.
-func (w *worker) mute(now time.Duration) bool { return w.probed && now >= w.probedAt+firstLatency }
+func (w *worker) mute(now time.Duration) bool {
+	return w.deaf || w.probed && now >= w.probedAt+firstLatency
+}
 
 // Probed takes the answer to a probe.
 func (c *Chooser) Probed(now time.Duration, name string, r Result, l Load) {
 	if w := c.workers[name]; w != nil {
 		w.probed = false
 		if c.told(w, l, now); r != Handled {
-			w.backed = now + time.Duration(backedShare*float64(c.longest))
+			w.deaf = true
 		}
 	}
 }
@@ -570,8 +572,7 @@
 // lanes; they are seen in no other way. Its own obey the limit.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
-		w.toldAt = now
-		w.backed = 0
+		w.toldAt, w.backed, w.deaf = now, 0, false
 		if l.Waiting > float64(len(w.out)) {
 			w.backed = now + time.Duration(backedShare*float64(c.longest))
 		}
--- a/choice/types.go
+++ b/choice/types.go
@@ -202,6 +202,7 @@
 	trial    bool
 	toldAt   time.Duration // its last load report
 	probed   bool          // a probe is out since probedAt
+	deaf     bool          // the last probe failed, nothing came since
 	probedAt time.Duration
 	backed   time.Duration      // until then it is believed to have events waiting
 	refuses  map[string]refusal // by tenant
