--- a/choice/choice.go
+++ b/choice/choice.go
@@ -79,7 +79,7 @@
 // AddType tells of an event type.
 func (c *Chooser) AddType(t EventType) {
 	t.Target = max(t.Target, time.Millisecond)
-	c.types[t.Name] = &evtType{EventType: t, seen: 1, mean: time.Duration(firstShare * float64(t.Target))}
+	c.types[t.Name] = &evtType{EventType: t, seen: 1, mean: part(firstShare, t.Target)}
 	c.longest = max(c.longest, t.Target)
 }
 
@@ -96,13 +96,10 @@
 	c.mostLaunches, c.cancel, c.probing, c.mostBack = max(1, launches), cancel, probe, back
 }
 
-// Loading tells how functions come to workers, and how long an idle copy and an order last.
-func (c *Chooser) Loading(orders, onMiss bool, keep, orderLimit time.Duration) {
-	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, orderLimit
-}
-
-// Ration limits load orders within a window to free plus a share of the events taken in it.
-func (c *Chooser) Ration(within time.Duration, free, share float64) {
+// Loading tells how functions come to workers, how long an idle copy and an order last, and the ration of load
+// orders within a window: free ones and a share of the events taken in it.
+func (c *Chooser) Loading(orders, onMiss bool, keep, limit, within time.Duration, free, share float64) {
+	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, limit
 	c.rationed, c.orderFree, c.orderShare = within > 0, free, share
 	c.ordered, c.taken = window.New(within), window.New(within)
 }
@@ -118,11 +115,22 @@
 	c.askAt, c.askWait = 0, max(within/8, time.Millisecond)
 }
 
+// part is a share of a time.
+func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
+
 // rank orders the workers of a function by hash; salt 0 gives the order that all front ends share.
 func rank(w *worker, fn uint64, salt int) uint64 {
 	return chance.Mix(w.hash ^ chance.Mix(fn+uint64(salt)<<44))
 }
 
+// last puts a rank behind all others where that is true.
+func last(rank uint64, behind bool) uint64 {
+	if behind {
+		return rank>>1 | 1<<63
+	}
+	return rank >> 1
+}
+
 // Listed takes news of the list; whole says that workers it does not name are gone.
 func (c *Chooser) Listed(now time.Duration, whole bool, news []Listing) {
 	if whole {
@@ -169,10 +177,11 @@
 
 // share is the least part of its capacity that a worker has by now.
 func (c *Chooser) share(w *worker, now time.Duration) float64 {
-	if w.Started <= 0 || c.warmAfter <= 0 || now >= w.Started+c.warmAfter {
+	warm := float64(max(0, now-w.Started)) / float64(max(1, c.warmAfter))
+	if w.Started <= 0 || warm >= 1 {
 		return 1
 	}
-	return c.coldFrom + (1-c.coldFrom)*float64(max(0, now-w.Started))/float64(c.warmAfter)
+	return c.coldFrom + (1-c.coldFrom)*warm
 }
 
 // coldPause keeps a cold worker from being pushed over (rule 4): the least time between two launches to it.
@@ -189,7 +198,7 @@
 // coldRoom begins with a random part of the pause: not all that hear of a start send at once.
 func (c *Chooser) coldRoom(w *worker, e *Event, now time.Duration) bool {
 	return c.multiple <= 0 || c.share(w, now) >= 1 ||
-		now >= w.coldLast+time.Duration(w.coldPart*float64(c.coldPause(w, c.weigh(e), now)))
+		now >= w.coldLast+part(w.coldPart, c.coldPause(w, c.weigh(e), now))
 }
 
 // portion is this front end's part of all traffic: an even split, or what it sees itself of the shares of all
@@ -205,7 +214,7 @@
 // survey counts once what is asked of all workers: whether the bars are believed, the launches that can still
 // be answered in their target time, and whether there is a jam: few workers have room left.
 func (c *Chooser) survey(now time.Duration) {
-	in, bad, free := 0, 0, 0
+	in, bad, free := 0.0, 0.0, 0.0
 	c.inFlight = 0
 	for _, w := range c.list {
 		for _, e := range w.out {
@@ -214,18 +223,16 @@
 			}
 		}
 		if w.listed && w.Condition == In {
-			if in++; now < w.barred || w.trial {
-				bad++
-			}
+			in++
+		}
+		if now < w.barred || w.trial {
+			bad++
 		}
-	}
-	c.unbelieved = float64(bad) > believed*float64(in)
-	for _, w := range c.list {
 		if c.room(w, now) && now >= w.backed {
 			free++
 		}
 	}
-	c.jam = c.full() || float64(free) < crowdedShare*float64(max(in, 1))
+	c.unbelieved, c.jam = bad > believed*in, c.full() || free < crowdedShare*max(in, 1)
 }
 
 // usable tells whether new work may go to a worker at all. Drained and gone ones are not (rule 3).
@@ -390,12 +397,11 @@
 			return c.launch(e, s, false, now)
 		}
 	}
-	c.hold(e)
-	return Answer{Event: e, Verb: Hold}
+	return c.hold(e)
 }
 
 // hold queues an event by age.
-func (c *Chooser) hold(e *Event) {
+func (c *Chooser) hold(e *Event) Answer {
 	f := e.fn
 	i, _ := slices.BinarySearchFunc(f.queue, e.came+1, func(x *Event, t time.Duration) int {
 		return cmp.Compare(x.came, t)
@@ -405,6 +411,7 @@
 		f.active = true
 		c.active = append(c.active, f)
 	}
+	return Answer{Event: e, Verb: Hold}
 }
 
 // mayGo keeps effects from happening twice (rule 2): an event that may have run goes again only as its
@@ -421,7 +428,7 @@
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
-	return s.copies > 0 && now >= s.shut && now >= w.refuses[e.Tenant].until && c.room(w, now) && !c.full() &&
+	return s.copies > 0 && now >= max(s.shut, w.refuses[e.Tenant].until) && c.room(w, now) && !c.full() &&
 		c.mayGo(e, w, now) && c.coldRoom(w, e, now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
 
@@ -430,13 +437,11 @@
 func (c *Chooser) warm(f *function, e *Event, spill bool, now time.Duration) (best *standing) {
 	var first uint64
 	for _, s := range f.stands {
-		r := rank(s.w, f.id, c.self+1) >> 1
+		r := last(rank(s.w, f.id, c.self+1), now < s.w.backed || s.w.mute(now))
 		if spill {
 			r = uint64(len(s.w.out))
 		} else if s.busy >= s.copies*f.lanes || s.w == e.avoid {
 			continue
-		} else if now < s.w.backed || s.w.mute(now) {
-			r |= 1 << 63
 		}
 		if (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
@@ -465,7 +470,7 @@
 	s.w.coldLast, s.w.coldPart = now, 1
 	if cold {
 		s.loading = max(s.loading, 1)
-		s.loadEnd = now + time.Duration(loadPatience*float64(e.fn.usualLoad()))
+		s.loadEnd = now + part(loadPatience, e.fn.usualLoad())
 	}
 	return Answer{Event: e, Verb: Launch, Worker: s.w.Worker}
 }
@@ -500,9 +505,7 @@
 		c.work.Add(now, c.weigh(e))
 		w.row, w.lastGood, w.barFor, w.trial, w.barred, w.deaf = 0, now, 0, false, 0, false
 		s.copies, s.until = max(1, s.copies), now+c.keep
-		if r := w.refuses[e.Tenant]; r.row > 0 {
-			w.refuses[e.Tenant] = refusal{row: r.row - 1}
-		}
+		delete(w.refuses, e.Tenant)
 		if o.Warmth == BeganLoad {
 			s.copies = 1
 		}
@@ -537,13 +540,12 @@
 	if o.Result == TooLate || e.launches >= c.mostLaunches || now+c.lastCall(e) >= e.ends || !c.goesOn(e, now) {
 		return c.give(e, now)
 	}
-	c.hold(e)
-	return Answer{Event: e, Verb: Hold}
+	return c.hold(e)
 }
 
 // known tells whether a worker's load was reported lately. If not it is probed, and the event waits a moment.
 func (c *Chooser) known(w *worker, now time.Duration) bool {
-	if !c.probing || now < w.toldAt+time.Duration(backedShare*float64(c.longest)) {
+	if !c.probing || now < w.toldAt+part(backedShare, c.longest) {
 		return true
 	}
 	if !w.probed {
@@ -562,9 +564,8 @@
 func (c *Chooser) Probed(now time.Duration, name string, r Result, l Load) {
 	if w := c.workers[name]; w != nil {
 		w.probed = false
-		if c.told(w, l, now); r != Handled {
-			w.deaf = true
-		}
+		c.told(w, l, now)
+		w.deaf = r != Handled
 	}
 }
 
@@ -572,9 +573,9 @@
 // lanes; they are seen in no other way. Its own obey the limit.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
-		w.toldAt, w.backed, w.deaf = now, 0, false
+		w.toldAt, w.backed = now, 0
 		if l.Waiting > float64(len(w.out)) {
-			w.backed = now + time.Duration(backedShare*float64(c.longest))
+			w.backed = now + part(backedShare, c.longest)
 		}
 	}
 }
@@ -602,7 +603,7 @@
 	}
 	// A crowded store or memory shows in loads that fail or take long, whatever crowds it.
 	usual := f.usualLoad()
-	if c.loadsOut--; r != Handled || took > time.Duration(slowLoad*float64(usual)) {
+	if c.loadsOut--; r != Handled || took > part(slowLoad, usual) {
 		c.mostLoads = max(leastLoads, c.mostLoads*loadFall)
 	} else if took > usual/4 { // else the copies stood
 		c.mostLoads = min(c.mostLoads+1, firstLoads)
@@ -680,7 +681,7 @@
 		if !give && late == (now+c.expected(f) > e.due) {
 			if s = c.warm(f, e, false, now); s != nil && !c.known(s.w, now) {
 				s, wake = nil, min(wake, now+firstLatency)
-			} else if s == nil && now >= e.came+time.Duration(overflowShare*float64(e.typ.Target)) {
+			} else if s == nil && now >= e.came+part(overflowShare, e.typ.Target) {
 				s = c.warm(f, e, true, now)
 				give = s == nil && e.risk == nil && (late || e.over) && c.jam
 			}
@@ -699,19 +700,9 @@
 	return wake
 }
 
-// count adds up a function's copies and the loads under way; a worker that can't be used has neither.
-func (c *Chooser) count(f *function, now time.Duration) (have, under int) {
-	for _, s := range f.stands {
-		if c.usable(s.w, now) && !s.w.mute(now) && now >= s.shut && now >= s.w.refuses[f.tenant].until {
-			have, under = have+s.copies, under+s.loading
-		}
-	}
-	return have, under
-}
-
 // tick is the length of a function's tick.
 func (c *Chooser) tick(f *function) time.Duration {
-	return max(time.Duration(tickShare*float64(f.typ.Target)), c.quantum, time.Microsecond)
+	return max(part(tickShare, f.typ.Target), c.quantum, 1)
 }
 
 // provision is the four-condition rule. It advances only for a queue that is not empty or after arrivals.
@@ -722,7 +713,12 @@
 	if now < f.next {
 		return f.next
 	}
-	have, under := c.count(f, now)
+	have, under := 0, 0
+	for _, s := range f.stands { // what stands at a worker that can't be used is no instance
+		if c.usable(s.w, now) && !s.w.mute(now) && now >= max(s.shut, s.w.refuses[f.tenant].until) {
+			have, under = have+s.copies, under+s.loading
+		}
+	}
 	short, total, queued := 0, have+under, len(f.queue)
 	power := float64(c.tick(f)) / float64(f.mean()) * float64(f.lanes)
 	required := int(math.Ceil(float64(queued) / power))
@@ -759,7 +755,7 @@
 	s := f.at(w)
 	if c.orders && c.allowed(now) && s.copies+s.loading < 16 {
 		s.loading++
-		s.loadEnd = now + min(time.Duration(loadPatience*float64(f.usualLoad())), c.orderLimit)
+		s.loadEnd = now + min(part(loadPatience, f.usualLoad()), c.orderLimit)
 		c.ordered.Add(now, 1)
 		c.loadsOut++
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
@@ -793,15 +789,11 @@
 	} else if !first {
 		return fit[c.chance.Below(len(fit))]
 	}
-	many := func(w *worker) int {
-		if now < w.backed || w.mute(now) || float64(len(w.out)) >= manyShare*w.limit {
-			return 1
-		}
-		return 0
+	order := func(w *worker) uint64 { // those that hold many events last
+		many := now < w.backed || w.mute(now) || float64(len(w.out)) >= manyShare*w.limit
+		return last(rank(w, f.id, 0), many)
 	}
-	slices.SortFunc(fit, func(v, w *worker) int {
-		return cmp.Or(cmp.Compare(many(v), many(w)), cmp.Compare(rank(v, f.id, 0), rank(w, f.id, 0)))
-	})
+	slices.SortFunc(fit, func(v, w *worker) int { return cmp.Compare(order(v), order(w)) })
 	return slices.MinFunc(fit[:min(len(fit), c.homes(f, now))], func(v, w *worker) int {
 		return cmp.Compare(rank(v, f.id, c.self+1), rank(w, f.id, c.self+1))
 	})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -149,8 +149,7 @@
 // Rule 5: no more orders than the ration, however many functions are new.
 func Example_ration() {
 	b := newBench(1)
-	b.Ration(5000*ms, 2, 0.1)
-	b.Loading(true, false, 10000*ms, 5000*ms)
+	b.Loading(true, false, 10000*ms, 5000*ms, 5000*ms, 2, 0.1)
 	orders := 0
 	for i := range 100 {
 		e := &choice.Event{ID: fmt.Sprint(i), Type: "redeliverable", Function: uint64(i), Patience: 3000 * ms}
@@ -231,8 +230,7 @@
 	c.AddType(choice.EventType{Name: "t"})
 	c.AddTenant("n", 0)
 	c.Allowed(0, false, false, 0)
-	c.Loading(false, false, 0, 0)
-	c.Ration(0, 0, 0)
+	c.Loading(false, false, 0, 0, 0, 0, 0)
 	c.ColdStarts(0, 0, 0, 0)
 	c.Asking(0)
 	c.Listed(1, true, []choice.Listing{{Worker: "a", Started: 1}})
--- a/choice/help_test.go
+++ b/choice/help_test.go
@@ -23,7 +23,7 @@
 			Window: 2000 * ms, Target: 1000 * ms})
 	}
 	b.Allowed(4, true, false, 500*ms)
-	b.Loading(true, true, 10000*ms, 5000*ms)
+	b.Loading(true, true, 10000*ms, 5000*ms, 0, 0, 0)
 	b.ColdStarts(0.2, 10000*ms, 2, 1000*ms)
 	b.Listed(b.now, true, []choice.Listing{
 		{Worker: "a", Cell: "1"}, {Worker: "b", Cell: "1"}, {Worker: "c", Cell: "2"}})
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -196,8 +196,8 @@
 	c.Allowed(int(set.Number("policy_limits.send_cap", 1)), set.Flag("policy_limits.cancel", false),
 		set.Flag("policy_limits.probing", false), back)
 	c.Loading(set.Flag("family_info.orders", false), set["family_info.miss_mode"] != "miss",
-		set.Time("family_info.keep", 0), set.Time("family_info.order_limit", 0))
-	c.Ration(set.Time("family_info.loads_within", 0), set.Number("family_info.loads_anyway", 0),
+		set.Time("family_info.keep", 0), set.Time("family_info.order_limit", 0),
+		set.Time("family_info.loads_within", 0), set.Number("family_info.loads_anyway", 0),
 		set.Number("family_info.load_part", 0))
 	c.ColdStarts(set.Number("rules.cold_from", 0), set.Time("rules.warm_after", 0),
 		set.Number("rules.fall_multiple", 0), set.Time("rules.fall", 0))
