--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,8 +4,8 @@
 //	After: what to do after this outcome
 //	Wait:  what is due now (releases, load orders, probes, final answers) and how long to wait then
 //
-// Facts are fed in between: Listed, ListFailed, Probed, Loaded, Left. Plain types stand in types.go. The caller
-// keeps the timers and the events in hand; time is any clock of whole nanoseconds.
+// Facts are fed in between: Listed, ListFailed, Probed, Loaded, Left. Plain types stand in types.go.
+// The caller keeps the timers and the events in hand; time is any clock of whole nanoseconds.
 //
 // The design (docs/design.md): a queue per function, released oldest first to a believed-warm free lane;
 // a four-condition rule each tick that orders loads on random workers; surplus copies starve.
@@ -34,36 +34,26 @@
 
 // Tuned values: shares and multiples of what the settings or the events say.
 const (
-	tickShare     = 0.2   // a function's tick, of its target time
-	overflowShare = 0.25  // overflow wait, of the target time
-	averaged      = 10    // answers in a function's average
-	typeAveraged  = 100   // answers in an event type's average
-	firstShare    = 0.125 // an answer's time, of the target time, before any answer
-	freshSpan     = 5 * time.Second
-	firstLatency  = 10 * time.Millisecond
-	rowBar        = 4     // failures in a row that bar a worker
-	barMost       = 8     // longest bar, of the longest target time; the first is one, then it doubles
-	overdue       = 18.0  // so many mean answer times of silence, of all launches to a worker, bar it
-	tolerance     = 1.1   // the present answer time may be so many shortest ones before the limit falls
-	growth        = 0.1   // a limit grows at least as if this were its part, while answers come in good time
-	enoughShare   = 0.5   // answers may take so much of the target time before the limit of all workers falls
-	shortLasts    = 20000 // answers after which the shortest answer time has grown to about e times itself
-	firstLimit    = 16.0  // in-flight limit to start from
-	leastLimit    = 2.0
-	loadPatience  = 4.0 // an order unanswered for so many usual loads is not under way any more
-	coldSafety    = 0.9 // part of the cold budget that is used
-	coldChance    = 1.0 // so many times the error of chance is kept free of it
-	manyShare     = 0.75
-	firstLoads    = 24.0 // loads of ours that may be under way in good times
-	leastLoads    = 3.0
-	slowLoad      = 2.0 // a load that takes so many usual ones shows a crowded store
-	loadFall      = 0.8 // what such a load or a failed one leaves of the loads that may be under way
-	spread        = 8.0 // a function's first copies stand on so many times the workers that its events fill
-	crowdedShare  = 0.5 // fewer workers than this with room: a jam
-	repeatsFree   = 1.0 // a tenant's marked repeats that are taken in any case
-	repeatShare   = 0.1 // and so many for each of its first tries
-	backedShare   = 0.5 // a report of waiting events is believed for so many of the longest target time
-	believed      = 0.5 // no more workers than this can be bad at once
+	tickShare, overflowShare  = 0.2, 0.25 // a function's tick and its overflow wait, of the target time
+	averaged, typeAveraged    = 10, 100   // answers in a function's average and in an event type's
+	firstLatency, freshSpan   = 10 * time.Millisecond, 5 * time.Second
+	firstShare                = 0.125     // an answer's time, of the target time, before any answer
+	rowBar, barMost           = 4, 8      // failures in a row that bar a worker; the longest bar in longest target times
+	overdue                   = 18.0      // so many mean answer times of silence, of all launches to a worker, bar it
+	believed                  = 0.5       // no more workers than this can be bad at once
+	firstLimit, leastLimit    = 16.0, 2.0 // in-flight limit of a worker, for all front ends, and the least for each
+	tolerance, enoughShare    = 1.1, 0.5  // answers may take so many shortest ones; for all workers' limit so much of the target
+	growth                    = 0.1       // a limit grows at least as if this were its part, while answers come in good time
+	shortLasts                = 20000     // answers after which the shortest answer time has grown to about e times itself
+	stuckAfter                = 4         // a launch out for so many mean answer times does not fill the limit of all workers
+	loadPatience, slowLoad    = 4.0, 2.0  // usual loads: an order is lost after so many, a crowded store takes so many
+	coldSafety, coldChance    = 0.9, 1.0  // part of the cold budget that is used, less so many errors of chance
+	manyShare                 = 0.75      // of its limit in flight: the next worker gets the first copy
+	spread                    = 8.0       // a function's first copies stand on so many times the workers that its events fill
+	crowdedShare              = 0.5       // fewer workers than this with room: a jam
+	repeatsFree, repeatShare  = 1.0, 0.1  // a tenant's marked repeats that are taken, and so many for each first try
+	backedShare               = 0.5       // a report is believed for so much of the longest target time
+	refusedShare, refusedMost = 0.125, 6  // a refused tenant stays away for twice this of the target time, doubled so often
 )
 
 // New starts the Chooser of front end self of peers; quantum is the least time between two calls.
@@ -71,7 +61,7 @@
 	return &Chooser{chance: chance.New(seed), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, mostLoads: firstLoads, askAt: math.MaxInt64,
+		mostLaunches: 1, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
 }
@@ -90,14 +80,12 @@
 		again: window.New(freshSpan)}
 }
 
-// Allowed tells the most launches of an event, whether they may be withdrawn and workers probed, and the
-// longest time to come back that clients honour; 0 where none can be named.
+// Allowed tells what the front end may do; back is the longest time to come back that clients honour, or 0.
 func (c *Chooser) Allowed(launches int, cancel, probe bool, back time.Duration) {
 	c.mostLaunches, c.cancel, c.probing, c.mostBack = max(1, launches), cancel, probe, back
 }
 
-// Loading tells how functions come to workers, how long an idle copy and an order last, and the ration of load
-// orders within a window: free ones and a share of the events taken in it.
+// Loading tells how functions come to workers, how long an idle copy and an order last, and the ration of orders.
 func (c *Chooser) Loading(orders, onMiss bool, keep, limit, within time.Duration, free, share float64) {
 	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, limit
 	c.rationed, c.orderFree, c.orderShare = within > 0, free, share
@@ -157,7 +145,7 @@
 	byName := func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) }
 	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
 	if c.all.took == nil {
-		c.all = c.limits(firstLimit * float64(len(c.list)))
+		c.all, c.loads = c.limits(firstLimit*float64(len(c.list))), c.limits(firstLimit*float64(c.peers))
 	}
 	if c.askAt > 0 { // the list of the start is no answer
 		c.askAt = math.MaxInt64
@@ -184,9 +172,8 @@
 	return c.coldFrom + (1-c.coldFrom)*warm
 }
 
-// coldPause keeps a cold worker from being pushed over (rule 4): the least time between two launches to it.
-// Its capacity is not told: the mean work that each front end sees handled is taken for its part. Launches of
-// many front ends bunch by chance.
+// coldPause keeps a cold worker from being pushed over (rule 4): the least time between two launches to it. Its
+// capacity is not told: the mean work seen handled is taken for it. Launches of many front ends bunch by chance.
 func (c *Chooser) coldPause(w *worker, weight float64, now time.Duration) time.Duration {
 	most := time.Duration(c.peers) * c.fall // with nothing known all front ends together send one in c.fall
 	mean := c.work.Inner(now) / 8 / float64(max(1, len(c.list)))
@@ -211,14 +198,14 @@
 	return min(1, max(1/float64(c.peers), seen))
 }
 
-// survey counts once what is asked of all workers: whether the bars are believed, the launches that can still
-// be answered in their target time, and whether there is a jam: few workers have room left.
+// survey counts what is asked of all workers: launches in flight, whether bars are believed, and whether few
+// workers have room left: a jam.
 func (c *Chooser) survey(now time.Duration) {
 	in, bad, free := 0.0, 0.0, 0.0
 	c.inFlight = 0
 	for _, w := range c.list {
 		for _, e := range w.out {
-			if now < e.sent+min(e.typ.Target, 4*e.typ.mean) && !w.trial {
+			if now < e.sent+min(e.typ.Target, stuckAfter*e.typ.mean) && !w.trial {
 				c.inFlight++
 			}
 		}
@@ -248,21 +235,19 @@
 // full tells that the limit of all workers together is reached.
 func (c *Chooser) full() bool { return float64(c.inFlight) >= c.all.limit }
 
-// fail counts a failure; enough in a row bar the worker, longer each time and not to the same moment.
+// fail counts a failure; enough in a row bar the worker, longer each time.
 func (c *Chooser) fail(w *worker, now time.Duration) {
 	w.row++
 	if (w.row >= rowBar || w.trial) && now >= w.barred {
 		w.barFor = min(max(2*w.barFor, c.longest), barMost*c.longest)
 		w.barred = now + w.barFor + time.Duration(c.chance.Below(int(w.barFor/2)))
 		w.trial, w.limit = true, leastLimit
-		if c.cancel {
-			c.recall = append(c.recall, w.out...)
-		}
+		c.recall = append(c.recall, w.out...)
 	}
 }
 
-// silent bars a worker from which nothing comes. Each mean answer time that a launch waits adds to the
-// silence, so a busy worker is found out soon, whatever keeps it from answering.
+// silent bars a worker from which nothing comes. Each launch that waits adds to the silence, so a busy worker is
+// found out soon, whatever keeps it from answering.
 func (c *Chooser) silent(now time.Duration) {
 	for _, w := range c.list {
 		silence := 0.0
@@ -294,8 +279,8 @@
 	c.all.follow(now, took, max(may, enoughShare*float64(t.Target)), c.inFlight, portion)
 }
 
-// follow moves a limit by the ratio of what answers may take to what they take; others queue there too. Among
-// many front ends each meets a worker too seldom to judge it, and least limits add up: so one is for all workers.
+// follow moves a limit by the ratio of what answers may take to what they take. Among many front ends each meets
+// a worker too seldom to judge it alone, and their least limits add up: hence the one for all workers.
 func (l *limited) follow(now, took time.Duration, may float64, out int, portion float64) {
 	l.took.Add(now, float64(took))
 	l.may.Add(now, may)
@@ -429,11 +414,12 @@
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
 	return s.copies > 0 && now >= max(s.shut, w.refuses[e.Tenant].until) && c.room(w, now) && !c.full() &&
-		c.mayGo(e, w, now) && c.coldRoom(w, e, now) && (!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
+		c.mayGo(e, w, now) && c.coldRoom(w, e, now) &&
+		(!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
 
-// warm finds a believed-warm copy: with a free lane the first of the function's salted order, those last where
-// others' events wait; with spill the one with the fewest own events in flight, lane or not.
+// warm finds a believed-warm copy: with a free lane the first of the function's salted order, backed up ones
+// last; with spill the one with the fewest own events in flight, lane or not.
 func (c *Chooser) warm(f *function, e *Event, spill bool, now time.Duration) (best *standing) {
 	var first uint64
 	for _, s := range f.stands {
@@ -457,11 +443,6 @@
 	return t.Effect == Redeliverable || t.Effect == Keyed && t.Group == GroupAll
 }
 
-// again tells whether an event could be launched once more, wherever it may have run before.
-func (c *Chooser) again(e *Event, now time.Duration) bool {
-	return e.typ.anywhere() && e.launches+1 < c.mostLaunches && now+c.lastCall(e) < e.ends
-}
-
 func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
 	e.cold, e.sent, e.out, e.avoid = cold, now, s, nil
 	e.launches, s.busy = e.launches+1, s.busy+1
@@ -506,16 +487,13 @@
 		w.row, w.lastGood, w.barFor, w.trial, w.barred, w.deaf = 0, now, 0, false, 0, false
 		s.copies, s.until = max(1, s.copies), now+c.keep
 		delete(w.refuses, e.Tenant)
-		if o.Warmth == BeganLoad {
-			s.copies = 1
-		}
 		if o.Warmth == FoundWarm || o.Warmth == Untold && !e.cold {
 			f.past.Add(o.Took, averaged)
 			c.pace(w, e, o.Took, now)
 		}
 	case Full: // whatever the reason, a tenant refused again and again is served elsewhere; others stay
-		row := min(w.refuses[e.Tenant].row+1, 6)
-		w.refuses[e.Tenant] = refusal{row: row, until: now + f.typ.Target/8<<row}
+		row := min(w.refuses[e.Tenant].row+1, refusedMost)
+		w.refuses[e.Tenant] = refusal{row: row, until: now + part(refusedShare, f.typ.Target)<<row}
 	case Missing:
 		s.copies, s.loading = 0, 0
 	case Unreached, Broken: // a process that died comes back with a new start; a broken line does not
@@ -603,10 +581,11 @@
 	}
 	// A crowded store or memory shows in loads that fail or take long, whatever crowds it.
 	usual := f.usualLoad()
-	if c.loadsOut--; r != Handled || took > part(slowLoad, usual) {
-		c.mostLoads = max(leastLoads, c.mostLoads*loadFall)
-	} else if took > usual/4 { // else the copies stood
-		c.mostLoads = min(c.mostLoads+1, firstLoads)
+	if c.loadsOut--; r != Handled {
+		took = max(took, part(loadPatience, usual))
+	}
+	if took > usual/4 { // else the copies stood
+		c.loads.follow(now, took, slowLoad*float64(usual), c.loadsOut, 1)
 	}
 	s := f.at(w)
 	if s.loading = max(0, s.loading-1); r == Handled || r == Full || r == Failed { // else nothing was heard
@@ -628,7 +607,8 @@
 	c.survey(now)
 	c.silent(now)
 	for _, e := range c.recall {
-		if e.out != nil && !e.ended && c.again(e, now) {
+		if c.cancel && e.out != nil && !e.ended && e.typ.anywhere() && e.launches < c.mostLaunches &&
+			now+c.lastCall(e) < e.ends {
 			st.Answers = append(st.Answers, Answer{Event: e, Verb: Withdraw, Launch: e.launches - 1})
 		}
 	}
@@ -665,9 +645,8 @@
 	return st
 }
 
-// serve releases a function's held events, oldest first, and gives up those past hope (rule 1: always
-// before their patience ends). Events that can't make their target time any more come in a second round,
-// after those of all functions that can: an old one must not make a younger one late too.
+// serve releases a function's held events, oldest first, and gives up those past hope (rule 1: in time). Events
+// that can't make their target time come after those of all functions that can: old must not make young late.
 func (c *Chooser) serve(f *function, late bool, now time.Duration, st *Steps) time.Duration {
 	wake := time.Duration(math.MaxInt64)
 	kept := f.queue[:0]
@@ -748,7 +727,7 @@
 // the others at random. Where no order may be given the oldest event itself goes there to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
-	if w == nil || !first && c.jam || float64(c.loadsOut) >= c.mostLoads {
+	if w == nil || !first && c.jam || float64(c.loadsOut) >= c.loads.limit {
 		return false
 	}
 	c.known(w, now)
--- a/choice/types.go
+++ b/choice/types.go
@@ -260,7 +260,7 @@
 	recall  []*Event    // outstanding at workers just barred
 
 	loadsOut   int     // orders not answered yet
-	mostLoads  float64 // so many of them before only first copies are ordered
+	loads      limited // of them
 	kept       int     // functions after the last clean-up
 	all        limited // launches in flight at all workers
 	inFlight   int
