--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 	manyShare                 = 0.75      // of its limit in flight: the next worker gets the first copy
 	spread                    = 8.0       // a function's first copies stand on so many times the workers that its events fill
 	crowdedShare              = 0.5       // fewer workers than this with room: a jam
-	repeatsFree, repeatShare  = 1.0, 0.1  // a tenant's marked repeats that are taken, and so many for each first try
+	repeatsFree, repeatShare  = 1.0, 0.05 // a tenant's marked repeats that are taken, and so many for each first try
 	backedShare               = 0.5       // a report is believed for so much of the longest target time
 	refusedShare, refusedMost = 0.125, 6  // a refused tenant stays away for twice this of the target time, doubled so often
 )
@@ -76,8 +76,7 @@
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
 func (c *Chooser) AddTenant(name string, quota float64) {
 	c.shares += quota
-	c.tenants[name] = &tenant{quota: quota, came: window.New(time.Second), first: window.New(freshSpan),
-		again: window.New(freshSpan)}
+	c.tenants[name] = &tenant{quota: quota, came: window.New(time.Second), again: window.New(freshSpan)}
 }
 
 // Allowed tells what the front end may do; back is the longest time to come back that clients honour, or 0.
@@ -119,7 +118,7 @@
 	return rank >> 1
 }
 
-// Listed takes news of the list; whole says that workers it does not name are gone.
+// Listed takes news of the list; where it is whole, workers that it does not name are gone.
 func (c *Chooser) Listed(now time.Duration, whole bool, news []Listing) {
 	if whole {
 		for _, w := range c.list {
@@ -128,17 +127,14 @@
 	}
 	for _, l := range news {
 		w := c.workers[l.Worker]
+		if w != nil && l.Started != w.Started { // a worker that starts anew is empty and cold: another one
+			w.listed, w = false, nil
+		}
 		if w == nil {
-			w = &worker{Listing: l, hash: chance.Hash(l.Worker), refuses: map[string]refusal{}, coldLast: -1,
-				limited: c.limits(firstLimit)}
+			w = &worker{hash: chance.Hash(l.Worker), refuses: map[string]refusal{}, limited: c.limits(firstLimit),
+				coldLast: now, coldPart: float64(c.chance.Below(1000)) / 1000}
 			c.workers[l.Worker] = w
 		}
-		if l.Started != w.Started {
-			w.row, w.barred, w.barFor, w.trial, w.limit, w.coldLast = 0, 0, 0, false, leastLimit, -1
-		}
-		if w.coldLast < 0 {
-			w.coldLast, w.coldPart = now, float64(c.chance.Below(1000))/1000
-		}
 		w.Listing, w.listed = l, l.Condition != Gone
 	}
 	maps.DeleteFunc(c.workers, func(_ string, w *worker) bool { return !w.listed && len(w.out) == 0 })
@@ -191,10 +187,7 @@
 // portion is this front end's part of all traffic: an even split, or what it sees itself of the shares of all
 // tenants where that is more. Clients may be spread unevenly.
 func (c *Chooser) portion(now time.Duration) float64 {
-	seen := 0.0
-	if c.shares > 0 {
-		seen = c.fresh.All(now) / (c.shares * freshSpan.Seconds())
-	}
+	seen := c.fresh.All(now) / freshSpan.Seconds() / cmp.Or(c.shares, math.Inf(1))
 	return min(1, max(1/float64(c.peers), seen))
 }
 
@@ -222,8 +215,8 @@
 	c.unbelieved, c.jam = bad > believed*in, c.full() || free < crowdedShare*max(in, 1)
 }
 
-// usable tells whether new work may go to a worker at all. Drained and gone ones are not (rule 3).
-// If most of the list is barred the bars are not believed: that must not leave the front end without any.
+// usable tells whether new work may go to a worker: not where it is drained or gone (rule 3), nor barred, unless
+// most are: that must not leave the front end without any.
 func (c *Chooser) usable(w *worker, now time.Duration) bool {
 	return w.listed && w.Condition == In && (now >= w.barred && (!w.trial || len(w.out) == 0) || c.unbelieved)
 }
@@ -232,7 +225,6 @@
 	return c.usable(w, now) && float64(len(w.out)) < w.limit
 }
 
-// full tells that the limit of all workers together is reached.
 func (c *Chooser) full() bool { return float64(c.inFlight) >= c.all.limit }
 
 // fail counts a failure; enough in a row bar the worker, longer each time.
@@ -246,8 +238,7 @@
 	}
 }
 
-// silent bars a worker from which nothing comes. Each launch that waits adds to the silence, so a busy worker is
-// found out soon, whatever keeps it from answering.
+// silent bars a worker from which nothing comes; each launch that waits adds to the silence.
 func (c *Chooser) silent(now time.Duration) {
 	for _, w := range c.list {
 		silence := 0.0
@@ -266,14 +257,12 @@
 func (c *Chooser) pace(w *worker, e *Event, took, now time.Duration) {
 	t := e.typ
 	t.seen = min(t.seen+1, typeAveraged)
-	if t.mean += (took - t.mean) / t.seen; t.seen >= 3*averaged {
-		if t.short += t.short / shortLasts; t.short == 0 || t.mean < t.short {
-			t.short = t.mean
-		}
-	}
-	if t.short == 0 {
+	if t.mean += (took - t.mean) / t.seen; t.seen < 3*averaged {
 		return
 	}
+	if t.short += t.short / shortLasts; t.short == 0 || t.mean < t.short {
+		t.short = t.mean
+	}
 	may, portion := tolerance*float64(t.short), c.portion(now)
 	w.follow(now, took, may, len(w.out), portion)
 	c.all.follow(now, took, max(may, enoughShare*float64(t.Target)), c.inFlight, portion)
@@ -306,7 +295,7 @@
 	i := slices.IndexFunc(f.stands, func(s *standing) bool { return s.w == w })
 	if i < 0 {
 		i = len(f.stands)
-		f.stands = append(f.stands, &standing{w: w, started: w.Started})
+		f.stands = append(f.stands, &standing{w: w})
 	}
 	return f.stands[i]
 }
@@ -314,11 +303,11 @@
 // refresh lets beliefs expire and forgets standings without any.
 func (c *Chooser) refresh(f *function, now time.Duration) {
 	f.stands = slices.DeleteFunc(f.stands, func(s *standing) bool {
-		if now > s.until && s.busy == 0 || s.started != s.w.Started { // a worker that starts is empty
+		if now > s.until && s.busy == 0 {
 			s.copies = 0
 		}
-		if now > s.loadEnd || s.started != s.w.Started {
-			s.loading, s.started = 0, s.w.Started
+		if now > s.loadEnd {
+			s.loading = 0
 		}
 		return s.copies == 0 && s.loading == 0 && s.busy == 0 && now >= s.shut
 	})
@@ -350,8 +339,8 @@
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
 	f.came.Add(now, 1)
 	c.came.Add(now, 1)
-	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 {
-		f.next, f.arrived = now+c.tick(f), 0 // a tick that finds arrivals but no queue advances too
+	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 { // a tick with arrivals and no queue advances too
+		f.next, f.arrived = now+c.tick(f), 0
 		backed := func(s *standing) bool { return now < s.w.backed }
 		if c.homes(f, now) > 1 || slices.ContainsFunc(f.stands, backed) {
 			c.grown = append(c.grown, f)
@@ -365,11 +354,9 @@
 		if e.over = n.came.All(now) >= max(1, n.quota*c.portion(now)); !e.over {
 			n.came.Add(now, 1)
 		}
-		if !e.Repeat {
-			n.first.Add(now, 1)
-		} else if n.again.All(now) >= repeatsFree+repeatShare*n.first.All(now) {
+		if e.Repeat && n.again.All(now) >= repeatsFree+repeatShare*c.fresh.All(now) {
 			return c.give(e, now)
-		} else {
+		} else if e.Repeat {
 			n.again.Add(now, 1)
 		}
 	}
@@ -399,15 +386,17 @@
 	return Answer{Event: e, Verb: Hold}
 }
 
-// mayGo keeps effects from happening twice (rule 2): an event that may have run goes again only as its
-// type allows, a keyed one inside its group and window.
+// spent tells that an event may have run and must not run again, wherever.
+func (c *Chooser) spent(e *Event, now time.Duration) bool {
+	late := e.typ.Effect == Keyed && now+c.quantum >= e.riskAt+e.typ.Window
+	return e.risk != nil && (late || e.typ.Effect == AtMostOnce)
+}
+
+// mayGo keeps effects from happening twice (rule 2): an event that may have run goes again only as its type
+// allows, a keyed one inside its group and window.
 func (c *Chooser) mayGo(e *Event, w *worker, now time.Duration) bool {
-	if e.risk == nil || e.typ.Effect == Redeliverable {
-		return true
-	}
-	t := e.typ
-	same := t.Group == GroupAll || w.Zone == e.risk.Zone && (t.Group == GroupZone || w.Cell == e.risk.Cell)
-	return same && t.Effect == Keyed && now+c.quantum < e.riskAt+t.Window
+	return !c.spent(e, now) && (e.risk == nil || e.typ.anywhere() ||
+		w.Zone == e.risk.Zone && (e.typ.Group == GroupZone || w.Cell == e.risk.Cell))
 }
 
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
@@ -438,7 +427,7 @@
 
 func (c *Chooser) weigh(e *Event) float64 { return float64(max(e.typ.mean, firstLatency)) }
 
-// anywhere tells whether a repeat is harmless at any worker, a keyed one inside its window.
+// anywhere tells whether a repeat is harmless at any worker.
 func (t *evtType) anywhere() bool {
 	return t.Effect == Redeliverable || t.Effect == Keyed && t.Group == GroupAll
 }
@@ -459,8 +448,7 @@
 // give ends an event as its type allows: deferred where another try is harmless, else dead-lettered.
 func (c *Chooser) give(e *Event, now time.Duration) Answer {
 	e.ended = true
-	late := e.typ.Effect == Keyed && now >= e.riskAt+e.typ.Window
-	if e.risk != nil && (late || !e.typ.anywhere()) {
+	if c.spent(e, now) || e.risk != nil && !e.typ.anywhere() {
 		return Answer{Event: e, Verb: DeadLetter}
 	}
 	back := min(c.mostBack, e.typ.Target/2)
@@ -478,9 +466,6 @@
 	c.told(w, o.Load, now)
 	e.out, s.busy = nil, s.busy-1
 	w.out = slices.DeleteFunc(w.out, func(x *Event) bool { return x == e })
-	if e.cold {
-		s.loading = max(0, s.loading-1)
-	}
 	switch o.Result {
 	case Handled:
 		c.work.Add(now, c.weigh(e))
@@ -494,16 +479,14 @@
 	case Full: // whatever the reason, a tenant refused again and again is served elsewhere; others stay
 		row := min(w.refuses[e.Tenant].row+1, refusedMost)
 		w.refuses[e.Tenant] = refusal{row: row, until: now + part(refusedShare, f.typ.Target)<<row}
-	case Missing:
-		s.copies, s.loading = 0, 0
 	case Unreached, Broken: // a process that died comes back with a new start; a broken line does not
 		c.fail(w, now)
 	case TimedOut:
 		if c.pace(w, e, o.Took, now); e.sent >= w.lastGood {
 			c.fail(w, now)
 		}
-	case Failed:
-		if s.copies = 0; o.Warmth != LoadFailed {
+	case Failed, Missing:
+		if s.copies = 0; o.Result == Failed && o.Warmth != LoadFailed {
 			c.fail(w, now)
 		}
 	}
@@ -515,7 +498,7 @@
 		return Answer{Event: e, Verb: Nothing}
 	}
 	e.avoid = w
-	if o.Result == TooLate || e.launches >= c.mostLaunches || now+c.lastCall(e) >= e.ends || !c.goesOn(e, now) {
+	if o.Result == TooLate || e.launches >= c.mostLaunches || now+c.lastCall(e) >= e.ends || c.spent(e, now) {
 		return c.give(e, now)
 	}
 	return c.hold(e)
@@ -547,8 +530,7 @@
 	}
 }
 
-// told takes a load report. Where more events wait than this front end has there, others' events take the
-// lanes; they are seen in no other way. Its own obey the limit.
+// told takes a load report. Where more events wait than ours, others take the lanes; ours obey the limit.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
 		w.toldAt, w.backed = now, 0
@@ -563,13 +545,6 @@
 	return max(2*c.quantum, min(2*c.expected(e.fn), e.Patience/2))
 }
 
-// goesOn tells whether any worker may take another launch of the event.
-func (c *Chooser) goesOn(e *Event, now time.Duration) bool {
-	return e.risk == nil || slices.ContainsFunc(c.list, func(w *worker) bool {
-		return c.usable(w, now) && c.mayGo(e, w, now)
-	})
-}
-
 // Left says that the client has gone.
 func (c *Chooser) Left(e *Event) { e.ended = true }
 
@@ -613,10 +588,6 @@
 		}
 	}
 	c.recall = c.recall[:0]
-	wake := c.askAt
-	slices.SortStableFunc(c.active, func(f, g *function) int {
-		return cmp.Compare(f.queue[0].came, g.queue[0].came)
-	})
 	for _, f := range c.active {
 		c.refresh(f, now)
 		c.serve(f, false, now, &st)
@@ -628,6 +599,7 @@
 		}
 	}
 	c.grown = c.grown[:0]
+	wake := c.askAt
 	for _, f := range c.active {
 		wake = min(wake, c.serve(f, true, now, &st), c.provision(f, now, &st))
 	}
@@ -656,7 +628,7 @@
 		}
 		var s *standing
 		last := e.ends - c.lastCall(e)
-		give := now >= last || !c.goesOn(e, now)
+		give := now >= last || c.spent(e, now)
 		if !give && late == (now+c.expected(f) > e.due) {
 			if s = c.warm(f, e, false, now); s != nil && !c.known(s.w, now) {
 				s, wake = nil, min(wake, now+firstLatency)
@@ -688,8 +660,7 @@
 func (c *Chooser) provision(f *function, now time.Duration, st *Steps) time.Duration {
 	if len(f.queue) == 0 {
 		return math.MaxInt64
-	}
-	if now < f.next {
+	} else if now < f.next {
 		return f.next
 	}
 	have, under := 0, 0
@@ -740,13 +711,11 @@
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
 		return true
 	}
-	if len(f.queue) == 0 {
+	if !first || !c.loadsOnMiss && c.orders || len(f.queue) == 0 || !c.mayGo(f.queue[0], w, now) ||
+		!c.coldRoom(w, f.queue[0], now) {
 		return false
 	}
 	e := f.queue[0]
-	if !first || !c.loadsOnMiss && c.orders || !c.mayGo(e, w, now) || !c.coldRoom(w, e, now) {
-		return false
-	}
 	f.queue = f.queue[1:]
 	st.Answers = append(st.Answers, c.launch(e, s, true, now))
 	return true
@@ -760,8 +729,8 @@
 // target chooses the worker for a load.
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
 	fit := slices.DeleteFunc(slices.Clone(c.list), func(w *worker) bool {
-		refuses := func(s *standing) bool { return s.w == w && now < s.shut }
-		return !c.room(w, now) || now < w.refuses[f.tenant].until || slices.ContainsFunc(f.stands, refuses)
+		full := func(s *standing) bool { return s.w == w && now < s.shut }
+		return !c.room(w, now) || now < w.refuses[f.tenant].until || slices.ContainsFunc(f.stands, full)
 	})
 	if len(fit) == 0 {
 		return nil
--- a/choice/types.go
+++ b/choice/types.go
@@ -179,7 +179,6 @@
 type tenant struct {
 	quota float64 // events a second within its share, at this front end
 	came  *window.Window
-	first *window.Window // its first tries
 	again *window.Window // its marked repeats that were taken
 }
 
@@ -219,9 +218,8 @@
 // standing is what is believed of one function at one worker.
 type standing struct {
 	w       *worker
-	started time.Duration // the worker's start that the belief is of
-	copies  int           // believed loaded
-	busy    int           // own events there
+	copies  int // believed loaded
+	busy    int // own events there
 	until   time.Duration
 	loading int // loads under way
 	loadEnd time.Duration
