--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,10 +6,8 @@
 //
 // Facts are fed in between: Listed, ListFailed, Probed, Loaded, Left. Plain types stand in types.go.
 // The caller keeps the timers and the events in hand; time is any clock of whole nanoseconds.
-//
 // The design (docs/design.md): a queue per function, released oldest first to a believed-warm free lane;
 // a four-condition rule each tick that orders loads on random workers; surplus copies starve.
-//
 // Beside it stand six mechanisms:
 //  1. failures in a row bar a worker, one event on trial brings it back (fail, silent, usable)
 //  2. in-flight limits, of each worker and of all, follow the answer times (pace, follow)
@@ -37,23 +35,20 @@
 	tickShare, overflowShare  = 0.2, 0.25 // a function's tick and its overflow wait, of the target time
 	averaged, typeAveraged    = 10, 100   // answers in a function's average and in an event type's
 	firstLatency, freshSpan   = 10 * time.Millisecond, 5 * time.Second
-	firstShare                = 0.125     // an answer's time, of the target time, before any answer
-	rowBar, barMost           = 4, 8      // failures in a row that bar a worker; the longest bar in longest target times
-	overdue                   = 18.0      // so many mean answer times of silence, of all launches to a worker, bar it
-	believed                  = 0.5       // no more workers than this can be bad at once
-	firstLimit, leastLimit    = 16.0, 2.0 // in-flight limit of a worker, for all front ends, and the least for each
-	tolerance, enoughShare    = 1.1, 0.5  // answers may take so many shortest ones; for all workers' limit so much of the target
-	growth                    = 0.1       // a limit grows at least as if this were its part, while answers come in good time
-	shortLasts                = 20000     // answers after which the shortest answer time has grown to about e times itself
-	stuckAfter                = 4         // a launch out for so many mean answer times does not fill the limit of all workers
-	loadPatience, slowLoad    = 4.0, 2.0  // usual loads: an order is lost after so many, a crowded store takes so many
-	coldSafety, coldChance    = 0.9, 1.0  // part of the cold budget that is used, less so many errors of chance
-	manyShare                 = 0.75      // of its limit in flight: the next worker gets the first copy
-	spread                    = 8.0       // a function's first copies stand on so many times the workers that its events fill
-	crowdedShare              = 0.5       // fewer workers than this with room: a jam
-	repeatsFree, repeatShare  = 1.0, 0.05 // a tenant's marked repeats that are taken, and so many for each first try
-	backedShare               = 0.5       // a report is believed for so much of the longest target time
-	refusedShare, refusedMost = 0.125, 6  // a refused tenant stays away for twice this of the target time, doubled so often
+	firstShare, stuckAfter    = 0.125, 4   // first mean answer time, of the target; stuck after so many means
+	rowBar, barMost           = 4, 8       // failures in a row that bar; longest bar in longest target times
+	overdue, believed         = 18.0, 0.5  // silence that bars, in mean answer times; most that can be bad
+	firstLimit, leastLimit    = 16.0, 2.0  // in-flight limit of a worker for all front ends, the least for each
+	tolerance, enoughShare    = 1.1, 0.5   // answers may take so many shortest ones, or so much of the target
+	growth, shortLasts        = 0.1, 20000 // least part for growth; answers that grow the shortest time e times
+	loadPatience, slowLoad    = 4.0, 2.0   // usual loads after which an order is lost; that tell a crowded store
+	coldSafety, coldChance    = 0.9, 1.0   // part of the cold budget that is used, less so many errors of chance
+	manyShare                 = 0.75       // of its limit in flight: the next worker gets the first copy
+	spread                    = 8.0        // workers for first copies, over those that a function fills
+	crowdedShare              = 0.5        // fewer workers than this with room: a jam
+	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
+	backedShare               = 0.5        // a report is believed for so much of the longest target time
+	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
 )
 
 // New starts the Chooser of front end self of peers; quantum is the least time between two calls.
@@ -66,7 +61,6 @@
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
 }
 
-// AddType tells of an event type.
 func (c *Chooser) AddType(t EventType) {
 	t.Target = max(t.Target, time.Millisecond)
 	c.types[t.Name] = &evtType{EventType: t, seen: 1, mean: part(firstShare, t.Target)}
@@ -84,7 +78,7 @@
 	c.mostLaunches, c.cancel, c.probing, c.mostBack = max(1, launches), cancel, probe, back
 }
 
-// Loading tells how functions come to workers, how long an idle copy and an order last, and the ration of orders.
+// Loading tells how functions come to workers, how long copies and orders last, and the ration of orders.
 func (c *Chooser) Loading(orders, onMiss bool, keep, limit, within time.Duration, free, share float64) {
 	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, limit
 	c.rationed, c.orderFree, c.orderShare = within > 0, free, share
@@ -102,7 +96,6 @@
 	c.askAt, c.askWait = 0, max(within/8, time.Millisecond)
 }
 
-// part is a share of a time.
 func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
 
 // rank orders the workers of a function by hash; salt 0 gives the order that all front ends share.
@@ -168,8 +161,8 @@
 	return c.coldFrom + (1-c.coldFrom)*warm
 }
 
-// coldPause keeps a cold worker from being pushed over (rule 4): the least time between two launches to it. Its
-// capacity is not told: the mean work seen handled is taken for it. Launches of many front ends bunch by chance.
+// coldPause keeps a cold worker from being pushed over (rule 4): least time between two launches to it. Its
+// capacity is not told: the mean work seen handled is taken. Launches of many front ends bunch by chance.
 func (c *Chooser) coldPause(w *worker, weight float64, now time.Duration) time.Duration {
 	most := time.Duration(c.peers) * c.fall // with nothing known all front ends together send one in c.fall
 	mean := c.work.Inner(now) / 8 / float64(max(1, len(c.list)))
@@ -184,15 +177,13 @@
 		now >= w.coldLast+part(w.coldPart, c.coldPause(w, c.weigh(e), now))
 }
 
-// portion is this front end's part of all traffic: an even split, or what it sees itself of the shares of all
-// tenants where that is more. Clients may be spread unevenly.
+// portion is this front end's part of all traffic: an even split, or what it sees of the tenants' shares.
 func (c *Chooser) portion(now time.Duration) float64 {
 	seen := c.fresh.All(now) / freshSpan.Seconds() / cmp.Or(c.shares, math.Inf(1))
 	return min(1, max(1/float64(c.peers), seen))
 }
 
-// survey counts what is asked of all workers: launches in flight, whether bars are believed, and whether few
-// workers have room left: a jam.
+// survey counts launches in flight, whether bars are believed, and whether few workers have room: a jam.
 func (c *Chooser) survey(now time.Duration) {
 	in, bad, free := 0.0, 0.0, 0.0
 	c.inFlight = 0
@@ -215,8 +206,7 @@
 	c.unbelieved, c.jam = bad > believed*in, c.full() || free < crowdedShare*max(in, 1)
 }
 
-// usable tells whether new work may go to a worker: not where it is drained or gone (rule 3), nor barred, unless
-// most are: that must not leave the front end without any.
+// usable: not drained nor gone (rule 3), nor barred unless most are, which must not leave us without any.
 func (c *Chooser) usable(w *worker, now time.Duration) bool {
 	return w.listed && w.Condition == In && (now >= w.barred && (!w.trial || len(w.out) == 0) || c.unbelieved)
 }
@@ -268,8 +258,8 @@
 	c.all.follow(now, took, max(may, enoughShare*float64(t.Target)), c.inFlight, portion)
 }
 
-// follow moves a limit by the ratio of what answers may take to what they take. Among many front ends each meets
-// a worker too seldom to judge it alone, and their least limits add up: hence the one for all workers.
+// follow moves a limit by what answers may take to what they take. That of all workers is for a front end
+// among many: it meets each worker too seldom to judge it, and the least limits of all of them add up.
 func (l *limited) follow(now, took time.Duration, may float64, out int, portion float64) {
 	l.took.Add(now, float64(took))
 	l.may.Add(now, may)
@@ -283,12 +273,10 @@
 	}
 }
 
-// mean is the average of a function's last latencies.
 func (f *function) mean() time.Duration { return max(1, f.past.Mean(firstLatency)) }
 
 func (c *Chooser) expected(f *function) time.Duration { return max(f.mean(), f.typ.mean/2) }
 
-// usualLoad is the usual time of a load, the target time where it is not told.
 func (f *function) usualLoad() time.Duration { return cmp.Or(f.load, f.typ.Target) }
 
 func (f *function) at(w *worker) *standing {
@@ -339,7 +327,7 @@
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
 	f.came.Add(now, 1)
 	c.came.Add(now, 1)
-	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 { // a tick with arrivals and no queue advances too
+	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 { // a tick without a queue advances too
 		f.next, f.arrived = now+c.tick(f), 0
 		backed := func(s *standing) bool { return now < s.w.backed }
 		if c.homes(f, now) > 1 || slices.ContainsFunc(f.stands, backed) {
@@ -413,12 +401,11 @@
 	var first uint64
 	for _, s := range f.stands {
 		r := last(rank(s.w, f.id, c.self+1), now < s.w.backed || s.w.mute(now))
+		free := s.busy < s.copies*f.lanes && s.w != e.avoid
 		if spill {
 			r = uint64(len(s.w.out))
-		} else if s.busy >= s.copies*f.lanes || s.w == e.avoid {
-			continue
 		}
-		if (best == nil || r < first) && c.fits(s, e, now) {
+		if (free || spill) && (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
 		}
 	}
@@ -551,15 +538,14 @@
 // Loaded takes the answer to a load order.
 func (c *Chooser) Loaded(now time.Duration, o Order, r Result, took time.Duration) {
 	w, f := c.workers[o.Worker], c.fns[o.Function]
-	if w == nil || f == nil {
+	if c.loadsOut--; w == nil || f == nil {
 		return
 	}
-	// A crowded store or memory shows in loads that fail or take long, whatever crowds it.
 	usual := f.usualLoad()
-	if c.loadsOut--; r != Handled {
+	if r != Handled {
 		took = max(took, part(loadPatience, usual))
 	}
-	if took > usual/4 { // else the copies stood
+	if took > usual/4 { // else the copies stood; a crowded store or memory shows in loads that fail or take long
 		c.loads.follow(now, took, slowLoad*float64(usual), c.loadsOut, 1)
 	}
 	s := f.at(w)
@@ -617,8 +603,8 @@
 	return st
 }
 
-// serve releases a function's held events, oldest first, and gives up those past hope (rule 1: in time). Events
-// that can't make their target time come after those of all functions that can: old must not make young late.
+// serve releases a function's held events, oldest first, and gives up those past hope (rule 1: in time).
+// Those that can't make their target time come after all that can: old must not make young late.
 func (c *Chooser) serve(f *function, late bool, now time.Duration, st *Steps) time.Duration {
 	wake := time.Duration(math.MaxInt64)
 	kept := f.queue[:0]
@@ -637,21 +623,18 @@
 				give = s == nil && e.risk == nil && (late || e.over) && c.jam
 			}
 		}
-		switch {
-		case give:
+		if give {
 			st.Answers = append(st.Answers, c.give(e, now))
-		case s != nil:
+		} else if s != nil {
 			st.Answers = append(st.Answers, c.launch(e, s, false, now))
-		default:
-			kept = append(kept, e)
-			wake = min(wake, last)
+		} else {
+			kept, wake = append(kept, e), min(wake, last)
 		}
 	}
 	f.queue = kept
 	return wake
 }
 
-// tick is the length of a function's tick.
 func (c *Chooser) tick(f *function) time.Duration {
 	return max(part(tickShare, f.typ.Target), c.quantum, 1)
 }
@@ -663,13 +646,13 @@
 	} else if now < f.next {
 		return f.next
 	}
-	have, under := 0, 0
+	have, under, short, queued := 0, 0, 0, len(f.queue)
 	for _, s := range f.stands { // what stands at a worker that can't be used is no instance
 		if c.usable(s.w, now) && !s.w.mute(now) && now >= max(s.shut, s.w.refuses[f.tenant].until) {
 			have, under = have+s.copies, under+s.loading
 		}
 	}
-	short, total, queued := 0, have+under, len(f.queue)
+	total := have + under
 	power := float64(c.tick(f)) / float64(f.mean()) * float64(f.lanes)
 	required := int(math.Ceil(float64(queued) / power))
 	switch {
@@ -694,8 +677,8 @@
 	return f.next
 }
 
-// load orders one copy: the function's first at the first worker of the order that all front ends share,
-// the others at random. Where no order may be given the oldest event itself goes there to bring it.
+// load orders one copy, the first where target says, others at random. Where no order may be given the oldest
+// event goes there itself to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
 	if w == nil || !first && c.jam || float64(c.loadsOut) >= c.loads.limit {
@@ -747,8 +730,8 @@
 	})
 }
 
-// homes is the number of workers on which the front ends put their first copies of a function, by its part of
-// the traffic. Each sees few of its events at the first worker of the shared order; together they overrun it.
+// homes is the number of workers for first copies of a function, by its part of the traffic: each front end
+// sees few of its events at the first worker of the shared order; together they would overrun it.
 func (c *Chooser) homes(f *function, now time.Duration) int {
 	n := f.came.All(now)
 	part := (n - 1) / (c.came.All(now) + averaged) // one event tells nothing
