--- a/choice/choice.go
+++ b/choice/choice.go
@@ -141,7 +141,6 @@
 	}
 }
 
-// limits starts a limit: this front end's part of so many launches.
 func (c *Chooser) limits(first float64) limited {
 	return limited{limit: max(leastLimit, first/float64(c.peers)),
 		took: window.New(2 * c.longest), may: window.New(2 * c.longest)}
@@ -329,8 +328,7 @@
 	c.came.Add(now, 1)
 	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 { // a tick without a queue advances too
 		f.next, f.arrived = now+c.tick(f), 0
-		backed := func(s *standing) bool { return now < s.w.backed }
-		if c.homes(f, now) > 1 || slices.ContainsFunc(f.stands, backed) {
+		if c.homes(f, now) > 1 {
 			c.grown = append(c.grown, f)
 		}
 	}
@@ -353,7 +351,9 @@
 	}
 	if len(f.queue) == 0 {
 		c.refresh(f, now)
-		if s := c.warm(f, e, false, now); s != nil && c.known(s.w, now) {
+		if s := c.warm(f, e, false, now); s != nil && now < s.w.backed {
+			c.grown = append(c.grown, f)
+		} else if s != nil && c.known(s.w, now) {
 			return c.launch(e, s, false, now)
 		}
 	}
@@ -532,7 +532,6 @@
 	return max(2*c.quantum, min(2*c.expected(e.fn), e.Patience/2))
 }
 
-// Left says that the client has gone.
 func (c *Chooser) Left(e *Event) { e.ended = true }
 
 // Loaded takes the answer to a load order.
@@ -616,7 +615,8 @@
 		last := e.ends - c.lastCall(e)
 		give := now >= last || c.spent(e, now)
 		if !give && late == (now+c.expected(f) > e.due) {
-			if s = c.warm(f, e, false, now); s != nil && !c.known(s.w, now) {
+			s = c.warm(f, e, false, now) // where events wait, a copy elsewhere may be heard of in a moment
+			if s != nil && (!c.known(s.w, now) || now < min(s.w.backed, e.came+firstLatency)) {
 				s, wake = nil, min(wake, now+firstLatency)
 			} else if s == nil && now >= e.came+part(overflowShare, e.typ.Target) {
 				s = c.warm(f, e, true, now)
