--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -248,3 +248,162 @@
 	// Output:
 	// 0 e0 2 ; 0 e1 2 ; 0 e2 2 ; 0
 }
+
+// Among many front ends the first copies of a busy function stand on many workers, those of a rare one on few.
+func Example_manyFrontEnds() {
+	for _, every := range []int{50, 2} {
+		homes := map[string]bool{}
+		for self := range 40 {
+			b := fleet(self, 40, 20)
+			for i := range 50 {
+				e := &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 4}
+				if i%every > 0 {
+					e.Function = uint64(100 + i)
+				}
+				b.Place(b.now, e)
+				st := b.Wait(b.now)
+				b.loaded(st)
+				for _, o := range st.Orders {
+					if o.Function == 9 {
+						homes[o.Worker] = true
+					}
+				}
+				for _, a := range b.Wait(b.now).Answers {
+					b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 100 * ms, Final: true})
+				}
+				b.now += 200 * ms
+			}
+		}
+		fmt.Println("one event of", every, "workers with first copies", len(homes), "of 20")
+	}
+	// Output:
+	// one event of 50 workers with first copies 1 of 20
+	// one event of 2 workers with first copies 20 of 20
+}
+
+// Rule 4 for all front ends together: a hundred that know nothing yet send a new worker about one event a second.
+func Example_coldWorkerOfMany() {
+	launched := 0
+	for self := range 100 {
+		b := fleet(self, 100, 1)
+		b.Listed(b.now, true, []choice.Listing{{Worker: "n", Started: b.now}})
+		for range 20 {
+			b.Place(b.now, &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 32})
+			st := b.Wait(b.now)
+			b.loaded(st)
+			for _, a := range append(st.Answers, b.Wait(b.now).Answers...) {
+				if a.Verb == choice.Launch {
+					launched++
+				}
+			}
+			b.now += 50 * ms
+		}
+	}
+	fmt.Println("in the first second", launched)
+	// Output:
+	// in the first second 2
+}
+
+// Clients that leave early and repeat at once: a few of a tenant's marked repeats are taken, the rest deferred.
+func Example_repeats() {
+	b := newBench(1)
+	b.AddTenant("n", 1000)
+	for _, repeat := range []bool{false, true} {
+		held := 0
+		for range 40 {
+			e := &choice.Event{Type: "redeliverable", Tenant: "n", Function: 9, Patience: 300 * ms, Repeat: repeat}
+			if b.Place(b.now, e).Verb == choice.Hold {
+				held++
+			}
+		}
+		fmt.Println("repeat", repeat, "held", held, "of 40")
+	}
+	// Output:
+	// repeat false held 40 of 40
+	// repeat true held 3 of 40
+}
+
+// A worker where others' events wait comes last: a first copy goes to the next of the order.
+func Example_backedUp() {
+	for _, waiting := range []float64{0, 9} {
+		b := newBench(1)
+		b.Probed(b.now, "c", choice.Handled, choice.Load{Told: true, Waiting: waiting})
+		b.place("e", "redeliverable", 9)
+		b.step(0)
+	}
+	// Output:
+	// 0s e hold
+	// 0s load 9 x1 on c
+	// 0s e hold
+	// 0s load 9 x1 on a
+}
+
+// A first copy ordered at a worker that then leaves a probe unanswered does not stand in for one elsewhere.
+func Example_unansweredProbe() {
+	b := newBench(1)
+	b.Allowed(4, true, true, 500*ms)
+	b.place("e", "redeliverable", 9)
+	st := b.step(0)
+	fmt.Println("probe", st.Probes)
+	b.Probed(b.now, st.Probes[0], choice.TimedOut, choice.Load{})
+	st = b.step(250 * ms)
+	b.Probed(b.now, st.Probes[0], choice.Handled, choice.Load{Told: true})
+	b.loaded(st)
+	b.step(0)
+	// Output:
+	// 0s e hold
+	// 0s load 9 x1 on c
+	// probe [c]
+	// 250ms load 9 x1 on a
+	// 250ms e launch on a
+}
+
+// A worker that is full for one tenant stays open to the others.
+func Example_tenantRefused() {
+	b := newBench(1)
+	b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
+	for i, tenant := range []string{"m", "m", "n"} {
+		e := &choice.Event{ID: fmt.Sprint("e", i), Type: "redeliverable", Tenant: tenant, Function: uint64(i),
+			Patience: 3000 * ms, Lanes: 1}
+		b.show(b.Place(b.now, e))
+		b.loaded(b.step(0))
+		if b.step(0); e.Outstanding() && i == 0 {
+			b.after(e, choice.Full, 200*ms)
+		}
+	}
+	// Output:
+	// 0s e0 hold
+	// 0s load 0 x1 on a
+	// 0s e0 launch on a
+	// 0s e0 hold
+	// 0s e1 hold
+	// 0s e2 hold
+	// 0s load 2 x1 on a
+	// 0s e2 launch on a
+}
+
+// A front end among many that sees only slow answers lowers what it has in flight at all workers together.
+func Example_limitOfAll() {
+	for _, took := range []time.Duration{100 * ms, 900 * ms} {
+		b := fleet(0, 50, 20)
+		for i := range 400 {
+			e := &choice.Event{Type: "redeliverable", Function: uint64(i % 20), Patience: 3000 * ms, Lanes: 4}
+			b.Place(b.now, e)
+			b.loaded(b.Wait(b.now))
+			b.Wait(b.now)
+			if e.Outstanding() {
+				b.After(b.now, e, choice.Outcome{Result: choice.Handled, Took: took, Final: true})
+			}
+			b.now += 20 * ms
+		}
+		out := 0
+		for i := range 40 {
+			e := &choice.Event{Type: "redeliverable", Function: uint64(i % 20), Patience: 3000 * ms, Lanes: 4}
+			if b.Place(b.now, e).Verb == choice.Launch {
+				out++
+			}
+		}
+		fmt.Println("answers of", took, "in flight at once", out)
+	}
+	// Output:
+}
--- a/choice/help_test.go
+++ b/choice/help_test.go
@@ -71,3 +71,18 @@
 		b.Loaded(b.now, o, choice.Handled, 400*ms)
 	}
 }
+
+// fleet starts front end self of peers over so many workers; it prints nothing by itself.
+func fleet(self, peers, workers int) *bench {
+	b := &bench{Chooser: choice.New(uint64(self), self, peers, 2*ms), now: time.Hour}
+	b.AddType(choice.EventType{Name: "redeliverable", Target: 1000 * ms})
+	b.Allowed(4, true, false, 500*ms)
+	b.Loading(true, true, 10000*ms, 5000*ms, 0, 0, 0)
+	b.ColdStarts(0.2, 10000*ms, 2, 1000*ms)
+	var news []choice.Listing
+	for i := range workers {
+		news = append(news, choice.Listing{Worker: fmt.Sprint("w", i)})
+	}
+	b.Listed(b.now, true, news)
+	return b
+}
