--- a/choice/choice.go
+++ b/choice/choice.go
@@ -254,7 +254,7 @@
 	}
 	may, portion := tolerance*float64(t.short), c.portion(now)
 	w.follow(now, took, may, len(w.out), portion)
-	c.all.follow(now, took, max(may, enoughShare*float64(t.Target)), c.inFlight, portion)
+	c.all.follow(now, min(took, t.Target), enoughShare*float64(t.Target), c.inFlight, portion)
 }
 
 // follow moves a limit by what answers may take to what they take. That of all workers is for a front end
