--- a/choice/choice.go
+++ b/choice/choice.go
@@ -360,7 +360,6 @@
 	return c.hold(e)
 }
 
-// hold queues an event by age.
 func (c *Chooser) hold(e *Event) Answer {
 	f := e.fn
 	i, _ := slices.BinarySearchFunc(f.queue, e.came+1, func(x *Event, t time.Duration) int {
@@ -395,12 +394,11 @@
 		(!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
 
-// warm finds a believed-warm copy: with a free lane the first of the function's salted order, backed up ones
-// last; with spill the one with the fewest own events in flight, lane or not.
+// warm finds a believed-warm copy: a free lane by the salted order, or with spill the fewest own in flight.
 func (c *Chooser) warm(f *function, e *Event, spill bool, now time.Duration) (best *standing) {
 	var first uint64
 	for _, s := range f.stands {
-		r := last(rank(s.w, f.id, c.self+1), now < s.w.backed || s.w.mute(now))
+		r := last(rank(s.w, f.id, c.self+1), s.w.behind(now))
 		free := s.busy < s.copies*f.lanes && s.w != e.avoid
 		if spill {
 			r = uint64(len(s.w.out))
@@ -450,7 +448,9 @@
 	}
 	w := s.w
 	c.survey(now)
-	c.told(w, o.Load, now)
+	if c.told(w, o.Load, now); o.Took >= e.typ.Target && len(w.out) == 1 {
+		w.late = now + c.longest
+	}
 	e.out, s.busy = nil, s.busy-1
 	w.out = slices.DeleteFunc(w.out, func(x *Event) bool { return x == e })
 	switch o.Result {
@@ -503,7 +503,10 @@
 	return now >= w.probedAt+firstLatency
 }
 
-// mute tells of a probe unanswered: what is loaded or loading there may never be heard of.
+// behind tells of a worker that comes last: others' events wait there, it answered late, or it is mute.
+func (w *worker) behind(now time.Duration) bool { return now < max(w.backed, w.late) || w.mute(now) }
+
+// mute tells of a probe unanswered: what is loading there may never be heard of.
 func (w *worker) mute(now time.Duration) bool {
 	return w.deaf || w.probed && now >= w.probedAt+firstLatency
 }
@@ -677,8 +680,7 @@
 	return f.next
 }
 
-// load orders one copy, the first where target says, others at random. Where no order may be given the oldest
-// event goes there itself to bring it.
+// load orders one copy; where no order may be given the oldest event goes there itself to bring it.
 func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
 	w := c.target(f, first, now)
 	if w == nil || !first && c.jam || float64(c.loadsOut) >= c.loads.limit {
@@ -721,8 +723,7 @@
 		return fit[c.chance.Below(len(fit))]
 	}
 	order := func(w *worker) uint64 { // those that hold many events last
-		many := now < w.backed || w.mute(now) || float64(len(w.out)) >= manyShare*w.limit
-		return last(rank(w, f.id, 0), many)
+		return last(rank(w, f.id, 0), w.behind(now) || float64(len(w.out)) >= manyShare*w.limit)
 	}
 	slices.SortFunc(fit, func(v, w *worker) int { return cmp.Compare(order(v), order(w)) })
 	return slices.MinFunc(fit[:min(len(fit), c.homes(f, now))], func(v, w *worker) int {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -406,4 +406,6 @@
 		fmt.Println("answers of", took, "in flight at once", out)
 	}
 	// Output:
+	// answers of 100ms in flight at once 7
+	// answers of 900ms in flight at once 2
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -203,6 +203,7 @@
 	probed   bool          // a probe is out since probedAt
 	deaf     bool          // the last probe failed, nothing came since
 	probedAt time.Duration
+	late     time.Duration      // until then it comes last for a late answer
 	backed   time.Duration      // until then it is believed to have events waiting
 	refuses  map[string]refusal // by tenant
 	coldLast time.Duration      // last launch while cold, or when it was heard of
