--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,7 @@
 	growth, shortLasts        = 0.1, 20000 // least part for growth; answers that grow the shortest time e times
 	loadPatience, slowLoad    = 4.0, 2.0   // usual loads after which an order is lost; that tell a crowded store
 	coldSafety, coldChance    = 0.9, 1.0   // part of the cold budget that is used, less so many errors of chance
-	manyShare                 = 0.75       // of its limit in flight: the next worker gets the first copy
+	manyShare, fullFall       = 0.75, 0.9  // of its limit in flight: the next; what a refusal leaves of it
 	spread                    = 8.0        // workers for first copies, over those that a function fills
 	crowdedShare              = 0.5        // fewer workers than this with room: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
@@ -103,7 +103,6 @@
 	return chance.Mix(w.hash ^ chance.Mix(fn+uint64(salt)<<44))
 }
 
-// last puts a rank behind all others where that is true.
 func last(rank uint64, behind bool) uint64 {
 	if behind {
 		return rank>>1 | 1<<63
@@ -412,7 +411,6 @@
 
 func (c *Chooser) weigh(e *Event) float64 { return float64(max(e.typ.mean, firstLatency)) }
 
-// anywhere tells whether a repeat is harmless at any worker.
 func (t *evtType) anywhere() bool {
 	return t.Effect == Redeliverable || t.Effect == Keyed && t.Group == GroupAll
 }
@@ -464,8 +462,12 @@
 			c.pace(w, e, o.Took, now)
 		}
 	case Full: // whatever the reason, a tenant refused again and again is served elsewhere; others stay
-		row := min(w.refuses[e.Tenant].row+1, refusedMost)
-		w.refuses[e.Tenant] = refusal{row: row, until: now + part(refusedShare, f.typ.Target)<<row}
+		r := refusal{row: min(w.refuses[e.Tenant].row+1, refusedMost)}
+		s.shut = now + part(refusedShare, f.typ.Target)<<r.row
+		if w.limit = max(leastLimit, w.limit*fullFall); o.Load.Told && o.Load.Waiting < 1 { // it has room
+			r.until = s.shut
+		}
+		w.refuses[e.Tenant] = r
 	case Unreached, Broken: // a process that died comes back with a new start; a broken line does not
 		c.fail(w, now)
 	case TimedOut:
@@ -491,9 +493,9 @@
 	return c.hold(e)
 }
 
-// known tells whether a worker's load was reported lately. If not it is probed, and the event waits a moment.
+// known tells whether a load was reported lately; else, with fewer workers than front ends, it probes.
 func (c *Chooser) known(w *worker, now time.Duration) bool {
-	if !c.probing || now < w.toldAt+part(backedShare, c.longest) {
+	if !c.probing || c.peers <= len(c.list) || now < w.toldAt+part(backedShare, c.longest) {
 		return true
 	}
 	if !w.probed {
@@ -511,7 +513,6 @@
 	return w.deaf || w.probed && now >= w.probedAt+firstLatency
 }
 
-// Probed takes the answer to a probe.
 func (c *Chooser) Probed(now time.Duration, name string, r Result, l Load) {
 	if w := c.workers[name]; w != nil {
 		w.probed = false
@@ -711,7 +712,6 @@
 	return !c.rationed || c.ordered.All(now)+1 <= c.orderFree+c.orderShare*c.taken.Inner(now)
 }
 
-// target chooses the worker for a load.
 func (c *Chooser) target(f *function, first bool, now time.Duration) *worker {
 	fit := slices.DeleteFunc(slices.Clone(c.list), func(w *worker) bool {
 		full := func(s *standing) bool { return s.w == w && now < s.shut }
