--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -358,7 +358,7 @@
 	// 250ms e launch on a
 }
 
-// A worker that is full for one tenant stays open to the others.
+// A worker with room that is full for one tenant stays open to the others.
 func Example_tenantRefused() {
 	b := newBench(1)
 	b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
@@ -368,7 +368,7 @@
 		b.show(b.Place(b.now, e))
 		b.loaded(b.step(0))
 		if b.step(0); e.Outstanding() && i == 0 {
-			b.after(e, choice.Full, 200*ms)
+			b.show(b.After(b.now, e, choice.Outcome{Result: choice.Full, Load: choice.Load{Told: true}}))
 		}
 	}
 	// Output:
