Loads tell compile time apart; the model is called directly as the benchmarks' baseline

Cold loads of wasm told one figure for compiling and starting, and warm calls had no baseline. A copy tells with its first question how long it compiled; the preview's model is a package of its own.

--- a/examples/preview/main.go
+++ b/examples/preview/main.go
@@ -4,35 +4,13 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"math"
 
+	"lupinpond/examples/preview/score"
 	"lupinpond/function"
 )
 
-// weights of the model: one for each feature, the bias last.
-var weights = []float64{0.42, -0.17, 0.08, 1.3}
-
-type request struct {
-	Features []float64 `json:"features"`
-}
-
 func init() {
-	function.Handle(func(_ context.Context, input []byte) ([]byte, error) {
-		var r request
-		if err := json.Unmarshal(input, &r); err != nil {
-			return nil, fmt.Errorf("input: %w", err)
-		}
-		if len(r.Features) != len(weights)-1 {
-			return nil, fmt.Errorf("%d features, the model has %d", len(r.Features), len(weights)-1)
-		}
-		sum := weights[len(weights)-1]
-		for i, x := range r.Features {
-			sum += weights[i] * x
-		}
-		return json.Marshal(map[string]float64{"score": 1 / (1 + math.Exp(-sum))})
-	})
+	function.Handle(func(_ context.Context, input []byte) ([]byte, error) { return score.Score(input) })
 }
 
 func main() { function.MainLanes(2) }
--- a/function/host.go
+++ b/function/host.go
@@ -22,6 +22,7 @@
 	envRuntime       = "LUPINPOND_RUNTIME"
 	headerInvocation = "Lupin-Invocation"
 	headerLeft       = "Lupin-Left-Ms"
+	headerCompiled   = "Lupin-Compiled-Us"
 )
 
 // Main serves the runtime interface with one lane until the copy is asked to end.
@@ -40,6 +41,11 @@
 
 // ServeLanes takes events from the runtime interface, on lanes goroutines, until ctx ends or the interface says so.
 func ServeLanes(ctx context.Context, lanes int, h Handler) error {
+	return ServeCompiled(ctx, lanes, 0, h)
+}
+
+// ServeCompiled does the same and tells, with each question for an event, how long the code took to compile in this copy.
+func ServeCompiled(ctx context.Context, lanes int, took time.Duration, h Handler) error {
 	base := os.Getenv(envRuntime)
 	if base == "" || h == nil {
 		return errors.New("no " + envRuntime + " in the environment, or no handler")
@@ -50,7 +56,7 @@
 	for range max(1, lanes) {
 		g.Go(func() error {
 			for ctx.Err() == nil {
-				more, err := one(ctx, client, base, h)
+				more, err := one(ctx, client, base, took, h)
 				if err != nil || !more {
 					if err == nil {
 						err = errEnd // ends the other lanes
@@ -70,11 +76,14 @@
 var errEnd = errors.New("the copy ends")
 
 // one takes one event and posts its result.
-func one(ctx context.Context, client *http.Client, base string, h Handler) (more bool, err error) {
+func one(ctx context.Context, client *http.Client, base string, took time.Duration, h Handler) (more bool, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/next", nil)
 	if err != nil {
 		return false, err
 	}
+	if took > 0 {
+		req.Header.Set(headerCompiled, strconv.FormatInt(took.Microseconds(), 10))
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		if ctx.Err() != nil {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -30,6 +30,7 @@
 	EnvRuntime       = "LUPINPOND_RUNTIME" // base address of the runtime interface for this copy
 	HeaderInvocation = "Lupin-Invocation"  // id of an event for the response
 	HeaderLeft       = "Lupin-Left-Ms"     // what is left of its time
+	HeaderCompiled   = "Lupin-Compiled-Us" // of a question: how long the copy compiled its code
 )
 
 // Options of a Host.
@@ -85,6 +86,8 @@
 	why    error // it was ended for
 	ending bool  // it takes no event any more
 	number int
+
+	compiled time.Duration // told by the child before it is ready
 }
 
 type call struct {
@@ -151,7 +154,12 @@
 }
 
 func (h *Host) nextEvent(w http.ResponseWriter, r *http.Request, c *Copy) {
-	c.once.Do(func() { close(c.ready) })
+	c.once.Do(func() {
+		if us, err := strconv.ParseInt(r.Header.Get(HeaderCompiled), 10, 64); err == nil && us > 0 {
+			c.compiled = time.Duration(min(us, int64(h.o.Ready/time.Microsecond))) * time.Microsecond
+		}
+		close(c.ready)
+	})
 	select {
 	case <-r.Context().Done():
 	case <-c.dead:
@@ -279,6 +287,9 @@
 // Memory is what the operating system says that the copy holds: its part of shared pages included.
 func (c *Copy) Memory() (int64, error) { return Memory(c.cmd.Process.Pid) }
 
+// Compiled is how long the copy says that it compiled its code; it is known once Start has returned.
+func (c *Copy) Compiled() time.Duration { return c.compiled }
+
 // Folder is where its content stands.
 func (c *Copy) Folder() string { return c.pkg.Folder }
 
--- a/internal/runner/wasm.go
+++ b/internal/runner/wasm.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"time"
 
 	"github.com/tetratelabs/wazero"
 	"github.com/tetratelabs/wazero/api"
@@ -41,10 +42,12 @@
 	if _, err := wasi_snapshot_preview1.Instantiate(ctx, rt); err != nil {
 		return fmt.Errorf("wasm: %w", err)
 	}
+	began := time.Now()
 	module, err := rt.CompileModule(ctx, code)
 	if err != nil {
 		return fmt.Errorf("wasm: %w", err)
 	}
+	took := time.Since(began)
 	for _, name := range []string{exportInput, exportCall, exportReason} {
 		if module.ExportedFunctions()[name] == nil {
 			return fmt.Errorf("wasm: the module does not export %s", name)
@@ -58,7 +61,7 @@
 		}
 		free <- in
 	}
-	return function.ServeLanes(ctx, lanes, func(ctx context.Context, input []byte) ([]byte, error) {
+	return function.ServeCompiled(ctx, lanes, took, func(ctx context.Context, input []byte) ([]byte, error) {
 		in := <-free
 		out, err := in.call(ctx, input)
 		if err != nil && in.module.IsClosed() { // a trap or its end: the lane begins anew
--- a/internal/worker/bench_test.go
+++ b/internal/worker/bench_test.go
@@ -6,10 +6,12 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
 
+	"lupinpond/examples/preview/score"
 	"lupinpond/internal/config"
 	"lupinpond/internal/link"
 	"lupinpond/internal/pack"
@@ -49,8 +51,16 @@
 	}
 }
 
-// BenchmarkWarmCall is a call of the model on a copy that stands, of both kinds, over the link.
+// BenchmarkWarmCall is a call of the model on a copy that stands, of both kinds, over the link; direct is the same
+// function called in this process.
 func BenchmarkWarmCall(b *testing.B) {
+	b.Run("direct", func(b *testing.B) {
+		for range b.N {
+			if _, err := score.Score([]byte(`{"features":[1,2,3]}`)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
 	for _, kind := range []string{pack.Process, pack.Wasm} {
 		b.Run(kind, func(b *testing.B) {
 			_, call, end := bench(b, store)
@@ -66,7 +76,28 @@
 	}
 }
 
-// BenchmarkColdLoad splits a first load into fetch, verify and start (which compiles wasm), of both kinds.
+// BenchmarkMany is events a second of warm copies with 16 in hand at a time, of both kinds.
+func BenchmarkMany(b *testing.B) {
+	for _, kind := range []string{pack.Process, pack.Wasm} {
+		b.Run(kind, func(b *testing.B) {
+			_, call, end := bench(b, store)
+			defer end()
+			call("preview-"+kind, `{"features":[1,2,3]}`)
+			b.SetParallelism(max(1, 16/runtime.GOMAXPROCS(0)))
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if a := call("preview-"+kind, `{"features":[1,2,3]}`); a.Code != link.Done {
+						b.Error(a.Reason)
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
+
+// BenchmarkColdLoad splits a first load into fetch, verify, compile (wasm alone) and start, of both kinds.
 func BenchmarkColdLoad(b *testing.B) {
 	for _, kind := range []string{pack.Process, pack.Wasm} {
 		b.Run(kind, func(b *testing.B) {
@@ -76,9 +107,11 @@
 				call("preview-"+kind, `{"features":[1,2,3]}`)
 				l := w.Loads()[0]
 				sum.Fetch, sum.Verify, sum.Start = sum.Fetch+l.Fetch, sum.Verify+l.Verify, sum.Start+l.Start
+				sum.Compile += l.Compile
 				end()
 			}
-			for name, d := range map[string]time.Duration{"fetch": sum.Fetch, "verify": sum.Verify, "start": sum.Start} {
+			for name, d := range map[string]time.Duration{"fetch": sum.Fetch, "verify": sum.Verify, "compile": sum.Compile,
+				"start": sum.Start} {
 				b.ReportMetric(float64(d.Microseconds())/1000/float64(b.N), name+"-ms")
 			}
 		})
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -53,7 +53,7 @@
 )
 
 // Loading is how long the steps of a load took.
-type Loading struct{ Fetch, Verify, Start time.Duration }
+type Loading struct{ Fetch, Verify, Compile, Start time.Duration }
 
 // Troubles are how a worker misbehaves when told. The zero value does not.
 type Troubles struct {
@@ -538,7 +538,8 @@
 	if copy, err = w.host.Start(context.Background(), here); err != nil { // bounded by Ready
 		return took, nil, errors.Join(err, os.RemoveAll(folder))
 	}
-	took.Start = time.Since(at)
+	took.Compile = copy.Compiled()
+	took.Start = max(0, time.Since(at)-took.Compile)
 	w.o.Fail(PointStarted)
 	return took, copy, nil
 }
