Registers: repeats of keyed events are dropped across the workers of a group

The runtime dropped only repeats that came to the same worker, while event types are keyed in a zone or in all: an event relaunched on another worker could have its effect twice. Workers claim a key at an odd number of registers (lpworker register, bbolt) and run the event when more than half granted it. All 5832 orders and losses of two claims at three registers explored: never do both run. Keys of different tenants and types no longer meet.

--- a/cmd/lpworker/main.go
+++ b/cmd/lpworker/main.go
@@ -23,6 +23,7 @@
 
 	"lupinpond/internal/admit"
 	"lupinpond/internal/config"
+	"lupinpond/internal/keys"
 	"lupinpond/internal/pack"
 	"lupinpond/internal/roster"
 	"lupinpond/internal/runner"
@@ -33,29 +34,31 @@
 type cli struct {
 	telemetry.Flags
 	Serve    serveCmd `cmd:"" default:"withargs" help:"Load packages and run events."`
+	Register regCmd   `cmd:"" help:"Keep the keys of keyed events for a group of workers."`
 	Pack     packCmd  `cmd:"" help:"Write the manifest of a package whose content stands in a folder."`
 	WasmCopy wasmCmd  `cmd:"" hidden:"" help:"Run one copy of a wasm package (started by the worker itself)."`
 }
 
 type serveCmd struct {
-	Name    string        `required:"" help:"Name in the list of workers."`
-	Listen  string        `default:"127.0.0.1:0" help:"Where front ends come."`
-	Folder  string        `required:"" help:"This worker's own folder: journal, fetched packages, compiled code." type:"path"`
-	Store   string        `required:"" help:"Folder of packages: NAME/VERSION/manifest.yaml." type:"existingdir"`
-	List    string        `default:"http://127.0.0.1:8710" help:"Address of lproster; empty: it is put on no list."`
-	Lease   time.Duration `default:"3s" help:"Unless renewed for so long it is taken off the list."`
-	Zone    string        `default:"zone-0"`
-	Cell    string        `default:"0"`
-	Cores   float64       `default:"2" help:"Cores, as the list tells them."`
-	Memory  int64         `default:"2048" help:"MiB for all copies."`
-	Running int           `default:"8" help:"Events at a time."`
-	Waiting int           `default:"128" help:"Events that may wait; more are turned away as full."`
-	Loads   int           `default:"2" help:"Loads at a time."`
-	Keep    time.Duration `default:"8s" help:"An idle copy stays so long."`
-	Drain   time.Duration `default:"10s" help:"On SIGTERM, what runs or waits has so long to end."`
-	OnMiss  bool          `default:"true" negatable:"" help:"An event for a function without a copy has it loaded."`
-	Control string        `help:"Address of the control interface, which has the worker misbehave; off unless named."`
-	Effects string        `help:"File for the logs of all copies." type:"path"`
+	Name      string        `required:"" help:"Name in the list of workers."`
+	Listen    string        `default:"127.0.0.1:0" help:"Where front ends come."`
+	Folder    string        `required:"" help:"This worker's own folder: journal, fetched packages, compiled code." type:"path"`
+	Store     string        `required:"" help:"Folder of packages: NAME/VERSION/manifest.yaml." type:"existingdir"`
+	List      string        `default:"http://127.0.0.1:8710" help:"Address of lproster; empty: it is put on no list."`
+	Lease     time.Duration `default:"3s" help:"Unless renewed for so long it is taken off the list."`
+	Zone      string        `default:"zone-0"`
+	Cell      string        `default:"0"`
+	Cores     float64       `default:"2" help:"Cores, as the list tells them."`
+	Memory    int64         `default:"2048" help:"MiB for all copies."`
+	Running   int           `default:"8" help:"Events at a time."`
+	Waiting   int           `default:"128" help:"Events that may wait; more are turned away as full."`
+	Loads     int           `default:"2" help:"Loads at a time."`
+	Keep      time.Duration `default:"8s" help:"An idle copy stays so long."`
+	Drain     time.Duration `default:"10s" help:"On SIGTERM, what runs or waits has so long to end."`
+	OnMiss    bool          `default:"true" negatable:"" help:"An event for a function without a copy has it loaded."`
+	Registers []string      `help:"Registers of this worker's group, HOST:PORT,...; an odd number, the same for all of the group. None: it drops its own repeats only."`
+	Control   string        `help:"Address of the control interface, which has the worker misbehave; off unless named."`
+	Effects   string        `help:"File for the logs of all copies." type:"path"`
 }
 
 // Run serves until a signal; then it finishes what it has.
@@ -86,6 +89,12 @@
 		}
 		defer func() { err = errors.Join(err, o.Effects.Close()) }()
 	}
+	if len(c.Registers) > 0 {
+		if o.Group, err = keys.NewGroup(c.Registers, c.Lease, log); err != nil {
+			return err
+		}
+		defer o.Group.Close()
+	}
 	w, err := worker.New(o)
 	if err != nil {
 		return err
@@ -169,6 +178,58 @@
 	}
 }
 
+type regCmd struct {
+	Listen string `default:"127.0.0.1:0" help:"Where workers ask."`
+	Folder string `required:"" type:"path" help:"Where its file stands."`
+	Most   int    `default:"1000000" help:"Keys inside their windows; beyond it nothing is granted."`
+}
+
+// Run serves until a signal.
+func (c *regCmd) Run(ctx context.Context, log *slog.Logger) (err error) {
+	if err := config.Loopback(c.Listen); err != nil {
+		return err
+	}
+	if c.Most < 1 {
+		return errors.New("most is more than 0")
+	}
+	if err := os.MkdirAll(c.Folder, 0o755); err != nil {
+		return err
+	}
+	r, err := keys.Open(c.Folder, c.Most)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, r.Close()) }()
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return server.Shutdown(context.WithoutCancel(ctx))
+			case <-tick.C:
+				if _, err := r.Sweep(); err != nil {
+					return err
+				}
+			}
+		}
+	})
+	log.Info("register listens", "address", listener.Addr().String())
+	return g.Wait()
+}
+
 type packCmd struct {
 	Folder  string        `arg:"" type:"existingdir" help:"The package's folder, with its entry in it."`
 	Name    string        `required:"" help:"The function's name."`
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,369 @@
+package keys_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"lupinpond/internal/keys"
+)
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv("LP_TEST_REGISTER"); dir != "" {
+		claims(dir)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// fate is what happens to one message and its answer at one register.
+type fate int
+
+const (
+	arrives fate = iota
+	lost
+	answerLost
+)
+
+// Two workers claim one key at three registers, in every order at each of them and with every message or answer lost;
+// never do both run it, and where nothing is lost one does.
+func TestEveryOrderAndLoss(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const registers = 3
+	runs := map[string]int{}
+	hear := func(t *keys.Tally, i int, s keys.Said, h string, v keys.Verdict) keys.Verdict {
+		if v == keys.Undecided {
+			return t.Hear(i, s, h)
+		}
+		return v
+	}
+	type outcome struct {
+		said   [2]keys.Said
+		holder [2]string
+	}
+	at := func(first int, f [2]fate) outcome {
+		o := outcome{said: [2]keys.Said{keys.Failed, keys.Failed}}
+		var e keys.Entry
+		known := false
+		for _, who := range []int{first, 1 - first} {
+			if f[who] == lost {
+				continue
+			}
+			keep, changed, said, holder := keys.Ask(now, e, known, fmt.Sprint(who), time.Second)
+			if changed {
+				e, known = keep, true
+			}
+			if f[who] == arrives {
+				o.said[who], o.holder[who] = said, holder
+			}
+		}
+		return o
+	}
+	var outcomes [registers][]outcome
+	for i := range outcomes {
+		for first := range 2 {
+			for a := range 3 {
+				for b := range 3 {
+					outcomes[i] = append(outcomes[i], at(first, [2]fate{fate(a), fate(b)}))
+				}
+			}
+		}
+	}
+	total := 0
+	for _, x := range outcomes[0] {
+		for _, y := range outcomes[1] {
+			for _, z := range outcomes[2] {
+				var v [2]keys.Verdict
+				lossless := true
+				for who := range 2 {
+					tally := keys.NewTally(registers)
+					for i, o := range []outcome{x, y, z} {
+						v[who] = hear(tally, i, o.said[who], o.holder[who], v[who])
+						lossless = lossless && o.said[who] != keys.Failed
+					}
+					if v[who] == keys.Undecided {
+						t.Fatal("no verdict though all was heard: ", x, y, z)
+					}
+				}
+				if v[0] == keys.Run && v[1] == keys.Run {
+					t.Fatal("both run: ", x, y, z)
+				}
+				if lossless && v[0] != keys.Run && v[1] != keys.Run {
+					t.Fatal("nobody runs though nothing was lost: ", x, y, z)
+				}
+				total++
+				runs[fmt.Sprint(v)]++
+			}
+		}
+	}
+	if total != 18*18*18 || len(runs) < 5 {
+		t.Error(total, runs)
+	}
+}
+
+// A key whose claim was given back before it ran can be had by the next; one that was handled is a repeat of that.
+func TestGivenBackAndHandled(t *testing.T) {
+	g, registers := group(t, 3)
+	ctx := context.Background()
+	a, v := g.Claim(ctx, "k", time.Minute)
+	want(t, v, keys.Run)
+	_, v = g.Claim(ctx, "k", time.Minute)
+	want(t, v, keys.Repeat)
+	g.Release("k", a)
+	g.Close()
+	b, v := g.Claim(ctx, "k", time.Minute)
+	want(t, v, keys.Run)
+	g.Handled("k", b)
+	g.Release("k", a) // late: of another claim
+	g.Close()
+	_, v = g.Claim(ctx, "k", time.Minute)
+	want(t, v, keys.Handled)
+	registers[0].down.Store(true) // one of three is away: nothing changes
+	_, v = g.Claim(ctx, "k", time.Minute)
+	want(t, v, keys.Handled)
+	c, v := g.Claim(ctx, "other", time.Minute)
+	want(t, v, keys.Run)
+	registers[1].down.Store(true) // two are: nothing is run that is not known to be the first
+	_, v = g.Claim(ctx, "third", time.Minute)
+	want(t, v, keys.Unknown)
+	g.Handled("other", c)
+	g.Close()
+	registers[0].down.Store(false)
+	registers[1].down.Store(false)
+	_, v = g.Claim(ctx, "other", time.Minute) // register 2 knows
+	want(t, v, keys.Handled)
+	_, v = g.Claim(ctx, "third", time.Minute) // was given back where it had been granted
+	want(t, v, keys.Run)
+	short, v := g.Claim(ctx, "short", time.Millisecond)
+	want(t, v, keys.Run)
+	for end := time.Now().Add(10 * time.Second); ; {
+		again, v := g.Claim(ctx, "short", time.Millisecond)
+		if v == keys.Run && again != short {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("a key outlives its window")
+		}
+	}
+}
+
+// Fifty workers claim each of twenty keys at the same time, one register answering errors now and then: each key is
+// granted to one at most.
+func TestManyClaimsAtOnce(t *testing.T) {
+	g, registers := group(t, 3)
+	var count atomic.Int64
+	registers[1].every = &count
+	var ran [20]atomic.Int64
+	var all sync.WaitGroup
+	for range 50 {
+		for k := range ran {
+			all.Go(func() {
+				if _, v := g.Claim(context.Background(), fmt.Sprint("k", k), time.Minute); v == keys.Run {
+					ran[k].Add(1)
+				}
+			})
+		}
+	}
+	all.Wait()
+	some := 0
+	for k := range ran {
+		if n := ran[k].Load(); n > 1 {
+			t.Errorf("key %d was granted %d times", k, n)
+		} else if n == 1 {
+			some++
+		}
+	}
+	if some == 0 {
+		t.Error("no key was granted to anybody")
+	}
+}
+
+// A register that is killed at any moment knows every claim that it granted.
+func TestKilledRegister(t *testing.T) {
+	dir := t.TempDir()
+	granted := 0
+	for round := range 5 {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "LP_TEST_REGISTER="+dir, fmt.Sprint("LP_TEST_ROUND=", round))
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		var text bytes.Buffer
+		buf := make([]byte, 4096)
+		for strings.Count(text.String(), "\n") < 40*(round+1) {
+			n, err := out.Read(buf)
+			text.Write(buf[:n])
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := cmd.Process.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		for { // what it had said before its end
+			n, err := out.Read(buf)
+			text.Write(buf[:n])
+			if err != nil {
+				break
+			}
+		}
+		_ = cmd.Wait()
+		r, err := keys.Open(dir, 1<<20)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(text.String()) {
+			if !strings.HasSuffix(line, "\n") {
+				continue
+			}
+			key := strings.TrimSpace(line)
+			said, holder, err := r.Claim(key, "another", time.Hour)
+			if said != keys.Held || holder != "first" || err != nil {
+				t.Errorf("%s: %v by %q, %v", key, said, holder, err)
+			}
+			granted++
+		}
+		if err := r.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if granted < 600 {
+		t.Error(granted, " claims")
+	}
+}
+
+func claims(dir string) {
+	r, err := keys.Open(dir, 1<<20)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	for i := 0; ; i++ {
+		key := fmt.Sprint("k", os.Getenv("LP_TEST_ROUND"), "-", i)
+		if said, _, err := r.Claim(key, "first", time.Hour); said == keys.Granted && err == nil {
+			fmt.Println(key)
+		}
+	}
+}
+
+// A register that is full of keys inside their windows grants no other, and does once windows are over.
+func TestFullRegister(t *testing.T) {
+	r, err := keys.Open(t.TempDir(), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	for i, c := range []struct {
+		key    string
+		window time.Duration
+		err    error
+	}{{"a", time.Hour, nil}, {"b", time.Millisecond, nil}, {"a", time.Hour, nil}} {
+		if _, _, err := r.Claim(c.key, "c", c.window); !errors.Is(err, c.err) {
+			t.Error(i, err)
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); ; { // b's window ends
+		_, _, err := r.Claim("c", "c", time.Hour)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, keys.ErrFull) || time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := r.Claim("d", "c", time.Hour); !errors.Is(err, keys.ErrFull) {
+		t.Error("granted past its most: ", err)
+	}
+	if err := r.Release("a", "c"); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := r.Claim("d", "c", time.Hour); err != nil {
+		t.Error("nothing is granted after a key was given back: ", err)
+	}
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add("claim", `{"key":"k","claim":"c","window-ms":10}`)
+	f.Add("claim", `{"key":"k","claim":"c","window-ms":9223372036854775807}`)
+	f.Add("release", `{"key":"","claim":"c"}{}`)
+	f.Add("handled", `{"key":"`+strings.Repeat("k", 3000)+`","claim":"c"}`)
+	r, err := keys.Open(f.TempDir(), 100)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { r.Close() })
+	h := r.Handler()
+	f.Fuzz(func(t *testing.T, path, body string) {
+		switch path {
+		case "claim", "handled", "release":
+		default:
+			return
+		}
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/"+path, strings.NewReader(body)))
+		if w.Code == 500 || w.Code >= 400 && w.Body.Len() == 0 {
+			t.Errorf("%s %q: %d %s", path, body, w.Code, w.Body)
+		}
+	})
+}
+
+type standing struct {
+	down  atomic.Bool
+	every *atomic.Int64 // every third request fails
+	h     http.Handler
+}
+
+func (s *standing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.down.Load() || s.every != nil && s.every.Add(1)%3 == 0 {
+		http.Error(w, "away", http.StatusServiceUnavailable)
+		return
+	}
+	s.h.ServeHTTP(w, r)
+}
+
+func group(t *testing.T, n int) (*keys.Group, []*standing) {
+	var at []string
+	var all []*standing
+	for range n {
+		r, err := keys.Open(t.TempDir(), 10000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &standing{h: r.Handler()}
+		server := httptest.NewServer(s)
+		t.Cleanup(func() {
+			server.Close()
+			r.Close()
+		})
+		at, all = append(at, strings.TrimPrefix(server.URL, "http://")), append(all, s)
+	}
+	g, err := keys.NewGroup(at, 5*time.Second, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return g, all
+}
+
+func want(t *testing.T, got, want keys.Verdict) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("verdict %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/internal/keys/store.go
@@ -0,0 +1,279 @@
+package keys
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	bolt "go.etcd.io/bbolt"
+)
+
+const (
+	format    = 1
+	maxKey    = 2048 // bytes
+	maxClaim  = 64
+	maxWindow = 24 * time.Hour
+	maxBody   = 8 << 10
+	sweepMost = 1000 // entries in one transaction
+)
+
+var (
+	bucketKeys = []byte("keys") // Entry by key
+	bucketEnds = []byte("ends") // end of the window, then the key
+	bucketMeta = []byte("meta")
+)
+
+// ErrFull says that a register has as many keys inside their windows as it may keep.
+var ErrFull = errors.New("the register is full")
+
+// Register is one register: entries that survive the process and the machine, and the HTTP interface to them.
+type Register struct {
+	db   *bolt.DB
+	most int
+	now  func() time.Time
+}
+
+// message is the body of every request to a register.
+type message struct {
+	Key    string `json:"key"`
+	Claim  string `json:"claim"`
+	Window int64  `json:"window-ms,omitempty"`
+}
+
+// answer is the body of the answer to a claim.
+type answer struct {
+	Said   string `json:"said"` // granted, held, done
+	Holder string `json:"holder,omitempty"`
+}
+
+// Open opens or makes a register's file in a folder. Another process that has it open is an error. It keeps at most most
+// keys; while as many are inside their windows it grants nothing.
+func Open(folder string, most int) (*Register, error) {
+	path := filepath.Join(folder, "register.bolt")
+	db, err := bolt.Open(path, 0o644, &bolt.Options{Timeout: time.Second})
+	if err != nil {
+		return nil, fmt.Errorf("register %s: %w", path, err)
+	}
+	db.MaxBatchDelay = time.Millisecond // claims that come together are synced together
+	err = db.Update(func(tx *bolt.Tx) error {
+		for _, name := range [][]byte{bucketKeys, bucketEnds, bucketMeta} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		meta := tx.Bucket(bucketMeta)
+		if v := meta.Get([]byte("format")); v != nil && !bytes.Equal(v, []byte{format}) {
+			return fmt.Errorf("format %v, this program reads %d", v, format)
+		}
+		return meta.Put([]byte("format"), []byte{format})
+	})
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("register %s: %w", path, err), db.Close())
+	}
+	return &Register{db: db, most: most, now: steady()}, nil
+}
+
+// steady is a clock that no change of the system's time moves while the process lives.
+func steady() func() time.Time {
+	start := time.Now()
+	wall := start.Round(0)
+	return func() time.Time { return wall.Add(time.Since(start)) }
+}
+
+// Close closes the file.
+func (r *Register) Close() error { return r.db.Close() }
+
+// Claim claims a key; the answer is durable.
+func (r *Register) Claim(key, claim string, window time.Duration) (said Said, holder string, err error) {
+	err = r.db.Batch(func(tx *bolt.Tx) error {
+		now := r.now()
+		have, known, err := get(tx, key)
+		if err != nil {
+			return err
+		}
+		keep, changed, s, h := Ask(now, have, known, claim, window)
+		said, holder = s, h
+		if !changed {
+			return nil
+		}
+		if !known && count(tx, 0) >= r.most {
+			if n, err := sweep(tx, now); err != nil {
+				return err
+			} else if n == 0 {
+				return ErrFull
+			}
+		}
+		return put(tx, key, have, known, keep)
+	})
+	return said, holder, err
+}
+
+// Handled notes that the event of a claim was handled; of another claim it changes nothing.
+func (r *Register) Handled(key, claim string) error {
+	return r.db.Batch(func(tx *bolt.Tx) error {
+		have, known, err := get(tx, key)
+		if err != nil || !known || have.Claim != claim || have.Handled {
+			return err
+		}
+		keep := have
+		keep.Handled = true
+		return put(tx, key, have, known, keep)
+	})
+}
+
+// Release gives a key back whose event was not run; of another claim it changes nothing.
+func (r *Register) Release(key, claim string) error {
+	return r.db.Batch(func(tx *bolt.Tx) error {
+		have, known, err := get(tx, key)
+		if err != nil || !known || have.Claim != claim || have.Handled {
+			return err
+		}
+		if err := tx.Bucket(bucketEnds).Delete(end(have, key)); err != nil {
+			return err
+		}
+		count(tx, -1)
+		return tx.Bucket(bucketKeys).Delete([]byte(key))
+	})
+}
+
+// Sweep forgets keys whose windows are over and answers how many.
+func (r *Register) Sweep() (n int, err error) {
+	err = r.db.Batch(func(tx *bolt.Tx) error {
+		n, err = sweep(tx, r.now())
+		return err
+	})
+	return n, err
+}
+
+func get(tx *bolt.Tx, key string) (e Entry, known bool, err error) {
+	v := tx.Bucket(bucketKeys).Get([]byte(key))
+	if v == nil {
+		return e, false, nil
+	}
+	if err := cbor.Unmarshal(v, &e); err != nil {
+		return e, false, fmt.Errorf("register: entry of %q: %w", key, err)
+	}
+	return e, true, nil
+}
+
+func put(tx *bolt.Tx, key string, have Entry, known bool, keep Entry) error {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		return err
+	}
+	v, err := mode.Marshal(keep)
+	if err != nil {
+		return err
+	}
+	ends := tx.Bucket(bucketEnds)
+	if !known {
+		count(tx, 1)
+	} else {
+		if err := ends.Delete(end(have, key)); err != nil {
+			return err
+		}
+	}
+	if err := ends.Put(end(keep, key), nil); err != nil {
+		return err
+	}
+	return tx.Bucket(bucketKeys).Put([]byte(key), v)
+}
+
+// count is the number of keys, changed by so many; bbolt would walk all of them to tell.
+func count(tx *bolt.Tx, by int) int {
+	n := int(tx.Bucket(bucketMeta).Sequence()) + by
+	if by != 0 {
+		_ = tx.Bucket(bucketMeta).SetSequence(uint64(n)) // fails only where the transaction can't be written
+	}
+	return n
+}
+
+func end(e Entry, key string) []byte {
+	return append(binary.BigEndian.AppendUint64(nil, uint64(e.Until.UnixNano())), key...)
+}
+
+func sweep(tx *bolt.Tx, now time.Time) (n int, err error) {
+	ends, all := tx.Bucket(bucketEnds), tx.Bucket(bucketKeys)
+	c := ends.Cursor()
+	for k, _ := c.First(); k != nil && n < sweepMost && int64(binary.BigEndian.Uint64(k)) <= now.UnixNano(); k, _ = c.First() {
+		key := bytes.Clone(k[8:])
+		if err := c.Delete(); err != nil {
+			return n, err
+		}
+		if err := all.Delete(key); err != nil {
+			return n, err
+		}
+		n++
+	}
+	count(tx, -n)
+	return n, nil
+}
+
+// Handler is the HTTP interface: POST /v1/claim, /v1/handled and /v1/release with {"key", "claim", "window-ms"}.
+func (r *Register) Handler() http.Handler {
+	mux := http.NewServeMux()
+	with := func(f func(w http.ResponseWriter, m message)) http.HandlerFunc {
+		return func(w http.ResponseWriter, req *http.Request) {
+			m, err := read(http.MaxBytesReader(w, req.Body, maxBody))
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			f(w, m)
+		}
+	}
+	ended := func(w http.ResponseWriter, err error) {
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}
+	mux.HandleFunc("POST /v1/claim", with(func(w http.ResponseWriter, m message) {
+		window := time.Duration(m.Window) * time.Millisecond
+		if m.Window < 1 || m.Window > int64(maxWindow/time.Millisecond) {
+			http.Error(w, fmt.Sprintf("window-ms %d is not between 1 and %d", m.Window, maxWindow/time.Millisecond), http.StatusBadRequest)
+			return
+		}
+		said, holder, err := r.Claim(m.Key, m.Claim, window)
+		switch {
+		case errors.Is(err, ErrFull):
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(answer{names[said], holder}) // a worker that is gone does not run it
+		}
+	}))
+	mux.HandleFunc("POST /v1/handled", with(func(w http.ResponseWriter, m message) { ended(w, r.Handled(m.Key, m.Claim)) }))
+	mux.HandleFunc("POST /v1/release", with(func(w http.ResponseWriter, m message) { ended(w, r.Release(m.Key, m.Claim)) }))
+	return mux
+}
+
+var names = map[Said]string{Granted: "granted", Held: "held", Done: "done"}
+
+// read reads a request's body.
+func read(in io.Reader) (m message, err error) {
+	dec := json.NewDecoder(in)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&m); err != nil {
+		return m, fmt.Errorf("body: %w", err)
+	}
+	switch {
+	case dec.More():
+		return m, errors.New("body: more than one value")
+	case m.Key == "" || len(m.Key) > maxKey:
+		return m, fmt.Errorf("key of %d bytes, 1 to %d are taken", len(m.Key), maxKey)
+	case m.Claim == "" || len(m.Claim) > maxClaim:
+		return m, fmt.Errorf("claim of %d bytes, 1 to %d are taken", len(m.Claim), maxClaim)
+	}
+	return m, nil
+}
--- a/internal/worker/journal.go
+++ b/internal/worker/journal.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
@@ -13,6 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lupinpond/internal/keys"
 	"lupinpond/internal/link"
 )
 
@@ -57,12 +60,13 @@
 	keys  map[string]key
 	cut   []link.CutLoad
 	sweep time.Time
+	log   *slog.Logger
 }
 
 // openJournal reads what the last life left and begins a new file with what still counts. A torn last record is what
 // a kill leaves; anything else that can't be read is an error, and the file stays as it is.
-func openJournal(path string) (_ *journal, err error) {
-	j := &journal{keys: map[string]key{}}
+func openJournal(path string, log *slog.Logger) (_ *journal, err error) {
+	j := &journal{keys: map[string]key{}, log: log}
 	if err := j.read(path); err != nil {
 		return nil, fmt.Errorf("journal %s: %w", path, err)
 	}
@@ -183,10 +187,13 @@
 	return nil
 }
 
-// begin notes that a keyed event is handed to a copy. A repeat inside the window of the first is not begun; handled says
-// whether that one is known to have been.
-func (j *journal) begin(name string, window time.Duration) (repeat, handled bool, err error) {
+// own is the claim of every event at the worker's own journal: an event handed over twice at a time is none of its cases.
+const own = "own"
+
+// Claim notes that a keyed event is handed to a copy, unless it is a repeat inside the window of the first.
+func (j *journal) Claim(_ context.Context, name string, window time.Duration) (string, keys.Verdict) {
 	j.mu.Lock()
+	defer j.mu.Unlock()
 	now := time.Now()
 	if now.After(j.sweep) {
 		j.sweep = now.Add(time.Second)
@@ -197,42 +204,45 @@
 		}
 	}
 	if k, is := j.keys[name]; is && now.Before(k.until) {
-		j.mu.Unlock()
-		return true, k.handled, nil
-	}
-	until := now.Add(window)
-	j.keys[name] = key{until, false}
-	j.mu.Unlock()
-	if err := j.write(note{Kind: noteKey, Key: name, Until: until}, false); err != nil {
-		j.mu.Lock()
-		delete(j.keys, name)
-		j.mu.Unlock()
-		return false, false, err
-	}
-	return false, false, nil
+		if k.handled {
+			return "", keys.Handled
+		}
+		return "", keys.Repeat
+	}
+	k := key{now.Add(window), false}
+	if j.note(noteKey, name, k) != nil {
+		return "", keys.Unknown
+	}
+	j.keys[name] = k
+	return own, keys.Run
 }
 
-// handled notes that a keyed event was handled.
-func (j *journal) handled(name string) error {
+// Handled notes that a keyed event was handled.
+func (j *journal) Handled(name, _ string) {
 	j.mu.Lock()
-	k, is := j.keys[name]
-	if is {
+	defer j.mu.Unlock()
+	if k, is := j.keys[name]; is { // else its window is over
 		k.handled = true
 		j.keys[name] = k
+		_ = j.note(noteKept, name, k) // unwritten, its repeats count as may have run after a restart
 	}
-	j.mu.Unlock()
-	if !is {
-		return nil // its window is over
-	}
-	return j.write(note{Kind: noteKept, Key: name, Until: k.until}, false)
 }
 
-// neverRan takes a key back: its event was given to no copy after all.
-func (j *journal) neverRan(name string) error {
+// Release takes a key back: its event was given to no copy after all.
+func (j *journal) Release(name, _ string) {
 	j.mu.Lock()
+	defer j.mu.Unlock()
 	delete(j.keys, name)
-	j.mu.Unlock()
-	return j.write(note{Kind: noteKey, Key: name, Until: time.Unix(1, 0)}, false)
+	_ = j.note(noteKey, name, key{until: time.Unix(1, 0)}) // unwritten, its repeats count as may have run after a restart
+}
+
+// note writes a key; the lock is held.
+func (j *journal) note(kind int, name string, k key) error {
+	err := j.enc.Encode(note{Kind: kind, Key: name, Until: k.until})
+	if err != nil {
+		j.log.Error("journal: a key is not written down", "err", err)
+	}
+	return err
 }
 
 func (j *journal) close() error { return j.file.Close() }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -19,6 +19,7 @@
 
 	"lupinpond/internal/admit"
 	"lupinpond/internal/faults"
+	"lupinpond/internal/keys"
 	"lupinpond/internal/link"
 	"lupinpond/internal/pack"
 	"lupinpond/internal/runner"
@@ -40,9 +41,13 @@
 	Fetch    func(function string) error // called before a package is copied, to imitate a store that is slow or refuses; may be nil
 	Fail     func(point string)          // called at each named step of a load, for tests; may be nil
 	Effects  *os.File                    // gets the log of all copies; nil: nowhere
+	Group    *keys.Group                 // registers of the workers that drop each other's repeats; nil: it drops its own
 	Log      *slog.Logger
 }
 
+// claimShare of what is left of a keyed event's time is waited for registers.
+const claimShare = 0.25
+
 // Steps of a load, as fail points name them.
 const (
 	PointNoted    = "noted"    // written down, nothing begun
@@ -70,6 +75,7 @@
 	o        Options
 	host     *runner.Host
 	journal  *journal
+	keeper   keeper
 	started  time.Time
 	silencer faults.Silencer
 	server   *link.Server
@@ -99,6 +105,13 @@
 	begun  bool
 }
 
+// keeper knows which keyed events were begun inside their windows: the worker's own journal, or registers of a group.
+type keeper interface {
+	Claim(ctx context.Context, key string, window time.Duration) (claim string, v keys.Verdict)
+	Handled(key, claim string)
+	Release(key, claim string) // it was not run after all
+}
+
 type loaded struct {
 	copy *runner.Copy // nil while it loads
 	pkg  pack.Package
@@ -134,9 +147,12 @@
 		return nil, err
 	}
 	var err error
-	if w.journal, err = openJournal(filepath.Join(o.Folder, "journal")); err != nil {
+	if w.journal, err = openJournal(filepath.Join(o.Folder, "journal"), o.Log); err != nil {
 		return nil, err
 	}
+	if w.keeper = w.journal; o.Group != nil {
+		w.keeper = o.Group
+	}
 	ro := runner.Options{Self: o.Self, Cache: filepath.Join(o.Folder, "compiled"), Ready: o.Ready, Grace: o.Grace, Answer: o.Answer,
 		Overhead: o.Overhead, Log: o.Log, Effects: o.Effects}
 	if w.host, err = runner.NewHost(ro); err != nil {
@@ -414,26 +430,56 @@
 		}
 		return
 	}
-	e := c.launch
-	if e.Key != "" {
-		repeat, handled, err := w.journal.begin(e.Key, e.Window)
-		if repeat || err != nil {
-			w.room.Ended(w.now(), r.Call)
-			w.wake.Reset(0)
-			switch {
-			case err != nil:
-				w.answer(c, &link.Answer{Code: link.NotStarted, Reason: err.Error()})
-			case handled:
-				w.answer(c, &link.Answer{Code: link.Done, Repeat: true, Reason: "a repeat inside its window"})
-			default:
-				w.answer(c, &link.Answer{Code: link.Failed, Repeat: true, Reason: "a repeat of one that may have run"})
-			}
-			return
-		}
+	if c.launch.Key == "" {
+		w.run(r, c, l, "")
+		return
 	}
+	w.work.Go(func() { w.claim(r, c) })
+}
+
+// claim asks whether a keyed event is a repeat before it is handed over.
+func (w *Worker) claim(r admit.Run, c *call) {
+	key := keyOf(c.launch)
+	ctx, stop := context.WithTimeout(context.Background(), time.Duration(claimShare*float64(c.launch.Left)))
+	claim, v := w.keeper.Claim(ctx, key, c.launch.Window)
+	stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := w.copies[r.Copy]
+	if v == keys.Run && w.calls[c.id] != nil && l != nil && l.copy != nil {
+		w.run(r, c, l, claim)
+		return
+	}
+	if v == keys.Run { // withdrawn meanwhile, or its copy is gone
+		w.keeper.Release(key, claim)
+	}
+	w.room.Ended(w.now(), r.Call)
+	switch v {
+	case keys.Handled:
+		w.answer(c, &link.Answer{Code: link.Done, Repeat: true, Reason: "a repeat inside its window"})
+	case keys.Repeat:
+		w.answer(c, &link.Answer{Code: link.Failed, Repeat: true, Reason: "a repeat of one that may have run"})
+	case keys.Run:
+		w.answer(c, &link.Answer{Code: link.NotStarted, Reason: "its copy ended"})
+	default:
+		w.answer(c, &link.Answer{Code: link.NotStarted, Reason: "it is not known whether it is a repeat"})
+	}
+	w.due()
+}
+
+// keyOf is a key among those of all tenants and event types.
+func keyOf(l *link.Launch) string { return l.Type + "\n" + l.Tenant + "\n" + l.Key }
+
+// run hands an event over; the lock is held.
+func (w *Worker) run(r admit.Run, c *call, l *loaded, claim string) {
+	e := c.launch
 	if c.warmth != link.FoundWarm {
 		if err := w.journal.write(note{Kind: noteRun, Event: e.Event}, false); err != nil {
+			if claim != "" {
+				w.keeper.Release(keyOf(e), claim)
+			}
 			w.room.Ended(w.now(), r.Call) // not written down as run: it must not run
+			w.wake.Reset(0)
 			w.answer(c, &link.Answer{Code: link.NotStarted, Reason: err.Error()})
 			return
 		}
@@ -446,11 +492,11 @@
 		if slow > 1 {
 			time.Sleep(time.Duration(float64(res.Took) * (slow - 1)))
 		}
-		w.ended(r.Call, c, res)
+		w.ended(r.Call, c, claim, res)
 	})
 }
 
-func (w *Worker) ended(id uint64, c *call, res runner.Result) {
+func (w *Worker) ended(id uint64, c *call, claim string, res runner.Result) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.room.Ended(w.now(), id)
@@ -461,16 +507,12 @@
 	if errors.Is(res.Err, runner.ErrNotBegun) {
 		a.Code = link.NotStarted
 	}
-	if key := c.launch.Key; key != "" {
-		var err error
+	if claim != "" {
 		switch a.Code {
 		case link.Done:
-			err = w.journal.handled(key)
+			w.keeper.Handled(keyOf(c.launch), claim)
 		case link.NotStarted:
-			err = w.journal.neverRan(key)
-		}
-		if err != nil {
-			w.o.Log.Error("the end of a keyed event is not noted", "err", err) // its repeats count as may have run
+			w.keeper.Release(keyOf(c.launch), claim)
 		}
 	}
 	w.answer(c, a)
