--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -398,7 +398,9 @@
 			case c.state == loading:
 				n.Loading++
 			case c.state == warm:
-				n.Warm++
+				if !c.leaving { // one that takes nothing new serves nobody who comes
+					n.Warm++
+				}
 				if c.calls > 0 {
 					n.Busy++
 				}
--- a/internal/rehearse/runtime.go
+++ b/internal/crew/crew.go
@@ -1,4 +1,6 @@
-package rehearse
+// Package crew starts and stops workers inside one process, for rehearsed days and for tests of front ends: imitation
+// ones and the worker runtime, behind one interface, and the packages that the runtime ones load.
+package crew
 
 import (
 	"bufio"
@@ -13,13 +15,14 @@
 
 	"lupinpond/internal/admit"
 	"lupinpond/internal/config"
+	"lupinpond/internal/keys"
 	"lupinpond/internal/pack"
 	"lupinpond/internal/standin"
 	"lupinpond/internal/worker"
 )
 
-// hand is a worker as a day plays it: an imitation one, or the worker runtime.
-type hand interface {
+// Worker is a worker as a day plays it: an imitation one (standin.Worker), or the worker runtime (Runtime).
+type Worker interface {
 	Name() string
 	Start(addr string, old bool) (at string, started time.Time, err error)
 	Stop()
@@ -31,8 +34,8 @@
 	Release(function string)
 }
 
-// releases is the packages of a day: every function of the catalogue, as the example program.
-type releases struct {
+// Releases is the packages of a store: every function of a catalogue, as the example program payroll.
+type Releases struct {
 	mu     sync.Mutex
 	folder string
 	binary string
@@ -40,18 +43,19 @@
 	number int
 }
 
-func newReleases(folder, binary string, f config.File) (*releases, error) {
-	r := &releases{folder: folder, binary: binary, file: f}
+// NewReleases publishes every function of f into a folder; binary is the payroll program.
+func NewReleases(folder, binary string, f config.File) (*Releases, error) {
+	r := &Releases{folder: folder, binary: binary, file: f}
 	for _, fn := range f.Functions {
-		if err := r.release(fn.Name); err != nil {
+		if err := r.Release(fn.Name); err != nil {
 			return nil, err
 		}
 	}
 	return r, nil
 }
 
-// release publishes a function anew; the newest version is the last by name.
-func (r *releases) release(name string) error {
+// Release publishes a function anew; the newest version is the last by name.
+func (r *Releases) Release(name string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.number++
@@ -80,17 +84,20 @@
 	return fmt.Errorf("no function %q", name)
 }
 
-// runtimeWorker is the worker runtime, started and stopped within the rehearsal.
-type runtimeWorker struct {
-	name    string
-	folder  string
-	self    string
-	day     Day
-	store   *releases
-	keep    time.Duration
-	onMiss  bool
-	effects *os.File
-	fetch   func(function string) error
+// RuntimeOptions are what a Runtime is made from.
+type RuntimeOptions struct {
+	Name    string
+	Folder  string // its own
+	Store   *Releases
+	Limits  admit.Limits
+	Effects *os.File                    // gets the log of all copies
+	Fetch   func(function string) error // see worker.Options
+	Group   *keys.Group                 // see worker.Options
+}
+
+// Runtime is the worker runtime, started and stopped within this process.
+type Runtime struct {
+	o       RuntimeOptions
 	mu      sync.Mutex
 	w       *worker.Worker
 	stop    context.CancelFunc
@@ -98,18 +105,22 @@
 	trouble standin.Troubles
 }
 
-func (r *runtimeWorker) Name() string { return r.name }
+// NewRuntime makes one that is not started.
+func NewRuntime(o RuntimeOptions) *Runtime { return &Runtime{o: o} }
+
+// Name is the worker's name.
+func (r *Runtime) Name() string { return r.o.Name }
 
-func (r *runtimeWorker) Start(addr string, old bool) (string, time.Time, error) {
+// Start begins a life on addr; empty: any port. old has it say that it started long ago.
+func (r *Runtime) Start(addr string, old bool) (string, time.Time, error) {
 	if addr == "" {
 		addr = "127.0.0.1:0"
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w, err := worker.New(worker.Options{Name: r.name, Folder: r.folder, Store: r.store.folder, Self: r.self, Launches: 256,
-		Answer: 1 << 20, Ready: 20 * time.Second, Grace: time.Second, Sample: 500 * time.Millisecond, Effects: r.effects, Fetch: r.fetch,
-		Limits: admit.Limits{Memory: 16 * 64 << 20, Running: max(1, int(2*r.day.Workers.Cores)), Waiting: r.day.Workers.Queue, Loads: 2,
-			Keep: r.keep, OnMiss: r.onMiss}})
+	w, err := worker.New(worker.Options{Name: r.o.Name, Folder: r.o.Folder, Store: r.o.Store.folder, Launches: 256, Answer: 1 << 20,
+		Ready: 20 * time.Second, Grace: time.Second, Sample: 500 * time.Millisecond, Effects: r.o.Effects, Fetch: r.o.Fetch,
+		Group: r.o.Group, Limits: r.o.Limits})
 	if err != nil {
 		return "", time.Time{}, err
 	}
@@ -128,7 +139,8 @@
 	return listener.Addr().String(), started, nil
 }
 
-func (r *runtimeWorker) Stop() {
+// Stop ends the life; what ran is lost.
+func (r *Runtime) Stop() {
 	r.mu.Lock()
 	stop, ended, w := r.stop, r.ended, r.w
 	r.stop = nil
@@ -141,10 +153,11 @@
 	<-ended
 }
 
-// Falls are not played by the runtime: it is as cold as it is.
-func (r *runtimeWorker) Falls() int { return 0 }
+// Falls is 0: they are not played by the runtime: it is as cold as it is.
+func (r *Runtime) Falls() int { return 0 }
 
-func (r *runtimeWorker) Trouble(change func(*standin.Troubles)) {
+// Trouble has it misbehave from now on.
+func (r *Runtime) Trouble(change func(*standin.Troubles)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	change(&r.trouble)
@@ -154,23 +167,26 @@
 	})
 }
 
-func (r *runtimeWorker) now() *worker.Worker {
+func (r *Runtime) now() *worker.Worker {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.w
 }
 
-func (r *runtimeWorker) Silence(on bool) { r.now().Silence(on) }
+// Silence has it neither read nor write.
+func (r *Runtime) Silence(on bool) { r.now().Silence(on) }
 
-func (r *runtimeWorker) Reset() { r.now().Reset() }
+// Reset breaks its connections.
+func (r *Runtime) Reset() { r.now().Reset() }
 
-func (r *runtimeWorker) Goodbye() { r.now().Drain() }
+// Goodbye drains it.
+func (r *Runtime) Goodbye() { r.now().Drain() }
 
 // Release is done in the store for all workers; each reads it anew.
-func (r *runtimeWorker) Release(string) { _ = r.now().Refresh() } // a store that can't be read is as before
+func (r *Runtime) Release(string) { _ = r.now().Refresh() } // a store that can't be read is as before
 
-// effects counts what ran at the workers, from the logs that the packages write.
-func effects(path string) (map[string]int, error) {
+// Effects counts what ran at the workers, from the logs that the packages write.
+func Effects(path string) (map[string]int, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, err
--- a/internal/keys/group.go
+++ b/internal/keys/group.go
@@ -42,28 +42,30 @@
 }
 
 // Claim claims a key at all registers and returns as soon as the verdict is clear. What it was granted without running is
-// given back. The claim is for Handled and Release.
-func (g *Group) Claim(ctx context.Context, key string, window time.Duration) (claim string, v Verdict) {
+// given back. The claim is for Handled and Release; body is the answer that a repeat of a handled event gets, nil if it was
+// too long to be kept.
+func (g *Group) Claim(ctx context.Context, key string, window time.Duration) (claim string, v Verdict, body []byte) {
 	claim = rand.Text()
 	type heard struct {
 		register int
 		said     Said
 		holder   string
+		body     []byte
 	}
 	all := make(chan heard, len(g.registers))
 	verdict := make(chan Verdict)
 	for i, base := range g.registers {
 		g.work.Go(func() {
 			var a answer
-			h := heard{i, Failed, ""}
+			h := heard{register: i, said: Failed}
 			// not bounded by ctx: a claim that is on its way is followed by what gives it back
-			err := g.post(context.WithoutCancel(ctx), base+"/v1/claim", message{key, claim, max(1, window.Milliseconds())}, &a)
+			err := g.post(context.WithoutCancel(ctx), base+"/v1/claim", message{Key: key, Claim: claim, Window: max(1, window.Milliseconds())}, &a)
 			if err != nil {
 				g.log.Warn("register did not answer a claim", "register", base, "err", err)
 			} else {
 				for said, name := range names {
 					if name == a.Said {
-						h.said, h.holder = said, a.Holder
+						h.said, h.holder, h.body = said, a.Holder, a.Body
 					}
 				}
 			}
@@ -78,6 +80,9 @@
 		select {
 		case h := <-all:
 			v = tally.Hear(h.register, h.said, h.holder)
+			if v == Handled {
+				body = h.body
+			}
 		case <-ctx.Done():
 			v = Unknown
 		}
@@ -90,14 +95,21 @@
 			verdict <- v
 		}
 	})
-	return claim, v
+	return claim, v, body
 }
 
 // Handled tells all registers that the event of a claim was handled. It does not wait for them.
-func (g *Group) Handled(key, claim string) { g.everywhere("/v1/handled", key, claim) }
+func (g *Group) Handled(key, claim string, body []byte) {
+	if len(body) > MostBody {
+		body = nil
+	}
+	g.everywhere("/v1/handled", message{Key: key, Claim: claim, Body: body})
+}
 
 // Release tells them that it was not run after all.
-func (g *Group) Release(key, claim string) { g.everywhere("/v1/release", key, claim) }
+func (g *Group) Release(key, claim string) {
+	g.everywhere("/v1/release", message{Key: key, Claim: claim})
+}
 
 // Close waits for what is under way.
 func (g *Group) Close() {
@@ -105,9 +117,9 @@
 	g.client.CloseIdleConnections()
 }
 
-func (g *Group) everywhere(path, key, claim string) {
+func (g *Group) everywhere(path string, m message) {
 	for _, base := range g.registers {
-		g.work.Go(func() { g.tell(base+path, message{Key: key, Claim: claim}) })
+		g.work.Go(func() { g.tell(base+path, m) })
 	}
 }
 
@@ -136,7 +148,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxBody))
 	switch {
 	case err != nil:
 		return err
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -37,20 +37,24 @@
 	Claim   string    `cbor:"1,keyasint"`
 	Until   time.Time `cbor:"2,keyasint"` // the end of its window
 	Handled bool      `cbor:"3,keyasint,omitempty"`
+	Body    []byte    `cbor:"4,keyasint,omitempty"` // the answer of the event that was handled, if it is short enough to be kept
 }
 
-// Ask decides on a claim at one register, which has the entry have if known. It answers the entry to keep; changed says
+// MostBody is how many bytes of an answer are kept for repeats; of a longer one they are told only that it was handled.
+const MostBody = 64 << 10
+
+// Ask decides on a claim at one register, which has the entry have if known. It answers the entry that stands then; changed says
 // that it has to be written down before the answer is given.
-func Ask(now time.Time, have Entry, known bool, claim string, window time.Duration) (keep Entry, changed bool, said Said, holder string) {
+func Ask(now time.Time, have Entry, known bool, claim string, window time.Duration) (keep Entry, changed bool, said Said) {
 	switch {
 	case !known || !now.Before(have.Until):
-		return Entry{Claim: claim, Until: now.Add(window)}, true, Granted, claim
+		return Entry{Claim: claim, Until: now.Add(window)}, true, Granted
 	case have.Claim == claim: // asked again: the answer before was lost
-		return have, false, Granted, claim
+		return have, false, Granted
 	case have.Handled:
-		return have, false, Done, have.Claim
+		return have, false, Done
 	default:
-		return have, false, Held, have.Claim
+		return have, false, Held
 	}
 }
 
--- a/internal/keys/store.go
+++ b/internal/keys/store.go
@@ -13,6 +13,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	bolt "go.etcd.io/bbolt"
+
+	"lupinpond/internal/steady"
 )
 
 const (
@@ -20,8 +22,8 @@
 	maxKey    = 2048 // bytes
 	maxClaim  = 64
 	maxWindow = 24 * time.Hour
-	maxBody   = 8 << 10
-	sweepMost = 1000 // entries in one transaction
+	maxBody   = 96 << 10 // a message with an answer that is kept
+	sweepMost = 1000     // entries in one transaction
 )
 
 var (
@@ -37,7 +39,7 @@
 type Register struct {
 	db   *bolt.DB
 	most int
-	now  func() time.Time
+	now  func() time.Time // goes on over restarts, whatever happens to the system's time
 }
 
 // message is the body of every request to a register.
@@ -45,12 +47,14 @@
 	Key    string `json:"key"`
 	Claim  string `json:"claim"`
 	Window int64  `json:"window-ms,omitempty"`
+	Body   []byte `json:"body,omitempty"` // of the answer, when it was handled
 }
 
 // answer is the body of the answer to a claim.
 type answer struct {
 	Said   string `json:"said"` // granted, held, done
 	Holder string `json:"holder,omitempty"`
+	Body   []byte `json:"body,omitempty"`
 }
 
 // Open opens or makes a register's file in a folder. Another process that has it open is an error. It keeps at most most
@@ -62,6 +66,7 @@
 		return nil, fmt.Errorf("register %s: %w", path, err)
 	}
 	db.MaxBatchDelay = time.Millisecond // claims that come together are synced together
+	r := &Register{db: db, most: most}
 	err = db.Update(func(tx *bolt.Tx) error {
 		for _, name := range [][]byte{bucketKeys, bucketEnds, bucketMeta} {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
@@ -72,34 +77,39 @@
 		if v := meta.Get([]byte("format")); v != nil && !bytes.Equal(v, []byte{format}) {
 			return fmt.Errorf("format %v, this program reads %d", v, format)
 		}
-		return meta.Put([]byte("format"), []byte{format})
+		var last steady.Mark
+		if v := meta.Get([]byte("mark")); v != nil {
+			if err := cbor.Unmarshal(v, &last); err != nil {
+				return fmt.Errorf("mark: %w", err)
+			}
+		}
+		now, mark := steady.Continue(last)
+		r.now = now
+		v, err := encode(mark)
+		if err != nil {
+			return err
+		}
+		return errors.Join(meta.Put([]byte("format"), []byte{format}), meta.Put([]byte("mark"), v))
 	})
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("register %s: %w", path, err), db.Close())
 	}
-	return &Register{db: db, most: most, now: steady()}, nil
-}
-
-// steady is a clock that no change of the system's time moves while the process lives.
-func steady() func() time.Time {
-	start := time.Now()
-	wall := start.Round(0)
-	return func() time.Time { return wall.Add(time.Since(start)) }
+	return r, nil
 }
 
 // Close closes the file.
 func (r *Register) Close() error { return r.db.Close() }
 
-// Claim claims a key; the answer is durable.
-func (r *Register) Claim(key, claim string, window time.Duration) (said Said, holder string, err error) {
+// Claim claims a key; the answer, and the entry that stands now, are durable.
+func (r *Register) Claim(key, claim string, window time.Duration) (said Said, have Entry, err error) {
 	err = r.db.Batch(func(tx *bolt.Tx) error {
 		now := r.now()
-		have, known, err := get(tx, key)
+		old, known, err := get(tx, key)
 		if err != nil {
 			return err
 		}
-		keep, changed, s, h := Ask(now, have, known, claim, window)
-		said, holder = s, h
+		keep, changed, s := Ask(now, old, known, claim, window)
+		said, have = s, keep
 		if !changed {
 			return nil
 		}
@@ -110,13 +120,13 @@
 				return ErrFull
 			}
 		}
-		return put(tx, key, have, known, keep)
+		return put(tx, key, old, known, keep)
 	})
-	return said, holder, err
+	return said, have, err
 }
 
-// Handled notes that the event of a claim was handled; of another claim it changes nothing.
-func (r *Register) Handled(key, claim string) error {
+// Handled notes that the event of a claim was handled, with its answer; of another claim it changes nothing.
+func (r *Register) Handled(key, claim string, body []byte) error {
 	return r.db.Batch(func(tx *bolt.Tx) error {
 		have, known, err := get(tx, key)
 		if err != nil || !known || have.Claim != claim || have.Handled {
@@ -124,6 +134,9 @@
 		}
 		keep := have
 		keep.Handled = true
+		if len(body) <= MostBody {
+			keep.Body = body
+		}
 		return put(tx, key, have, known, keep)
 	})
 }
@@ -164,11 +177,7 @@
 }
 
 func put(tx *bolt.Tx, key string, have Entry, known bool, keep Entry) error {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		return err
-	}
-	v, err := mode.Marshal(keep)
+	v, err := encode(keep)
 	if err != nil {
 		return err
 	}
@@ -186,6 +195,14 @@
 	return tx.Bucket(bucketKeys).Put([]byte(key), v)
 }
 
+func encode(v any) ([]byte, error) {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		return nil, err
+	}
+	return mode.Marshal(v)
+}
+
 // count is the number of keys, changed by so many; bbolt would walk all of them to tell.
 func count(tx *bolt.Tx, by int) int {
 	n := int(tx.Bucket(bucketMeta).Sequence()) + by
@@ -242,7 +259,7 @@
 			http.Error(w, fmt.Sprintf("window-ms %d is not between 1 and %d", m.Window, maxWindow/time.Millisecond), http.StatusBadRequest)
 			return
 		}
-		said, holder, err := r.Claim(m.Key, m.Claim, window)
+		said, have, err := r.Claim(m.Key, m.Claim, window)
 		switch {
 		case errors.Is(err, ErrFull):
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -250,10 +267,10 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 		default:
 			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(answer{names[said], holder}) // a worker that is gone does not run it
+			_ = json.NewEncoder(w).Encode(answer{names[said], have.Claim, have.Body}) // a worker that is gone does not run it
 		}
 	}))
-	mux.HandleFunc("POST /v1/handled", with(func(w http.ResponseWriter, m message) { ended(w, r.Handled(m.Key, m.Claim)) }))
+	mux.HandleFunc("POST /v1/handled", with(func(w http.ResponseWriter, m message) { ended(w, r.Handled(m.Key, m.Claim, m.Body)) }))
 	mux.HandleFunc("POST /v1/release", with(func(w http.ResponseWriter, m message) { ended(w, r.Release(m.Key, m.Claim)) }))
 	return mux
 }
--- /dev/null
+++ b/internal/steady/steady.go
@@ -0,0 +1,46 @@
+// Package steady has a clock for what is kept over restarts: it goes on as it went, whatever happens to the system's time,
+// as long as the machine is not booted anew.
+package steady
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Mark ties a moment of the clock to the machine's time since its boot. It is kept with what the clock's times are in.
+type Mark struct {
+	Boot string        `cbor:"1,keyasint,omitempty"` // which boot
+	Up   time.Duration `cbor:"2,keyasint"`           // since then, sleep included
+	At   time.Time     `cbor:"3,keyasint"`           // what the clock said
+}
+
+// Continue answers a clock that goes on from last, which may be the zero value, and the mark to keep. In another boot it
+// goes by the system's time, but never backwards: then a system clock that was set ahead can't be told from time that
+// has passed.
+func Continue(last Mark) (now func() time.Time, mark Mark) {
+	return from(last, machine(), time.Now())
+}
+
+func from(last, m Mark, system time.Time) (func() time.Time, Mark) {
+	m.At = system.Round(0)
+	switch {
+	case last.Boot != "" && last.Boot == m.Boot && m.Up >= last.Up:
+		m.At = last.At.Add(m.Up - last.Up)
+	case m.At.Before(last.At):
+		m.At = last.At
+	}
+	return func() time.Time { return m.At.Add(time.Since(system)) }, m
+}
+
+// machine tells the boot and the time since; where the system doesn't say, every start counts as a boot.
+func machine() Mark {
+	var ts unix.Timespec
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+		return Mark{}
+	}
+	return Mark{Boot: strings.TrimSpace(string(id)), Up: time.Duration(ts.Nano())}
+}
--- a/internal/worker/journal.go
+++ b/internal/worker/journal.go
@@ -17,6 +17,7 @@
 
 	"lupinpond/internal/keys"
 	"lupinpond/internal/link"
+	"lupinpond/internal/steady"
 )
 
 // What a journal's records say.
@@ -31,42 +32,49 @@
 	noteKept              // and was handled
 )
 
-const journalVersion = 1
+const journalVersion = 2
 
 // note is one record.
 type note struct {
-	Kind     int       `cbor:"1,keyasint"`
-	Load     uint64    `cbor:"2,keyasint,omitempty"`
-	Function string    `cbor:"3,keyasint,omitempty"`
-	Version  string    `cbor:"4,keyasint,omitempty"`
-	Event    string    `cbor:"5,keyasint,omitempty"`
-	Key      string    `cbor:"6,keyasint,omitempty"`
-	Until    time.Time `cbor:"7,keyasint,omitzero"` // of a key: the end of its window
-	Format   int       `cbor:"8,keyasint,omitempty"`
+	Kind     int          `cbor:"1,keyasint"`
+	Load     uint64       `cbor:"2,keyasint,omitempty"`
+	Function string       `cbor:"3,keyasint,omitempty"`
+	Version  string       `cbor:"4,keyasint,omitempty"`
+	Event    string       `cbor:"5,keyasint,omitempty"`
+	Key      string       `cbor:"6,keyasint,omitempty"`
+	Until    time.Time    `cbor:"7,keyasint,omitzero"` // of a key: the end of its window
+	Format   int          `cbor:"8,keyasint,omitempty"`
+	Mark     *steady.Mark `cbor:"10,keyasint,omitempty"` // of the first record: what its times are by
+	Body     []byte       `cbor:"9,keyasint,omitempty"`  // of a key that was handled: its answer
 }
 
 // key is a keyed event inside its window.
 type key struct {
 	until   time.Time
 	handled bool // else it may have run
+	body    []byte
 }
 
 // journal is what a worker writes down so that its next life can tell the truth about this one. Records that are written
 // survive the process; loads are synced, and so survive the machine.
 type journal struct {
-	mu    sync.Mutex
-	file  *os.File
-	enc   *cbor.Encoder
-	keys  map[string]key
-	cut   []link.CutLoad
-	sweep time.Time
-	log   *slog.Logger
+	mu     sync.Mutex
+	file   *os.File
+	enc    *cbor.Encoder
+	keys   map[string]key
+	cut    []link.CutLoad
+	sweep  time.Time
+	bodies int // bytes of answers kept in keys
+	log    *slog.Logger
+	now    func() time.Time // goes on over restarts, whatever happens to the system's time
+	mark   steady.Mark
 }
 
 // openJournal reads what the last life left and begins a new file with what still counts. A torn last record is what
 // a kill leaves; anything else that can't be read is an error, and the file stays as it is.
 func openJournal(path string, log *slog.Logger) (_ *journal, err error) {
 	j := &journal{keys: map[string]key{}, log: log}
+	j.now, j.mark = steady.Continue(steady.Mark{})
 	if err := j.read(path); err != nil {
 		return nil, fmt.Errorf("journal %s: %w", path, err)
 	}
@@ -86,7 +94,7 @@
 		return nil, err
 	}
 	j.file, j.enc = tmp, mode.NewEncoder(tmp)
-	if err = j.enc.Encode(note{Kind: noteFormat, Format: journalVersion}); err != nil {
+	if err = j.enc.Encode(note{Kind: noteFormat, Format: journalVersion, Mark: &j.mark}); err != nil {
 		return nil, err
 	}
 	for name, k := range j.keys {
@@ -94,7 +102,7 @@
 		if k.handled {
 			kind = noteKept
 		}
-		if err = j.enc.Encode(note{Kind: kind, Key: name, Until: k.until}); err != nil {
+		if err = j.enc.Encode(note{Kind: kind, Key: name, Until: k.until, Body: k.body}); err != nil {
 			return nil, err
 		}
 	}
@@ -123,7 +131,6 @@
 	var open []*load
 	taken := map[string]string{} // function by event
 	ran := map[string]bool{}
-	now := time.Now()
 	dec := cbor.NewDecoder(bufio.NewReader(in))
 	for n := 1; ; n++ {
 		var x note
@@ -137,6 +144,9 @@
 		if n == 1 && (x.Kind != noteFormat || x.Format != journalVersion) {
 			return fmt.Errorf("record 1: version %d, this program reads %d", x.Format, journalVersion)
 		}
+		if n == 1 && x.Mark != nil {
+			j.now, j.mark = steady.Continue(*x.Mark)
+		}
 		switch x.Kind {
 		case noteLoad:
 			open = append(open, &load{link.CutLoad{Function: x.Function, Version: x.Version}, x.Load})
@@ -150,11 +160,14 @@
 			delete(taken, x.Event)
 		case noteKey, noteKept:
 			delete(j.keys, x.Key) // one that never ran is written with a time that is over
-			if x.Until.After(now) {
-				j.keys[x.Key] = key{x.Until, x.Kind == noteKept}
+			if x.Until.After(j.now()) {
+				j.keys[x.Key] = key{x.Until, x.Kind == noteKept, x.Body}
 			}
 		}
 	}
+	for _, k := range j.keys {
+		j.bodies += len(k.body)
+	}
 	for _, l := range open {
 		for event, function := range taken {
 			if function == l.Function {
@@ -190,39 +203,48 @@
 // own is the claim of every event at the worker's own journal: an event handed over twice at a time is none of its cases.
 const own = "own"
 
+// mostBodies is how many bytes of answers the journal keeps in all; beyond it repeats are told only that it was handled.
+const mostBodies = 64 << 20
+
 // Claim notes that a keyed event is handed to a copy, unless it is a repeat inside the window of the first.
-func (j *journal) Claim(_ context.Context, name string, window time.Duration) (string, keys.Verdict) {
+func (j *journal) Claim(_ context.Context, name string, window time.Duration) (string, keys.Verdict, []byte) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := time.Now()
+	now := j.now()
 	if now.After(j.sweep) {
 		j.sweep = now.Add(time.Second)
 		for other, k := range j.keys {
 			if now.After(k.until) {
+				j.bodies -= len(k.body)
 				delete(j.keys, other)
 			}
 		}
 	}
 	if k, is := j.keys[name]; is && now.Before(k.until) {
 		if k.handled {
-			return "", keys.Handled
+			return "", keys.Handled, k.body
 		}
-		return "", keys.Repeat
+		return "", keys.Repeat, nil
 	}
-	k := key{now.Add(window), false}
+	k := key{until: now.Add(window)}
 	if j.note(noteKey, name, k) != nil {
-		return "", keys.Unknown
+		return "", keys.Unknown, nil
 	}
+	j.bodies -= len(j.keys[name].body) // of one whose window is over
 	j.keys[name] = k
-	return own, keys.Run
+	return own, keys.Run, nil
 }
 
 // Handled notes that a keyed event was handled.
-func (j *journal) Handled(name, _ string) {
+func (j *journal) Handled(name, _ string, body []byte) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if k, is := j.keys[name]; is { // else its window is over
 		k.handled = true
+		if len(body) <= keys.MostBody && j.bodies+len(body) <= mostBodies {
+			k.body = body
+			j.bodies += len(body)
+		}
 		j.keys[name] = k
 		_ = j.note(noteKept, name, k) // unwritten, its repeats count as may have run after a restart
 	}
@@ -238,7 +260,7 @@
 
 // note writes a key; the lock is held.
 func (j *journal) note(kind int, name string, k key) error {
-	err := j.enc.Encode(note{Kind: kind, Key: name, Until: k.until})
+	err := j.enc.Encode(note{Kind: kind, Key: name, Until: k.until, Body: k.body})
 	if err != nil {
 		j.log.Error("journal: a key is not written down", "err", err)
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -62,7 +62,7 @@
 
 // Troubles are how a worker misbehaves when told. The zero value does not.
 type Troubles struct {
-	Hang      bool    // takes events and never runs nor answers them
+	Hang      bool    // takes events, runs them and never answers
 	Slow      float64 // answers so many times later; 0: as usual
 	Refuse    string  // turns this tenant away as full
 	Errors    bool    // answers errors at once, though nothing ran
@@ -107,8 +107,8 @@
 
 // keeper knows which keyed events were begun inside their windows: the worker's own journal, or registers of a group.
 type keeper interface {
-	Claim(ctx context.Context, key string, window time.Duration) (claim string, v keys.Verdict)
-	Handled(key, claim string)
+	Claim(ctx context.Context, key string, window time.Duration) (claim string, v keys.Verdict, body []byte)
+	Handled(key, claim string, body []byte)
 	Release(key, claim string) // it was not run after all
 }
 
@@ -270,13 +270,14 @@
 func (w *Worker) Launch(_ string, l *link.Launch, reply func(*link.Answer)) (cancel func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.troubles.Hang {
+		reply = func(*link.Answer) {}
+	}
 	refuse := func(code link.Code, why string) func() {
 		reply(&link.Answer{Code: code, Reason: why, Report: w.report()})
 		return nil
 	}
 	switch {
-	case w.troubles.Hang:
-		return nil
 	case w.closed || w.draining:
 		return refuse(link.NotStarted, "draining")
 	case w.troubles.Errors:
@@ -348,7 +349,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.troubles.Hang {
-		return
+		reply = func(*link.Ordered) {}
 	}
 	if w.closed || w.draining {
 		reply(&link.Ordered{Code: link.NotStarted, Reason: "draining"})
@@ -441,7 +442,7 @@
 func (w *Worker) claim(r admit.Run, c *call) {
 	key := keyOf(c.launch)
 	ctx, stop := context.WithTimeout(context.Background(), time.Duration(claimShare*float64(c.launch.Left)))
-	claim, v := w.keeper.Claim(ctx, key, c.launch.Window)
+	claim, v, body := w.keeper.Claim(ctx, key, c.launch.Window)
 	stop()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -456,7 +457,7 @@
 	w.room.Ended(w.now(), r.Call)
 	switch v {
 	case keys.Handled:
-		w.answer(c, &link.Answer{Code: link.Done, Repeat: true, Reason: "a repeat inside its window"})
+		w.answer(c, &link.Answer{Code: link.Done, Repeat: true, Body: body, Reason: "a repeat inside its window"})
 	case keys.Repeat:
 		w.answer(c, &link.Answer{Code: link.Failed, Repeat: true, Reason: "a repeat of one that may have run"})
 	case keys.Run:
@@ -510,7 +511,7 @@
 	if claim != "" {
 		switch a.Code {
 		case link.Done:
-			w.keeper.Handled(keyOf(c.launch), claim)
+			w.keeper.Handled(keyOf(c.launch), claim, a.Body)
 		case link.NotStarted:
 			w.keeper.Release(keyOf(c.launch), claim)
 		}
