Workers tell how cold they are and how long they warmed up; one client of the list

A fresh worker was colder without saying so. Reports tell the part of the last 32 launches that found no warm copy; the next hello how long the last life warmed up. The copies' log is bounded. lpctl and lpworker had a client of the list each; they share roster.Client.

--- a/cmd/lpctl/up.go
+++ b/cmd/lpctl/up.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -126,41 +125,19 @@
 
 // Run shows or changes the list.
 func (c *workersCmd) Run(ctx context.Context, _ *slog.Logger) error {
-	ask := func(method, path string) (*http.Response, error) {
-		req, err := http.NewRequestWithContext(ctx, method, c.List+path, nil)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return nil, fmt.Errorf("lproster does not answer: %w", err)
-		}
-		if resp.StatusCode >= 300 {
-			text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
-			resp.Body.Close()
-			return nil, fmt.Errorf("lproster: %s: %s", resp.Status, bytes.TrimSpace(text))
-		}
-		return resp, nil
-	}
-	for name, state := range map[string]string{c.Drain: "drain", c.Gone: "gone"} {
+	list := roster.Client{Base: c.List, HTTP: http.DefaultClient}
+	for name, state := range map[string]roster.State{c.Drain: roster.Draining, c.Gone: roster.Gone} {
 		if name == "" {
 			continue
 		}
-		resp, err := ask(http.MethodPost, "/v1/workers/"+url.PathEscape(name)+"/"+state)
-		if err != nil {
+		if err := list.Mark(ctx, name, state); err != nil {
 			return err
 		}
-		resp.Body.Close()
 	}
-	resp, err := ask(http.MethodGet, "/v1/workers")
+	entries, err := list.Workers(ctx)
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	var entries []roster.Entry
-	if err := json.NewDecoder(io.LimitReader(resp.Body, 16<<20)).Decode(&entries); err != nil {
-		return errors.Join(errors.New("lproster sent no list"), err)
-	}
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(entries)
 	}
--- a/cmd/lpworker/main.go
+++ b/cmd/lpworker/main.go
@@ -2,16 +2,12 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"net/url"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -59,6 +55,7 @@
 	Registers []string      `help:"Registers of this worker's group, HOST:PORT,...; an odd number, the same for all of the group. None: it drops its own repeats only."`
 	Control   string        `help:"Address of the control interface, which has the worker misbehave; off unless named."`
 	Effects   string        `help:"File for the logs of all copies." type:"path"`
+	MostLog   int64         `default:"256" help:"MiB of that file; beyond it is moved to NAME.1 and begun anew."`
 }
 
 // Run serves until a signal; then it finishes what it has.
@@ -82,7 +79,8 @@
 	}
 	o := worker.Options{Name: c.Name, Folder: c.Folder, Store: c.Store, Self: self, Launches: 256, Overhead: 96 << 20, Answer: 12 << 20,
 		Ready: time.Minute, Grace: time.Second, Sample: 50 * time.Millisecond, Log: log,
-		Limits: admit.Limits{Memory: c.Memory << 20, Running: c.Running, Waiting: c.Waiting, Loads: c.Loads, Keep: c.Keep, OnMiss: c.OnMiss}}
+		MostLog: c.MostLog << 20,
+		Limits:  admit.Limits{Memory: c.Memory << 20, Running: c.Running, Waiting: c.Waiting, Loads: c.Loads, Keep: c.Keep, OnMiss: c.OnMiss}}
 	if c.Effects != "" {
 		if o.Effects, err = os.OpenFile(c.Effects, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err != nil {
 			return err
@@ -144,24 +142,9 @@
 
 // listed keeps the worker on the list until ctx ends; then it is marked as draining.
 func (c *serveCmd) listed(ctx context.Context, e roster.Entry, log *slog.Logger) {
-	client := &http.Client{Timeout: c.Lease}
+	list := roster.Client{Base: c.List, HTTP: &http.Client{Timeout: c.Lease}}
 	put := func() {
-		body, err := json.Marshal(e)
-		if err == nil {
-			var req *http.Request
-			if req, err = http.NewRequest(http.MethodPut, c.List+"/v1/workers/"+url.PathEscape(e.Name)+"?lease="+c.Lease.String(),
-				bytes.NewReader(body)); err == nil {
-				var resp *http.Response
-				if resp, err = client.Do(req); err == nil {
-					text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
-					resp.Body.Close()
-					if resp.StatusCode >= 300 {
-						err = fmt.Errorf("%s: %s", resp.Status, text)
-					}
-				}
-			}
-		}
-		if err != nil {
+		if err := list.Put(context.WithoutCancel(ctx), e, c.Lease); err != nil { // the last one says that it drains
 			log.Warn("not put on the list", "err", err)
 		}
 	}
--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -319,6 +319,9 @@
 		p = &peer{stop: stop, Peer: link.NewPeer(g.o.Name, e.Name, e.Addr, link.Limits{Dial: l.Dial.D(),
 			Queue: l.Queue.D(), Stall: l.Stall.D(), Calls: l.Calls, Bytes: int(l.Bytes)}, dial)}
 		p.Greeted = func(h *link.Hello) {
+			if h.WarmUp > 0 {
+				g.log.Info("a worker warmed up in its last life", "worker", h.Name, "warm-up", h.WarmUp)
+			}
 			for _, cut := range h.Cut {
 				g.log.Warn("a worker died during a load", "worker", h.Name, "function", cut.Function, "version", cut.Version,
 					"events", cut.Events)
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -44,6 +44,8 @@
 	Launches int       `cbor:"4,keyasint,omitempty"` // most launches outstanding on this connection
 	MaxFrame int       `cbor:"5,keyasint,omitempty"` // longest body that the sender takes
 	Cut      []CutLoad `cbor:"6,keyasint,omitempty"` // of a worker: loads that its last life did not end
+	// WarmUp is how long the last life of the worker was warming up, as it measured it; 0: not known.
+	WarmUp time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // CutLoad is a load that a worker had begun when it died. It failed; the events had been taken for it, and for each the
@@ -95,8 +97,9 @@
 type Report struct {
 	Waiting int     `cbor:"1,keyasint"` // events that wait there
 	Running int     `cbor:"2,keyasint"`
-	Busy    float64 `cbor:"3,keyasint"` // part of its cores in use
-	Memory  int64   `cbor:"4,keyasint"` // bytes held
+	Busy    float64 `cbor:"3,keyasint"`           // part of its cores in use
+	Memory  int64   `cbor:"4,keyasint"`           // bytes held
+	Cold    float64 `cbor:"5,keyasint,omitempty"` // part of its last launches that found no warm copy
 }
 
 // Warmth is what an answer tells of the copy that the event found.
--- /dev/null
+++ b/internal/roster/client.go
@@ -0,0 +1,72 @@
+package roster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// Client asks a list at Base, such as http://127.0.0.1:8710.
+type Client struct {
+	Base string
+	HTTP *http.Client
+}
+
+// Put puts an entry on the list for so long; it is renewed by the next Put.
+func (c Client) Put(ctx context.Context, e Entry, lease time.Duration) error {
+	body, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	_, err = c.ask(ctx, http.MethodPut, "/v1/workers/"+url.PathEscape(e.Name)+"?lease="+lease.String(), body)
+	return err
+}
+
+// Mark sets a worker's state to Draining or Gone.
+func (c Client) Mark(ctx context.Context, name string, s State) error {
+	path, is := map[State]string{Draining: "drain", Gone: "gone"}[s]
+	if !is {
+		return fmt.Errorf("a worker can't be marked as %q", s)
+	}
+	_, err := c.ask(ctx, http.MethodPost, "/v1/workers/"+url.PathEscape(name)+"/"+path, nil)
+	return err
+}
+
+// Workers is the present list, gone ones left out.
+func (c Client) Workers(ctx context.Context) ([]Entry, error) {
+	text, err := c.ask(ctx, http.MethodGet, "/v1/workers", nil)
+	if err != nil {
+		return nil, err
+	}
+	var entries []Entry
+	if err := json.Unmarshal(text, &entries); err != nil {
+		return nil, errors.Join(errors.New("lproster sent no list"), err)
+	}
+	return entries, nil
+}
+
+func (c Client) ask(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("lproster does not answer: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	if err != nil {
+		return nil, fmt.Errorf("lproster: %w", err)
+	}
+	if resp.StatusCode >= 300 {
+		return nil, fmt.Errorf("lproster: %s: %s", resp.Status, bytes.TrimSpace(text[:min(len(text), 1024)]))
+	}
+	return text, nil
+}
--- a/internal/worker/journal.go
+++ b/internal/worker/journal.go
@@ -30,22 +30,24 @@
 	noteOver              // an event has its answer
 	noteKey               // a keyed event is handed to a copy
 	noteKept              // and was handled
+	noteWarm              // the worker has warmed up
 )
 
 const journalVersion = 2
 
 // note is one record.
 type note struct {
-	Kind     int          `cbor:"1,keyasint"`
-	Load     uint64       `cbor:"2,keyasint,omitempty"`
-	Function string       `cbor:"3,keyasint,omitempty"`
-	Version  string       `cbor:"4,keyasint,omitempty"`
-	Event    string       `cbor:"5,keyasint,omitempty"`
-	Key      string       `cbor:"6,keyasint,omitempty"`
-	Until    time.Time    `cbor:"7,keyasint,omitzero"` // of a key: the end of its window
-	Format   int          `cbor:"8,keyasint,omitempty"`
-	Mark     *steady.Mark `cbor:"10,keyasint,omitempty"` // of the first record: what its times are by
-	Body     []byte       `cbor:"9,keyasint,omitempty"`  // of a key that was handled: its answer
+	Kind     int           `cbor:"1,keyasint"`
+	Load     uint64        `cbor:"2,keyasint,omitempty"`
+	Function string        `cbor:"3,keyasint,omitempty"`
+	Version  string        `cbor:"4,keyasint,omitempty"`
+	Event    string        `cbor:"5,keyasint,omitempty"`
+	Key      string        `cbor:"6,keyasint,omitempty"`
+	Until    time.Time     `cbor:"7,keyasint,omitzero"` // of a key: the end of its window
+	Format   int           `cbor:"8,keyasint,omitempty"`
+	Took     time.Duration `cbor:"11,keyasint,omitempty"` // of a warm-up
+	Mark     *steady.Mark  `cbor:"10,keyasint,omitempty"` // of the first record: what its times are by
+	Body     []byte        `cbor:"9,keyasint,omitempty"`  // of a key that was handled: its answer
 }
 
 // key is a keyed event inside its window.
@@ -63,6 +65,7 @@
 	enc    *cbor.Encoder
 	keys   map[string]key
 	cut    []link.CutLoad
+	warmUp time.Duration // of the last life, or the one before if that never was warm
 	sweep  time.Time
 	bodies int // bytes of answers kept in keys
 	log    *slog.Logger
@@ -106,6 +109,11 @@
 			return nil, err
 		}
 	}
+	if j.warmUp > 0 {
+		if err = j.enc.Encode(note{Kind: noteWarm, Took: j.warmUp}); err != nil {
+			return nil, err
+		}
+	}
 	if err = tmp.Sync(); err != nil {
 		return nil, err
 	}
@@ -158,6 +166,8 @@
 			ran[x.Event] = true
 		case noteOver:
 			delete(taken, x.Event)
+		case noteWarm:
+			j.warmUp = x.Took
 		case noteKey, noteKept:
 			delete(j.keys, x.Key) // one that never ran is written with a time that is over
 			if x.Until.After(j.now()) {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -41,10 +42,17 @@
 	Fetch    func(function string) error // called before a package is copied, to imitate a store that is slow or refuses; may be nil
 	Fail     func(point string)          // called at each named step of a load, for tests; may be nil
 	Effects  *os.File                    // gets the log of all copies; nil: nowhere
+	MostLog  int64                       // bytes: a longer Effects is moved to NAME.1 and begun anew; 0: never
 	Group    *keys.Group                 // registers of the workers that drop each other's repeats; nil: it drops its own
 	Log      *slog.Logger
 }
 
+// A worker has warmed up when of its last recent launches at most warmShare found no warm copy.
+const (
+	recent    = 32
+	warmShare = 1.0 / 16
+)
+
 // claimShare of what is left of a keyed event's time is waited for registers.
 const claimShare = 0.25
 
@@ -93,6 +101,9 @@
 	troubles Troubles
 	loads    []Loading
 	closed   bool
+	found    [recent]bool // of the last launches: found no warm copy
+	taken    int
+	warmed   bool // told in the journal
 	work     sync.WaitGroup
 }
 
@@ -158,7 +169,8 @@
 	if w.host, err = runner.NewHost(ro); err != nil {
 		return nil, errors.Join(err, w.journal.close())
 	}
-	w.server = &link.Server{Hello: link.Hello{Name: o.Name, Started: w.started, Launches: o.Launches, Cut: w.journal.cut}, Handler: w}
+	w.server = &link.Server{Hello: link.Hello{Name: o.Name, Started: w.started, Launches: o.Launches, Cut: w.journal.cut,
+		WarmUp: w.journal.warmUp}, Handler: w}
 	w.wake = time.AfterFunc(time.Hour, w.step)
 	return w, nil
 }
@@ -262,10 +274,25 @@
 	if w.troubles.Reports > 0 {
 		waiting *= w.troubles.Reports
 	}
-	return &link.Report{Waiting: int(waiting), Running: w.room.Running(), Memory: w.memory,
+	return &link.Report{Waiting: int(waiting), Running: w.room.Running(), Memory: w.memory, Cold: w.cold(),
 		Busy: min(1, float64(w.room.Running())/float64(runtime.NumCPU()))}
 }
 
+// cold is the part of the last launches that found no warm copy.
+func (w *Worker) cold() float64 {
+	n := min(recent, w.taken)
+	if n == 0 {
+		return 1
+	}
+	cold := 0
+	for _, x := range w.found[:n] {
+		if x {
+			cold++
+		}
+	}
+	return float64(cold) / float64(n)
+}
+
 // Launch takes an event.
 func (w *Worker) Launch(_ string, l *link.Launch, reply func(*link.Answer)) (cancel func()) {
 	w.mu.Lock()
@@ -303,6 +330,16 @@
 		return refuse(link.Missing, "its package needs more memory than this worker has")
 	}
 	w.calls[c.id] = c
+	w.found[w.taken%recent] = c.warmth != link.FoundWarm
+	w.taken++
+	if !w.warmed && w.taken >= recent && w.cold() <= warmShare {
+		w.warmed = true
+		took := w.now()
+		w.o.Log.Info("warmed up", "after", took)
+		if err := w.journal.write(note{Kind: noteWarm, Took: took}, false); err != nil {
+			w.o.Log.Error("the warm-up is not noted", "err", err) // the next life tells none
+		}
+	}
 	if c.warmth != link.FoundWarm {
 		if err := w.journal.write(note{Kind: noteTaken, Function: l.Function, Event: l.Event}, false); err != nil {
 			w.o.Log.Error("an event taken for a load is not noted", "err", err) // it is told to have run if the worker dies
@@ -637,5 +674,34 @@
 		w.mu.Lock()
 		w.memory = sum
 		w.mu.Unlock()
+		if err := w.bound(); err != nil {
+			w.o.Log.Error("the log of copies is not bounded", "err", err)
+		}
+	}
+}
+
+// bound moves a log of copies that is too long aside. Copies write into the file themselves, so it is copied and cut; a line
+// that is written in between is lost.
+func (w *Worker) bound() error {
+	if w.o.Effects == nil || w.o.MostLog <= 0 {
+		return nil
+	}
+	if is, err := w.o.Effects.Stat(); err != nil || is.Size() <= w.o.MostLog {
+		return err
+	}
+	name := w.o.Effects.Name()
+	in, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	out, err := os.Create(name + ".1")
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(out, in)
+	if err = errors.Join(err, out.Close()); err != nil {
+		return err
 	}
+	return os.Truncate(name, 0)
 }
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -108,6 +108,7 @@
 	t       *testing.T
 	peer    *link.Peer
 	effects string
+	addr    string
 }
 
 func start(t *testing.T, change func(*worker.Options)) *rig {
@@ -128,7 +129,8 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r.peer = connect(ctx, listener.Addr().String())
+	r.addr = listener.Addr().String()
+	r.peer = connect(ctx, r.addr)
 	ended := make(chan error, 2)
 	go func() { ended <- r.Run(ctx, listener) }()
 	go func() { ended <- r.peer.Run(ctx) }()
@@ -672,3 +674,44 @@
 		}
 	}
 }
+
+// A worker tells how cold it is and, in its next life, how long it took to warm up; a log that is too long is moved aside.
+func TestWarmUpIsTold(t *testing.T) {
+	folder := t.TempDir()
+	t.Run("first life", func(t *testing.T) {
+		r := start(t, func(o *worker.Options) { o.Folder, o.MostLog = folder, 100 })
+		if c := r.Report().Cold; c != 1 {
+			t.Errorf("cold %v before its first event", c)
+		}
+		for range 40 {
+			r.wants("misbehave-process", "echo", link.Done, "echo")
+		}
+		if c := r.Report().Cold; c != 0 {
+			t.Errorf("cold %v after 40 events", c)
+		}
+		r.until("the log is moved aside", func() bool {
+			old, err := os.Stat(r.effects + ".1")
+			return err == nil && old.Size() >= 100
+		})
+	})
+	r := start(t, func(o *worker.Options) { o.Folder = folder })
+	var told time.Duration
+	greeted := make(chan struct{})
+	p := link.NewPeer("second", "w", r.addr, link.Limits{Dial: 10 * time.Second, Queue: 30 * time.Second, Stall: 10 * time.Second, Calls: 10,
+		Bytes: 1 << 20}, func(ctx context.Context, addr string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	})
+	p.Greeted = func(h *link.Hello) {
+		told = h.WarmUp
+		close(greeted)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	<-greeted
+	stop()
+	if err := <-ended; err != nil || told <= 0 {
+		t.Errorf("warm-up %v, %v", told, err)
+	}
+}
