--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -709,6 +709,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- p.Run(ctx) }()
+	p.Probe(func(link.Outcome) {}) // it connects when there is something to send
 	<-greeted
 	stop()
 	if err := <-ended; err != nil || told <= 0 {
