Chunked layers begun: format, fetch decisions explored whole for small fleets, chunk cache

Every worker fetched whole packages from one folder. Packages become releases of layers, files and chunks cut by content (BLAKE3, zstd); whom to ask for a chunk, when to go to the store and what to give others stands in internal/fetch, whose every run with up to two faults is played for fleets of three: nobody gives up while a live holder or the store can give the chunk.

--- /dev/null
+++ b/internal/cache/cache.go
@@ -0,0 +1,287 @@
+// Package cache keeps chunks on a worker's disk: bounded, over restarts, verified on every read. What is not worth keeping
+// goes first; what does not hold what its name says is set aside and counts as not there.
+package cache
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"lupinpond/internal/layer"
+)
+
+// version names the folder; another version's folder is left alone and not read.
+const version = "chunks-1"
+
+const (
+	mostAside = 16 // corrupt files that are kept for a look
+	halfWorth = 10 * time.Minute
+	rareTwice = 2.0 // a chunk that no other worker was seen to hold is worth so many times more
+)
+
+// Counts tell what a cache did in this life.
+type Counts struct {
+	Hits, Misses, Corrupt, Evicted, Unkept int // Unkept: could not be written, used all the same
+}
+
+// Item is a chunk as eviction sees it.
+type Item struct {
+	Digest layer.Digest
+	Size   int64 // on disk
+	Uses   int
+	Used   time.Time // last
+	Rare   bool      // no other worker was seen to hold it
+}
+
+// Worth is what a byte of an item is worth now: more with each use, half with each ten minutes since the last, twice if it is
+// rare.
+func (i Item) Worth(now time.Time) float64 {
+	worth := float64(1+i.Uses) * math.Exp2(-float64(now.Sub(i.Used))/float64(halfWorth))
+	if i.Rare {
+		worth *= rareTwice
+	}
+	return worth / float64(max(1, i.Size))
+}
+
+// Evict chooses what goes so that need bytes are freed: the least worth first. It chooses nothing if all that may go is not
+// enough.
+func Evict(items []Item, need int64, now time.Time) []layer.Digest {
+	slices.SortFunc(items, func(a, b Item) int {
+		return cmp.Or(cmp.Compare(a.Worth(now), b.Worth(now)), slices.Compare(a.Digest[:], b.Digest[:]))
+	})
+	var gone []layer.Digest
+	for _, i := range items {
+		if need <= 0 {
+			return gone
+		}
+		need -= i.Size
+		gone = append(gone, i.Digest)
+	}
+	if need > 0 {
+		return nil
+	}
+	return gone
+}
+
+// Cache is a folder of chunks. Its methods may be called by any goroutine.
+type Cache struct {
+	folder string
+	most   int64
+	log    *slog.Logger
+
+	mu     sync.Mutex
+	items  map[layer.Digest]*Item
+	pins   map[layer.Digest]int
+	size   int64
+	counts Counts
+}
+
+// Open opens or makes a cache in a folder; most is its bytes on disk. Files that a killed process left half written are
+// removed; names that are no chunks are left alone.
+func Open(folder string, most int64, log *slog.Logger) (*Cache, error) {
+	c := &Cache{folder: filepath.Join(folder, version), most: most, log: log, items: map[layer.Digest]*Item{}, pins: map[layer.Digest]int{}}
+	for _, dir := range []string{c.folder, c.aside()} {
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return nil, fmt.Errorf("cache: %w", err)
+		}
+	}
+	others, err := filepath.Glob(filepath.Join(folder, "chunks-*"))
+	if err != nil {
+		return nil, fmt.Errorf("cache: %w", err)
+	}
+	for _, o := range others {
+		if o != c.folder {
+			log.Warn("the cache of another version is not read", "folder", o)
+		}
+	}
+	err = filepath.WalkDir(c.folder, func(path string, d fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir() && path == c.aside():
+			return filepath.SkipDir
+		case d.IsDir():
+			return nil
+		case strings.HasPrefix(d.Name(), ".new-"):
+			return os.Remove(path)
+		}
+		digest, err := layer.Parse(d.Name())
+		if err != nil {
+			return nil
+		}
+		st, err := d.Info()
+		if err != nil {
+			return err
+		}
+		c.items[digest] = &Item{Digest: digest, Size: st.Size(), Used: st.ModTime()}
+		c.size += st.Size()
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("cache: %w", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.room(0)
+	return c, nil
+}
+
+func (c *Cache) aside() string { return filepath.Join(c.folder, "aside") }
+
+func (c *Cache) path(d layer.Digest) string { return filepath.Join(c.folder, d.String()[:2], d.String()) }
+
+// Has tells whether a chunk stands there; it may turn out to be corrupt.
+func (c *Cache) Has(d layer.Digest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.items[d] != nil
+}
+
+// Get gives a chunk's content and its packed form, verified. A corrupt one is set aside and is not there any more.
+func (c *Cache) Get(d layer.Digest) (content, packed []byte, ok bool) {
+	c.mu.Lock()
+	item := c.items[d]
+	if item == nil {
+		c.counts.Misses++
+		c.mu.Unlock()
+		return nil, nil, false
+	}
+	c.mu.Unlock()
+	packed, err := os.ReadFile(c.path(d))
+	if err == nil {
+		content, err = layer.Unpack(d, packed)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.counts.Misses++
+		if c.items[d] != item { // it went meanwhile
+			return nil, nil, false
+		}
+		c.forget(item)
+		if errors.Is(err, layer.ErrCorrupt) {
+			c.counts.Corrupt++
+		}
+		c.log.Warn("a chunk on disk is set aside", "chunk", d, "err", err)
+		c.setAside(d)
+		return nil, nil, false
+	}
+	c.counts.Hits++
+	item.Uses++
+	item.Used = time.Now()
+	return content, packed, true
+}
+
+func (c *Cache) setAside(d layer.Digest) {
+	kept, err := os.ReadDir(c.aside())
+	if err == nil && len(kept) < mostAside && os.Rename(c.path(d), filepath.Join(c.aside(), d.String())) == nil {
+		return
+	}
+	_ = os.Remove(c.path(d)) // what can't be removed is written over when it is fetched
+}
+
+func (c *Cache) forget(i *Item) {
+	delete(c.items, i.Digest)
+	c.size -= i.Size
+}
+
+// Put keeps a chunk that has been verified. One that can't be kept, for want of room or a full disk, is told in the counts
+// and the log: its user has it all the same.
+func (c *Cache) Put(d layer.Digest, packed []byte, rare bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.items[d] != nil {
+		return
+	}
+	err := errors.New("all that is there is in use")
+	if c.room(int64(len(packed))) {
+		err = write(c.path(d), packed)
+	}
+	if err != nil {
+		c.counts.Unkept++
+		c.log.Warn("a chunk is not kept", "chunk", d, "err", err)
+		return
+	}
+	c.items[d] = &Item{Digest: d, Size: int64(len(packed)), Used: time.Now(), Rare: rare}
+	c.size += int64(len(packed))
+}
+
+// write is whole or not at all; what a crash of the machine tears is seen when it is read.
+func write(path string, b []byte) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(path), ".new-*")
+	if err != nil {
+		return err
+	}
+	_, err = tmp.Write(b)
+	if err = errors.Join(err, tmp.Close()); err == nil {
+		err = os.Rename(tmp.Name(), path)
+	}
+	if err != nil {
+		return errors.Join(err, os.Remove(tmp.Name()))
+	}
+	return nil
+}
+
+// room evicts until need more bytes fit; the lock is held.
+func (c *Cache) room(need int64) bool {
+	if over := c.size + need - c.most; over > 0 {
+		var may []Item
+		for d, i := range c.items {
+			if c.pins[d] == 0 {
+				may = append(may, *i)
+			}
+		}
+		for _, d := range Evict(may, over, time.Now()) {
+			c.forget(c.items[d])
+			c.counts.Evicted++
+			if err := os.Remove(c.path(d)); err != nil {
+				c.log.Warn("an evicted chunk is still on disk", "chunk", d, "err", err)
+			}
+		}
+	}
+	return c.size+need <= c.most
+}
+
+// Pin keeps chunks from eviction until the release that it returns is called.
+func (c *Cache) Pin(chunks []layer.Ref) (release func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range chunks {
+		c.pins[r.Digest]++
+	}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, r := range chunks {
+			if c.pins[r.Digest]--; c.pins[r.Digest] == 0 {
+				delete(c.pins, r.Digest)
+			}
+		}
+	}
+}
+
+// Counts tells what it did.
+func (c *Cache) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
+// Size is its bytes on disk.
+func (c *Cache) Size() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.size
+}
--- /dev/null
+++ b/internal/fetch/fetch_test.go
@@ -0,0 +1,351 @@
+package fetch
+
+import (
+	"fmt"
+	"hash/maphash"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// tape has every choice of a run; the next run changes the last one that can be.
+type tape struct {
+	at      int
+	choices []int
+	sizes   []int
+}
+
+func (t *tape) choose(n int) int {
+	if t.at == len(t.choices) {
+		t.choices, t.sizes = append(t.choices, 0), append(t.sizes, n)
+	}
+	t.at++
+	return t.choices[t.at-1]
+}
+
+func (t *tape) next() bool {
+	for i := t.at - 1; i >= 0; i-- {
+		if t.choices[i]+1 < t.sizes[i] {
+			t.choices = append(t.choices[:i], t.choices[i]+1)
+			t.sizes = t.sizes[:i+1]
+			t.at = 0
+			return true
+		}
+	}
+	return false
+}
+
+// world is a small fleet that looks for one chunk.
+type world struct {
+	names  []string
+	lists  map[string][]string // the list as each one has it
+	wants  map[string]*Want
+	holds  map[string]bool
+	dead   map[string]bool
+	now    time.Duration
+	faults int // that may still happen: a lost message, a corrupt chunk, a refusing store, a death
+	store  bool
+	asked  int // fetches from the store that gave the chunk
+	log    []string
+}
+
+func (w *world) want(name string) {
+	if w.wants[name] == nil && !w.holds[name] && !w.dead[name] {
+		w.wants[name] = NewWant(name, Order([]byte("c"), w.lists[name]), w.now, time.Hour)
+	}
+}
+
+// step has one worker do what its want says; every fault that may happen is a choice.
+func (w *world) step(t *tape, name string) (over bool) {
+	want := w.wants[name]
+	s := want.Next(w.now, func(string) bool { return true }, 0)
+	fault := func() bool {
+		if w.faults == 0 || t.choose(2) == 0 {
+			return false
+		}
+		w.faults--
+		return true
+	}
+	w.log = append(w.log, fmt.Sprintf("%v %s: %v", w.now, name, s))
+	got := func() {
+		w.holds[name] = true
+		delete(w.wants, name)
+	}
+	switch s.Do {
+	case GiveUp:
+		return true
+	case Pause:
+	case AskStore:
+		if !w.store || fault() {
+			want.Store(w.now, time.Second)
+			break
+		}
+		w.asked++
+		got()
+	case AskPeer:
+		p := s.Peer
+		if !w.dead[p] && w.faults > 0 && t.choose(2) == 1 { // it dies just now, with all it holds
+			w.faults--
+			w.dead[p] = true
+			delete(w.wants, p)
+			delete(w.holds, p)
+		}
+		if w.dead[p] || fault() {
+			want.Heard(w.now, p, Failed, nil, 0)
+			break
+		}
+		order := Order([]byte("c"), w.lists[p])
+		said := Reply(w.holds[p], slices.Index(order, p) < Homes, s.Held)
+		if said == Gave {
+			if fault() {
+				want.Heard(w.now, p, Corrupt, nil, 0)
+				break
+			}
+			got()
+			break
+		}
+		if said == Coming {
+			w.want(p)
+		}
+		want.Heard(w.now, p, said, nil, time.Second)
+	}
+	return false
+}
+
+func (w *world) state() string {
+	var b strings.Builder
+	fmt.Fprint(&b, w.now, w.faults, w.asked)
+	for _, n := range w.names {
+		fmt.Fprint(&b, n, w.holds[n], w.dead[n])
+		if x := w.wants[n]; x != nil {
+			fmt.Fprintf(&b, "%+v", *x)
+		}
+	}
+	return b.String()
+}
+
+// explore plays every run of a fleet and answers how many there were and the most fetches from the store.
+func explore(t *testing.T, start func() *world) (runs, mostAsked int) {
+	seed := maphash.MakeSeed()
+	seen := map[uint64]bool{}
+	for choices := (&tape{}); ; {
+		w := start()
+		for steps := 0; len(w.wants) > 0; steps++ {
+			if steps > 400 {
+				t.Fatalf("it goes on for ever:\n%s", strings.Join(w.log, "\n"))
+			}
+			soon := time.Duration(-1)
+			var ready []string
+			for _, n := range w.names {
+				x := w.wants[n]
+				if x == nil {
+					continue
+				}
+				at := max(w.now, x.resume)
+				if soon < 0 || at < soon {
+					soon, ready = at, nil
+				}
+				if at == soon {
+					ready = append(ready, n)
+				}
+			}
+			w.now = soon
+			who := ready[0]
+			if len(ready) > 1 {
+				who = ready[choices.choose(len(ready))]
+			}
+			if w.step(choices, who) {
+				t.Fatalf("%s gives up though the store or a live holder can give the chunk:\n%s", who, strings.Join(w.log, "\n"))
+			}
+			if choices.at == len(choices.choices) { // new ground: seen before by another way?
+				h := maphash.String(seed, w.state())
+				if seen[h] {
+					break
+				}
+				seen[h] = true
+			}
+		}
+		runs++
+		mostAsked = max(mostAsked, w.asked)
+		if !choices.next() {
+			return runs, mostAsked
+		}
+	}
+}
+
+// Every order of steps and every two faults of a fleet of three, whose lists agree or not, with the store there, and with
+// the chunk at one worker and no store: nobody gives up, nothing goes on for ever, and the store is asked at most once for
+// each fault and once more where lists agree.
+func TestEveryRunOfSmallFleets(t *testing.T) {
+	abc := []string{"a", "b", "c"}
+	same := map[string][]string{"a": abc, "b": abc, "c": abc}
+	split := map[string][]string{"a": {"a", "b"}, "b": {"b", "c"}, "c": {"a", "c"}}
+	far := map[string][]string{"d": {"a", "b", "c", "d", "e"}, "e": {"a", "b", "c", "d", "e"}}
+	for n := range same {
+		far[n] = far["d"]
+	}
+	for _, c := range []struct {
+		name   string
+		names  []string
+		lists  map[string][]string
+		holder string
+		store  bool
+		faults int
+		asked  int
+	}{
+		{"lists agree", abc, same, "", true, 2, 3},
+		{"lists disagree", abc, split, "", true, 1, 3},
+		{"no store, one holds it", abc, same, "b", false, 0, 0},
+		{"no store, one that is no home holds it", far["d"], far, Order([]byte("c"), far["d"])[4], false, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runs, asked := explore(t, func() *world {
+				w := &world{names: c.names, lists: c.lists, wants: map[string]*Want{}, holds: map[string]bool{}, dead: map[string]bool{},
+					faults: c.faults, store: c.store}
+				if c.holder != "" {
+					w.holds[c.holder] = true
+				}
+				for _, n := range c.names {
+					w.want(n)
+				}
+				return w
+			})
+			if asked > c.asked {
+				t.Errorf("the store gave the chunk %d times, at most %d are right", asked, c.asked)
+			}
+			t.Logf("%d runs, at most %d fetches from the store", runs, asked)
+		})
+	}
+}
+
+// A hundred workers have one order for a chunk, and homes are spread over them.
+func TestOrderSpreads(t *testing.T) {
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprint("w", i))
+	}
+	first := map[string]int{}
+	for i := range 2000 {
+		o := Order(fmt.Append(nil, i), names)
+		first[o[0]]++
+		slices.Reverse(names)
+		if again := Order(fmt.Append(nil, i), names); !slices.Equal(o, again) {
+			t.Fatal("the order depends on that of the list")
+		}
+	}
+	for n, c := range first {
+		if c > 60 {
+			t.Errorf("%s is first for %d of 2000 chunks", n, c)
+		}
+	}
+	if len(first) < 95 {
+		t.Errorf("only %d workers are ever first", len(first))
+	}
+}
+
+// The guard in front of the store: never more under way than its limit; nothing before the time that the store named; one
+// request alone after it broke; and whatever happens, a request is let through in the end.
+func TestGuard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewGuard()
+		now := time.Duration(0)
+		var under []time.Duration
+		named := time.Duration(0)
+		broken := 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			if len(under) > 0 && rapid.Bool().Draw(t, "ends") {
+				o := Outcome(rapid.IntRange(0, 2).Draw(t, "outcome"))
+				after := time.Duration(0)
+				if o == TurnedAway {
+					after = time.Duration(rapid.IntRange(0, 1000).Draw(t, "after")) * time.Millisecond
+					named = max(named, now+after)
+				}
+				g.Ended(now, under[0], o, after, rapid.Float64Range(0, 1).Draw(t, "chance"))
+				under = under[1:]
+				if o == Broken {
+					broken++
+				} else {
+					broken = 0
+				}
+				continue
+			}
+			ok, _ := g.Ask(now, rapid.Bool().Draw(t, "repeat"))
+			switch {
+			case ok && now < named:
+				t.Fatalf("asked %v before the time that the store named", named-now)
+			case ok && broken >= openAfter && g.under > 1 && len(under) == 0:
+				t.Fatal("more than one request at a broken store")
+			}
+			if ok {
+				under = append(under, now)
+			}
+			if len(under) > mostLimit {
+				t.Fatalf("%d under way", len(under))
+			}
+		}
+		for _, began := range under {
+			g.Ended(now, began, Broken, 0, 1)
+		}
+		ok, after := g.Ask(now, true)
+		if !ok {
+			if after <= 0 {
+				t.Fatal("refused though nothing is under way, with no time to come back")
+			}
+			if ok, _ = g.Ask(now+after, true); !ok {
+				t.Fatal("never let through again")
+			}
+		}
+	})
+}
+
+// What is given to others stays within the part of the network that is theirs, less while the worker is busy, and what is
+// refused may come back when it is told to.
+func TestUploads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := NewUploads(100e6, 0.2, 4)
+		busy := rapid.Float64Range(0, 1).Draw(t, "busy")
+		now, given := time.Duration(0), 0.0
+		for range 300 {
+			size := rapid.IntRange(1, MaxSize).Draw(t, "size")
+			ok, after := u.Ask(now, size, busy)
+			if ok {
+				given += float64(size)
+				u.Ended()
+			} else if again, _ := u.Ask(now+after, size, busy); !again {
+				t.Fatal("not let through at the time that it was told")
+			} else {
+				now += after
+				given += float64(size)
+				u.Ended()
+			}
+		}
+		may := u.most() + 20e6*(1-0.5*busy)*now.Seconds() + 1
+		if given > may*1.001 {
+			t.Fatalf("%.0f bytes in %v, %.0f are its part", given, now, may)
+		}
+	})
+}
+
+// A peer that gives something else three times is never asked again; one that fails is asked again later.
+func TestPeers(t *testing.T) {
+	p := NewPeers()
+	p.Heard(0, "slow", Failed)
+	if p.Trusted(0, "slow") || !p.Trusted(failPause, "slow") {
+		t.Error("a failure counts for its pause and no longer")
+	}
+	for i := range mostLies {
+		p.Heard(0, "liar", Corrupt)
+		if p.Trusted(liePause-1, "liar") {
+			t.Error("trusted at once after lie ", i)
+		}
+	}
+	p.Heard(time.Hour, "liar", Missing)
+	p.Keep(nil)
+	if p.Trusted(1000*time.Hour, "liar") {
+		t.Error("a liar is trusted again")
+	}
+}
--- /dev/null
+++ b/internal/layer/layer.go
@@ -0,0 +1,365 @@
+// Package layer is the format in which packages are stored and fetched: a release names layers, a layer files, a file
+// chunks. Chunks are cut by content, so that a new release shares most of them with the last; each is named by the BLAKE3
+// digest of its content and kept compressed with zstd. docs/operate/store.md has the format for operators.
+package layer
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+	"github.com/restic/chunker"
+	"github.com/zeebo/blake3"
+
+	"lupinpond/internal/pack"
+)
+
+// Format is the version of releases and chunks that this program writes and reads.
+const Format = 1
+
+// Bounds of the format. A chunk has a quarter of the mean at least and four times the mean at most.
+const (
+	meanBits    = 16 // chunks of 64 KiB in the mean
+	MinChunk    = 1 << (meanBits - 2)
+	MaxChunk    = 1 << (meanBits + 2)
+	MaxPacked   = MaxChunk + 1024 // what zstd may add
+	MaxRelease  = 16 << 20        // bytes of an encoded release
+	maxFiles    = 100_000
+	polynomial  = chunker.Pol(0x3DA3358B4DC173) // part of the format: another one shares no chunk
+	digestBytes = 32
+)
+
+// Digest names a chunk or a release: BLAKE3 of its content, before compression.
+type Digest [digestBytes]byte
+
+// Sum is the digest of content.
+func Sum(b []byte) Digest { return blake3.Sum256(b) }
+
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Parse reads a digest in hex.
+func Parse(s string) (d Digest, err error) {
+	if len(s) != 2*digestBytes {
+		return d, fmt.Errorf("digest of %d letters, %d are needed", len(s), 2*digestBytes)
+	}
+	if _, err := hex.Decode(d[:], []byte(s)); err != nil {
+		return d, fmt.Errorf("digest: %w", err)
+	}
+	if d.String() != s {
+		return d, errors.New("digest: small letters are needed")
+	}
+	return d, nil
+}
+
+// Ref is a chunk as a release names it.
+type Ref struct {
+	_      struct{} `cbor:",toarray"`
+	Digest Digest
+	Size   int // bytes of its content
+}
+
+// File is one file of a layer.
+type File struct {
+	Path   string `cbor:"1,keyasint"` // in the package's folder, with /
+	Run    bool   `cbor:"2,keyasint,omitempty"`
+	Chunks []Ref  `cbor:"3,keyasint"`
+}
+
+// Size is the file's bytes.
+func (f File) Size() (n int64) {
+	for _, c := range f.Chunks {
+		n += int64(c.Size)
+	}
+	return n
+}
+
+// Layer is the files of one entry of the package's folder: a file, or a directory with all in it.
+type Layer struct {
+	Name  string `cbor:"1,keyasint"`
+	Files []File `cbor:"2,keyasint"`
+}
+
+// Release is a package with all that has to be fetched for it.
+type Release struct {
+	Format   int     `cbor:"1,keyasint"`
+	Manifest []byte  `cbor:"2,keyasint"` // the package's manifest.yaml
+	Layers   []Layer `cbor:"3,keyasint"`
+}
+
+// Chunks are the chunks of a release, each once, in the order of their first use.
+func (r Release) Chunks() []Ref {
+	var all []Ref
+	seen := map[Digest]bool{}
+	for _, l := range r.Layers {
+		for _, f := range l.Files {
+			for _, c := range f.Chunks {
+				if !seen[c.Digest] {
+					seen[c.Digest] = true
+					all = append(all, c)
+				}
+			}
+		}
+	}
+	return all
+}
+
+// Size is the bytes of all files.
+func (r Release) Size() (n int64) {
+	for _, l := range r.Layers {
+		for _, f := range l.Files {
+			n += f.Size()
+		}
+	}
+	return n
+}
+
+// Package is the manifest, read.
+func (r Release) Package() (pack.Manifest, error) {
+	return pack.ReadManifest("manifest.yaml", r.Manifest)
+}
+
+// Encode writes a release; its digest is that of the bytes.
+func Encode(r Release) ([]byte, error) {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		return nil, err
+	}
+	b, err := mode.Marshal(r)
+	if err == nil && len(b) > MaxRelease {
+		err = fmt.Errorf("a release of %d bytes, at most %d are taken: fewer or larger files", len(b), MaxRelease)
+	}
+	return b, err
+}
+
+// Decode reads a release and refuses what could write outside a package's folder or take memory without bound.
+func Decode(b []byte) (r Release, err error) {
+	if len(b) > MaxRelease {
+		return r, fmt.Errorf("release: %d bytes, at most %d are taken", len(b), MaxRelease)
+	}
+	var version struct {
+		Format int `cbor:"1,keyasint"`
+	}
+	if err := cbor.Unmarshal(b, &version); err != nil {
+		return r, fmt.Errorf("release: %w", err)
+	}
+	if version.Format != Format {
+		return r, fmt.Errorf("release: format %d, this program reads %d", version.Format, Format)
+	}
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20, DupMapKey: cbor.DupMapKeyEnforcedAPF,
+		IndefLength: cbor.IndefLengthForbidden}.DecMode()
+	if err != nil {
+		return r, err
+	}
+	if err := mode.Unmarshal(b, &r); err != nil {
+		return r, fmt.Errorf("release: %w", err)
+	}
+	if _, err := r.Package(); err != nil {
+		return r, fmt.Errorf("release: %w", err)
+	}
+	seen := map[string]bool{pack.File: true}
+	for i, l := range r.Layers {
+		for j, f := range l.Files {
+			at := fmt.Sprintf("release: layer %d, file %d (%.80q)", i, j, f.Path)
+			switch {
+			case !fs.ValidPath(f.Path) || f.Path == "." || strings.ContainsAny(f.Path, "\\\x00"):
+				return r, fmt.Errorf("%s: a path inside the folder is needed", at)
+			case f.Path != l.Name && !strings.HasPrefix(f.Path, l.Name+"/"):
+				return r, fmt.Errorf("%s: it is not in layer %q", at, l.Name)
+			case seen[f.Path]:
+				return r, fmt.Errorf("%s: named twice", at)
+			case len(seen) > maxFiles:
+				return r, fmt.Errorf("%s: more than %d files", at, maxFiles)
+			}
+			seen[f.Path] = true
+			for k, c := range f.Chunks {
+				if c.Size < 1 || c.Size > MaxChunk {
+					return r, fmt.Errorf("%s: chunk %d of %d bytes, 1 to %d are taken", at, k, c.Size, MaxChunk)
+				}
+			}
+		}
+	}
+	return r, nil
+}
+
+// Cut makes a release of a package's folder and hands each chunk's content to keep, in order; the same one may come again.
+func Cut(folder string, keep func(Ref, []byte) error) (r Release, err error) {
+	p, err := pack.Open(folder)
+	if err != nil {
+		return r, err
+	}
+	if err := p.Verify(); err != nil {
+		return r, err
+	}
+	r.Format = Format
+	if r.Manifest, err = os.ReadFile(filepath.Join(folder, pack.File)); err != nil {
+		return r, err
+	}
+	err = filepath.WalkDir(folder, func(name string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		rel, err := filepath.Rel(folder, name)
+		if err != nil || rel == pack.File {
+			return err
+		}
+		if !d.Type().IsRegular() {
+			return fmt.Errorf("%s: only plain files and folders can be published", name)
+		}
+		f, err := cutFile(name, filepath.ToSlash(rel), keep)
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		top, _, _ := strings.Cut(f.Path, "/")
+		i := slices.IndexFunc(r.Layers, func(l Layer) bool { return l.Name == top })
+		if i < 0 {
+			i = len(r.Layers)
+			r.Layers = append(r.Layers, Layer{Name: top})
+		}
+		r.Layers[i].Files = append(r.Layers[i].Files, f)
+		return nil
+	})
+	return r, err
+}
+
+func cutFile(name, rel string, keep func(Ref, []byte) error) (f File, err error) {
+	in, err := os.Open(name)
+	if err != nil {
+		return f, err
+	}
+	defer in.Close()
+	st, err := in.Stat()
+	if err != nil {
+		return f, err
+	}
+	f = File{Path: path.Clean(rel), Run: st.Mode()&0o100 != 0}
+	c := chunker.NewWithBoundaries(in, polynomial, MinChunk, MaxChunk)
+	c.SetAverageBits(meanBits)
+	buf := make([]byte, MaxChunk)
+	for {
+		x, err := c.Next(buf)
+		if errors.Is(err, io.EOF) {
+			return f, nil
+		}
+		if err != nil {
+			return f, err
+		}
+		ref := Ref{Digest: Sum(x.Data), Size: len(x.Data)}
+		f.Chunks = append(f.Chunks, ref)
+		if err := keep(ref, x.Data); err != nil {
+			return f, err
+		}
+	}
+}
+
+// ErrCorrupt says that bytes are not the chunk that they should be.
+var ErrCorrupt = errors.New("not the content that the digest names")
+
+var coders = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) { // both are safe for many goroutines at a time
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedDefault))
+	if err != nil {
+		panic(err) // no option of it is wrong
+	}
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderMaxMemory(MaxChunk), zstd.WithDecoderConcurrency(0))
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+})
+
+// Pack compresses a chunk's content.
+func Pack(content []byte) []byte {
+	enc, _ := coders()
+	return enc.EncodeAll(content, nil)
+}
+
+// Unpack gives a chunk's content back, if it is what the digest names.
+func Unpack(d Digest, packed []byte) ([]byte, error) {
+	if len(packed) > MaxPacked {
+		return nil, fmt.Errorf("chunk %.12s: %d bytes: %w", d, len(packed), ErrCorrupt)
+	}
+	_, dec := coders()
+	content, err := dec.DecodeAll(packed, nil)
+	if err != nil {
+		return nil, fmt.Errorf("chunk %.12s: %w: %w", d, ErrCorrupt, err)
+	}
+	if Sum(content) != d {
+		return nil, fmt.Errorf("chunk %.12s: %w", d, ErrCorrupt)
+	}
+	return content, nil
+}
+
+// Build writes a release's files into a folder that does not exist yet; content gives the chunks.
+func Build(r Release, folder string, content func(Ref) ([]byte, error)) (p pack.Package, err error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return p, err
+	}
+	defer func() {
+		if err != nil {
+			err = errors.Join(fmt.Errorf("build %s: %w", folder, err), os.RemoveAll(folder))
+		}
+	}()
+	for _, l := range r.Layers {
+		for _, f := range l.Files {
+			if err := buildFile(f, filepath.Join(folder, filepath.FromSlash(f.Path)), content); err != nil {
+				return p, err
+			}
+		}
+	}
+	if err := os.WriteFile(filepath.Join(folder, pack.File), r.Manifest, 0o644); err != nil {
+		return p, err
+	}
+	return pack.Open(folder)
+}
+
+func buildFile(f File, name string, content func(Ref) ([]byte, error)) error {
+	if err := os.MkdirAll(filepath.Dir(name), 0o755); err != nil {
+		return err
+	}
+	mode := fs.FileMode(0o644)
+	if f.Run {
+		mode = 0o755
+	}
+	out, err := os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY, mode)
+	if err != nil {
+		return err
+	}
+	for _, c := range f.Chunks {
+		b, err := content(c)
+		if err == nil && len(b) != c.Size {
+			err = fmt.Errorf("chunk %.12s has %d bytes, the release says %d: %w", c.Digest, len(b), c.Size, ErrCorrupt)
+		}
+		if err == nil {
+			_, err = out.Write(b)
+		}
+		if err != nil {
+			return errors.Join(err, out.Close())
+		}
+	}
+	return out.Close()
+}
+
+// Diff tells what a worker that has the release old would fetch for next: its chunks and their bytes, and the bytes of all.
+func Diff(old, next Release) (chunks int, bytes, all int64) {
+	have := map[Digest]bool{}
+	for _, c := range old.Chunks() {
+		have[c.Digest] = true
+	}
+	for _, c := range next.Chunks() {
+		all += int64(c.Size)
+		if !have[c.Digest] {
+			chunks++
+			bytes += int64(c.Size)
+		}
+	}
+	return chunks, bytes, all
+}
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -20,6 +20,9 @@
 // Format is the version of the manifest that this program reads.
 const Format = 1
 
+// File is the manifest's name in a package's folder.
+const File = "manifest.yaml"
+
 // The kinds of packages.
 const (
 	Wasm    = "wasm"    // a module for wasip1 that is run with no host access beyond input, output, log and clock
@@ -90,7 +93,7 @@
 
 // Open reads the manifest of a folder.
 func Open(folder string) (Package, error) {
-	path := filepath.Join(folder, "manifest.yaml")
+	path := filepath.Join(folder, File)
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return Package{}, fmt.Errorf("package: %w", err)
@@ -142,7 +145,7 @@
 	if err := os.WriteFile(tmp, b, 0o644); err != nil {
 		return Package{}, fmt.Errorf("package %s: %w", m.Name, err)
 	}
-	if err := os.Rename(tmp, filepath.Join(folder, "manifest.yaml")); err != nil {
+	if err := os.Rename(tmp, filepath.Join(folder, File)); err != nil {
 		return Package{}, fmt.Errorf("package %s: %w", m.Name, err)
 	}
 	return Package{m, folder}, nil
@@ -158,7 +161,7 @@
 	if err := os.MkdirAll(filepath.Dir(filepath.Join(to, p.Entry)), 0o755); err != nil {
 		return Package{}, fmt.Errorf("fetch %s: %w", p.Name, err)
 	}
-	for _, name := range []string{p.Entry, "manifest.yaml"} {
+	for _, name := range []string{p.Entry, File} {
 		if err := copyFile(filepath.Join(p.Folder, name), filepath.Join(to, name)); err != nil {
 			return Package{}, fmt.Errorf("fetch %s: %w", p.Name, err)
 		}
