The store, chunks between workers, and fifty cold starts that take one package from the store

Workers look for chunks as internal/fetch decides: homes by a hashed order, holders told in answers, the store last and guarded. A wait of over 30 s asked of a home was refused as bad and sent everybody to the store (44 fetches of one chunk); it is now cut to what may be asked.

--- a/internal/cache/cache.go
+++ b/internal/cache/cache.go
@@ -137,7 +137,9 @@
 
 func (c *Cache) aside() string { return filepath.Join(c.folder, "aside") }
 
-func (c *Cache) path(d layer.Digest) string { return filepath.Join(c.folder, d.String()[:2], d.String()) }
+func (c *Cache) path(d layer.Digest) string {
+	return filepath.Join(c.folder, d.String()[:2], d.String())
+}
 
 // Has tells whether a chunk stands there; it may turn out to be corrupt.
 func (c *Cache) Has(d layer.Digest) bool {
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,170 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lupinpond/internal/layer"
+)
+
+// Client asks a store at Base, such as http://127.0.0.1:8730.
+type Client struct {
+	Base string
+	HTTP *http.Client
+}
+
+// Refused is an answer other than the one asked for.
+type Refused struct {
+	Status int
+	After  time.Duration // the store's word on when to come back; 0: none
+	Reason string
+}
+
+func (r *Refused) Error() string {
+	return fmt.Sprintf("store: status %d: %s", r.Status, r.Reason)
+}
+
+// Chunk fetches a chunk's packed form, not verified.
+func (c Client) Chunk(ctx context.Context, d layer.Digest) ([]byte, error) {
+	return c.ask(ctx, http.MethodGet, "/v1/chunks/"+d.String(), nil, layer.MaxPacked)
+}
+
+// Packages are the newest releases.
+func (c Client) Packages(ctx context.Context) (all []Entry, err error) {
+	b, err := c.ask(ctx, http.MethodGet, "/v1/packages", nil, layer.MaxRelease)
+	if err == nil {
+		err = json.Unmarshal(b, &all)
+	}
+	return all, err
+}
+
+// Release fetches an encoded release; version "" is the newest.
+func (c Client) Release(ctx context.Context, name, version string) ([]byte, error) {
+	path := "/v1/packages/" + url.PathEscape(name)
+	if version != "" {
+		path += "/" + url.PathEscape(version)
+	}
+	return c.ask(ctx, http.MethodGet, path, nil, layer.MaxRelease)
+}
+
+// Counts tells what the store did.
+func (c Client) Counts(ctx context.Context) (n Counts, err error) {
+	b, err := c.ask(ctx, http.MethodGet, "/v1/counts", nil, 64<<10)
+	if err == nil {
+		err = json.Unmarshal(b, &n)
+	}
+	return n, err
+}
+
+// Sent tells what publishing sent.
+type Sent struct {
+	Entry
+	Chunks, New     int // of the release, and those that the store did not have
+	Bytes, NewBytes int64
+}
+
+const uploads = 8 // at a time
+
+// Publish cuts a package's folder and sends what the store does not have, then the release. While it is not through, the
+// old release stays the newest.
+func (c Client) Publish(ctx context.Context, folder string) (sent Sent, err error) {
+	r, err := layer.Cut(folder, func(layer.Ref, []byte) error { return nil })
+	if err != nil {
+		return sent, fmt.Errorf("publish %s: %w", folder, err)
+	}
+	var names []string
+	for _, ref := range r.Chunks() {
+		names = append(names, ref.Digest.String())
+		sent.Chunks++
+		sent.Bytes += int64(ref.Size)
+	}
+	body, err := json.Marshal(names)
+	if err != nil {
+		return sent, err
+	}
+	b, err := c.ask(ctx, http.MethodPost, "/v1/missing", body, layer.MaxRelease)
+	if err != nil {
+		return sent, fmt.Errorf("publish %s: %w", folder, err)
+	}
+	var missing []string
+	if err := json.Unmarshal(b, &missing); err != nil {
+		return sent, fmt.Errorf("publish %s: %w", folder, err)
+	}
+	wanted := map[string]bool{}
+	for _, n := range missing {
+		wanted[n] = true
+	}
+	g, gctx := errgroup.WithContext(ctx)
+	g.SetLimit(uploads)
+	again, err := layer.Cut(folder, func(ref layer.Ref, content []byte) error {
+		name := ref.Digest.String()
+		if !wanted[name] {
+			return gctx.Err()
+		}
+		delete(wanted, name)
+		sent.New++
+		sent.NewBytes += int64(ref.Size)
+		packed := layer.Pack(content)
+		g.Go(func() error {
+			_, err := c.ask(gctx, http.MethodPut, "/v1/chunks/"+name, packed, 4096)
+			return err
+		})
+		return nil
+	})
+	if err = errors.Join(g.Wait(), err); err != nil {
+		return sent, fmt.Errorf("publish %s: %w", folder, err)
+	}
+	first, err := layer.Encode(r)
+	if err != nil {
+		return sent, err
+	}
+	second, err := layer.Encode(again)
+	if err != nil {
+		return sent, err
+	}
+	if !bytes.Equal(first, second) {
+		return sent, fmt.Errorf("publish %s: the content changed while it was sent", folder)
+	}
+	if b, err = c.ask(ctx, http.MethodPost, "/v1/releases", first, 64<<10); err == nil {
+		err = json.Unmarshal(b, &sent.Entry)
+	}
+	if err != nil {
+		return sent, fmt.Errorf("publish %s: %w", folder, err)
+	}
+	return sent, nil
+}
+
+func (c Client) ask(ctx context.Context, method, path string, body []byte, most int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if resp.StatusCode >= 300 {
+		after, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // a date is not used by lpstore
+		return nil, &Refused{resp.StatusCode, time.Duration(min(max(after, 0), 3600)) * time.Second,
+			string(bytes.TrimSpace(b[:min(len(b), 1024)]))}
+	}
+	if int64(len(b)) > most {
+		return nil, fmt.Errorf("store: %s answered more than %d bytes", path, most)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,531 @@
+// Package store is the store of packages: chunks in files, releases in an embedded database, HTTP to fetch and publish, and
+// a stated capacity past which fetches are turned away. A release is there whole or not at all, and no chunk that one names
+// is ever collected.
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"math"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+	"golang.org/x/time/rate"
+
+	"lupinpond/internal/layer"
+)
+
+const format = 1
+
+var (
+	bucketMeta     = []byte("meta")
+	bucketReleases = []byte("releases") // NAME, 0, VERSION: the encoded release
+	bucketNewest   = []byte("newest")   // NAME: VERSION
+)
+
+// Options of a Store.
+type Options struct {
+	Folder   string
+	Capacity Capacity
+	Grace    time.Duration // a chunk that no release names is collected after it
+	Log      *slog.Logger
+	Fail     func(point string) // called at each step of publishing, for tests; may be nil
+}
+
+// Steps of publishing, as fail points name them.
+const (
+	PointChunk   = "chunk"   // a chunk is written, not named yet
+	PointNamed   = "named"   // it has its name
+	PointRelease = "release" // the release is about to be written
+	PointWritten = "written" // it is
+)
+
+// Store is a store that is open.
+type Store struct {
+	o       Options
+	db      *bolt.DB
+	started time.Time
+	limiter *rate.Limiter
+
+	mu     sync.Mutex
+	crowd  *Crowd
+	counts map[layer.Digest]int // fetches that were served
+	sum    Counts
+
+	publish sync.RWMutex // held for writing while chunks are collected
+}
+
+// Counts tell what a store did in this life.
+type Counts struct {
+	Served     int   `json:"served"` // fetches of chunks
+	Bytes      int64 `json:"bytes"`  // of them
+	TurnedAway int   `json:"turned-away"`
+	Stopped    int   `json:"stopped"` // fetches that found it stopped
+	Stops      int   `json:"stops"`
+	Most       int   `json:"most"` // fetches of the chunk that was fetched most
+	Chunks     int   `json:"chunks"`
+}
+
+// Entry is a package as the list of packages tells it.
+type Entry struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+	Digest  string `json:"digest"` // of the release
+}
+
+// ErrMissing says that a release names chunks that the store does not have.
+var ErrMissing = errors.New("the release names chunks that are not there")
+
+// Open opens or makes a store's folder. Another process that has it open is an error.
+func Open(o Options) (_ *Store, err error) {
+	if o.Fail == nil {
+		o.Fail = func(string) {}
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if err := os.MkdirAll(filepath.Join(o.Folder, "chunks"), 0o755); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	db, err := bolt.Open(filepath.Join(o.Folder, "releases.bolt"), 0o644, &bolt.Options{Timeout: time.Second})
+	if err != nil {
+		return nil, fmt.Errorf("store %s: %w", o.Folder, err)
+	}
+	s := &Store{o: o, db: db, started: time.Now(), crowd: NewCrowd(o.Capacity), counts: map[layer.Digest]int{}}
+	if o.Capacity.Rate > 0 {
+		s.limiter = rate.NewLimiter(rate.Limit(o.Capacity.Rate), layer.MaxPacked)
+	}
+	err = db.Update(func(tx *bolt.Tx) error {
+		for _, b := range [][]byte{bucketMeta, bucketReleases, bucketNewest} {
+			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
+				return err
+			}
+		}
+		if v := tx.Bucket(bucketMeta).Get([]byte("format")); v != nil && !bytes.Equal(v, []byte{format}) {
+			return fmt.Errorf("format %v, this program reads %d", v, format)
+		}
+		return tx.Bucket(bucketMeta).Put([]byte("format"), []byte{format})
+	})
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("store %s: %w", o.Folder, err), db.Close())
+	}
+	return s, nil
+}
+
+// Close closes it.
+func (s *Store) Close() error { return s.db.Close() }
+
+func (s *Store) now() time.Duration { return time.Since(s.started) }
+
+// Stop has it turn everything away for so long.
+func (s *Store) Stop(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crowd.Stop(s.now(), d)
+}
+
+// Counts tells what it did.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.sum
+	c.Stops, c.Chunks = s.crowd.Stops(), len(s.counts)
+	for _, n := range s.counts {
+		c.Most = max(c.Most, n)
+	}
+	return c
+}
+
+func (s *Store) path(d layer.Digest) string {
+	return filepath.Join(s.o.Folder, "chunks", d.String()[:2], d.String())
+}
+
+// PutChunk keeps a chunk; it is durable when it returns.
+func (s *Store) PutChunk(d layer.Digest, packed []byte) error {
+	if _, err := layer.Unpack(d, packed); err != nil {
+		return err
+	}
+	s.publish.RLock()
+	defer s.publish.RUnlock()
+	path := s.path(d)
+	if err := os.Chtimes(path, time.Time{}, time.Now()); err == nil {
+		return nil // there, and not to be collected soon
+	}
+	dir := filepath.Dir(path)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	tmp, err := os.CreateTemp(dir, ".new-*")
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	_, err = tmp.Write(packed)
+	if err == nil {
+		err = tmp.Sync()
+	}
+	s.o.Fail(PointChunk)
+	if err = errors.Join(err, tmp.Close()); err == nil {
+		err = os.Rename(tmp.Name(), path)
+	}
+	if err != nil {
+		return errors.Join(fmt.Errorf("store: chunk %.12s: %w", d, err), os.Remove(tmp.Name()))
+	}
+	s.o.Fail(PointNamed)
+	return syncDir(dir)
+}
+
+func syncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// Missing are those of the chunks that the store does not have. Those that it has are not collected within the grace.
+func (s *Store) Missing(all []layer.Digest) (missing []layer.Digest) {
+	s.publish.RLock()
+	defer s.publish.RUnlock()
+	for _, d := range all {
+		if os.Chtimes(s.path(d), time.Time{}, time.Now()) != nil {
+			missing = append(missing, d)
+		}
+	}
+	return missing
+}
+
+func releaseKey(name, version string) []byte { return []byte(name + "\x00" + version) }
+
+// Publish makes a release the newest of its package, in one transaction. A version that is there already may only be
+// published again as it is.
+func (s *Store) Publish(encoded []byte) (Entry, error) {
+	r, err := layer.Decode(encoded)
+	if err != nil {
+		return Entry{}, err
+	}
+	m, err := r.Package()
+	if err != nil {
+		return Entry{}, err
+	}
+	s.publish.RLock()
+	defer s.publish.RUnlock()
+	var refs []layer.Digest
+	for _, c := range r.Chunks() {
+		refs = append(refs, c.Digest)
+	}
+	for _, d := range refs {
+		if _, err := os.Stat(s.path(d)); err != nil {
+			return Entry{}, fmt.Errorf("%w: chunk %.12s: %w", ErrMissing, d, err)
+		}
+	}
+	if strings.ContainsRune(m.Name+m.Version, 0) {
+		return Entry{}, errors.New("store: a name or version with a zero byte")
+	}
+	s.o.Fail(PointRelease)
+	err = s.db.Update(func(tx *bolt.Tx) error {
+		key := releaseKey(m.Name, m.Version)
+		if old := tx.Bucket(bucketReleases).Get(key); old != nil && !bytes.Equal(old, encoded) {
+			return fmt.Errorf("version %s of %s is published already with other content", m.Version, m.Name)
+		}
+		if err := tx.Bucket(bucketReleases).Put(key, encoded); err != nil {
+			return err
+		}
+		return tx.Bucket(bucketNewest).Put([]byte(m.Name), []byte(m.Version))
+	})
+	if err != nil {
+		return Entry{}, fmt.Errorf("store: %w", err)
+	}
+	s.o.Fail(PointWritten)
+	return Entry{m.Name, m.Version, layer.Sum(encoded).String()}, nil
+}
+
+// Withdraw takes a version away. The newest can't be.
+func (s *Store) Withdraw(name, version string) error {
+	return s.db.Update(func(tx *bolt.Tx) error {
+		if string(tx.Bucket(bucketNewest).Get([]byte(name))) == version {
+			return fmt.Errorf("store: %s is the newest version of %s: publish another one first", version, name)
+		}
+		if tx.Bucket(bucketReleases).Get(releaseKey(name, version)) == nil {
+			return fmt.Errorf("store: no version %s of %s: %w", version, name, fs.ErrNotExist)
+		}
+		return tx.Bucket(bucketReleases).Delete(releaseKey(name, version))
+	})
+}
+
+// Release is an encoded release; version "" is the newest. fs.ErrNotExist: there is none.
+func (s *Store) Release(name, version string) (encoded []byte, err error) {
+	err = s.db.View(func(tx *bolt.Tx) error {
+		if version == "" {
+			version = string(tx.Bucket(bucketNewest).Get([]byte(name)))
+		}
+		v := tx.Bucket(bucketReleases).Get(releaseKey(name, version))
+		if v == nil {
+			return fmt.Errorf("store: no release %q of %q: %w", version, name, fs.ErrNotExist)
+		}
+		encoded = bytes.Clone(v)
+		return nil
+	})
+	return encoded, err
+}
+
+// Packages are the newest releases.
+func (s *Store) Packages() (all []Entry, err error) {
+	all = []Entry{}
+	err = s.db.View(func(tx *bolt.Tx) error {
+		return tx.Bucket(bucketNewest).ForEach(func(name, version []byte) error {
+			v := tx.Bucket(bucketReleases).Get(releaseKey(string(name), string(version)))
+			all = append(all, Entry{string(name), string(version), layer.Sum(v).String()})
+			return nil
+		})
+	})
+	return all, err
+}
+
+// Collect removes chunks that no release names and that nobody has written or asked about within the grace, and what a kill
+// has left half written. It answers how many.
+func (s *Store) Collect() (n int, err error) {
+	s.publish.Lock()
+	defer s.publish.Unlock()
+	named := map[string]bool{}
+	err = s.db.View(func(tx *bolt.Tx) error {
+		return tx.Bucket(bucketReleases).ForEach(func(k, v []byte) error {
+			r, err := layer.Decode(v)
+			if err != nil {
+				return fmt.Errorf("%q: %w", k, err) // nothing is collected while a release can't be read
+			}
+			for _, c := range r.Chunks() {
+				named[c.Digest.String()] = true
+			}
+			return nil
+		})
+	})
+	if err != nil {
+		return 0, fmt.Errorf("store: collect: %w", err)
+	}
+	old := time.Now().Add(-s.o.Grace)
+	err = filepath.WalkDir(filepath.Join(s.o.Folder, "chunks"), func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || named[d.Name()] {
+			return err
+		}
+		st, err := d.Info()
+		if err != nil || st.ModTime().After(old) {
+			return err
+		}
+		n++
+		return os.Remove(path)
+	})
+	return n, err
+}
+
+// Handler serves fetches under /v1/: packages, packages/NAME, packages/NAME/VERSION, chunks/DIGEST, counts; and, if publish
+// is on, what publishing needs.
+func (s *Store) Handler(publish bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/packages", s.taken(func(w http.ResponseWriter, r *http.Request) {
+		all, err := s.Packages()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		body, err := json.Marshal(all)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		content(w, r, layer.Sum(body), body)
+	}))
+	release := s.taken(func(w http.ResponseWriter, r *http.Request) {
+		b, err := s.Release(r.PathValue("name"), r.PathValue("version"))
+		if errors.Is(err, fs.ErrNotExist) {
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/cbor")
+		content(w, r, layer.Sum(b), b)
+	})
+	mux.HandleFunc("GET /v1/packages/{name}", release)
+	mux.HandleFunc("GET /v1/packages/{name}/{version}", release)
+	mux.HandleFunc("GET /v1/chunks/{digest}", s.taken(s.chunk))
+	mux.HandleFunc("GET /v1/counts", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Counts()) // the asker is gone
+	})
+	if publish {
+		s.publishing(mux)
+	}
+	return mux
+}
+
+// content answers b or a part of it, or that it has not changed.
+func content(w http.ResponseWriter, r *http.Request, d layer.Digest, b []byte) {
+	w.Header().Set("ETag", `"`+d.String()+`"`)
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(b))
+}
+
+// taken lets a request in as far as the capacity goes.
+func (s *Store) taken(f http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		v, after := s.crowd.Ask(s.now())
+		switch v {
+		case TurnAway:
+			s.sum.TurnedAway++
+		case Stopped:
+			s.sum.Stopped++
+		}
+		s.mu.Unlock()
+		if v != Serve {
+			w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+			if v == Stopped {
+				http.Error(w, "the store has stopped", http.StatusServiceUnavailable)
+			} else {
+				http.Error(w, "too many fetches at a time", http.StatusTooManyRequests)
+			}
+			return
+		}
+		defer func() {
+			s.mu.Lock()
+			s.crowd.Ended()
+			s.mu.Unlock()
+		}()
+		f(w, r)
+	}
+}
+
+func (s *Store) chunk(w http.ResponseWriter, r *http.Request) {
+	d, err := layer.Parse(r.PathValue("digest"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b, err := os.ReadFile(s.path(d))
+	if err != nil {
+		status := http.StatusInternalServerError
+		if errors.Is(err, fs.ErrNotExist) {
+			status = http.StatusNotFound
+		}
+		http.Error(w, fmt.Sprintf("chunk %s is not here", d), status)
+		return
+	}
+	if s.limiter != nil {
+		if err := s.limiter.WaitN(r.Context(), min(len(b), layer.MaxPacked)); err != nil {
+			return // the asker is gone
+		}
+	}
+	s.mu.Lock()
+	s.counts[d]++
+	s.sum.Served++
+	s.sum.Bytes += int64(len(b))
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/zstd")
+	content(w, r, d, b)
+}
+
+func (s *Store) publishing(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /v1/chunks/{digest}", func(w http.ResponseWriter, r *http.Request) {
+		d, err := layer.Parse(r.PathValue("digest"))
+		var b []byte
+		if err == nil {
+			b, err = io.ReadAll(http.MaxBytesReader(w, r.Body, layer.MaxPacked))
+		}
+		if err == nil {
+			err = s.PutChunk(d, b)
+		}
+		ended(w, err)
+	})
+	mux.HandleFunc("POST /v1/missing", func(w http.ResponseWriter, r *http.Request) {
+		var names []string
+		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, layer.MaxRelease)).Decode(&names)
+		var all []layer.Digest
+		for _, n := range names {
+			d, perr := layer.Parse(n)
+			err = errors.Join(err, perr)
+			all = append(all, d)
+		}
+		if err != nil {
+			ended(w, err)
+			return
+		}
+		missing := []string{}
+		for _, d := range s.Missing(all) {
+			missing = append(missing, d.String())
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(missing) // the asker is gone
+	})
+	mux.HandleFunc("POST /v1/releases", func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, layer.MaxRelease))
+		var e Entry
+		if err == nil {
+			e, err = s.Publish(b)
+		}
+		if err != nil {
+			ended(w, err)
+			return
+		}
+		s.o.Log.Info("published", "package", e.Name, "version", e.Version, "digest", e.Digest)
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(e) // the asker is gone
+	})
+	mux.HandleFunc("DELETE /v1/packages/{name}/{version}", func(w http.ResponseWriter, r *http.Request) {
+		ended(w, s.Withdraw(r.PathValue("name"), r.PathValue("version")))
+	})
+	mux.HandleFunc("POST /v1/stop", func(w http.ResponseWriter, r *http.Request) {
+		d, err := time.ParseDuration(r.URL.Query().Get("for"))
+		if err == nil && d <= 0 {
+			err = errors.New("for: a duration above 0")
+		}
+		if err == nil {
+			s.Stop(d)
+		}
+		ended(w, err)
+	})
+}
+
+func ended(w http.ResponseWriter, err error) {
+	switch {
+	case err == nil:
+		w.WriteHeader(http.StatusNoContent)
+	case errors.Is(err, ErrMissing):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, fs.ErrNotExist):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	default:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
+// Run collects every so often until ctx ends.
+func (s *Store) Run(ctx context.Context, every time.Duration) error {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			if n, err := s.Collect(); err != nil {
+				s.o.Log.Error("nothing collected", "err", err)
+			} else if n > 0 {
+				s.o.Log.Info("collected", "chunks", n)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/supply/supply.go
@@ -0,0 +1,477 @@
+// Package supply brings packages to a worker: chunks from its own disk, from other workers, from the store, as internal/fetch
+// decides; and gives chunks to other workers.
+package supply
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lupinpond/internal/cache"
+	"lupinpond/internal/fetch"
+	"lupinpond/internal/layer"
+	"lupinpond/internal/pack"
+	"lupinpond/internal/store"
+)
+
+// Peer is another worker that gives chunks.
+type Peer struct{ Name, Addr string }
+
+// Options of a Supplier.
+type Options struct {
+	Name     string // of this worker
+	Folder   string // its releases are kept there
+	Store    store.Client
+	Cache    *cache.Cache
+	Peers    func() []Peer  // listed workers that give chunks; this one may be among them. nil: none
+	Busy     func() float64 // part of the worker's lanes that run, for what it may give; nil: none
+	Capacity float64        // bytes a second of its network
+	Part     float64        // of it that is given to others
+	Slots    int            // chunks given at a time
+	Patience time.Duration  // for one chunk
+	Parallel int            // chunks of a release looked for at a time
+	Log      *slog.Logger
+}
+
+// Counts tell what a Supplier did in this life.
+type Counts struct {
+	FromDisk, FromPeers, FromStore int
+	Bytes                          int64 // packed, from peers and the store
+	CorruptPeers, CorruptStore     int   // chunks that were something else, and not used
+	Given                          int   // to others
+	Busy                           int   // turned away, as enough was given
+	GivenUp                        int
+}
+
+// Supplier is one worker's. Its methods may be called by any goroutine.
+type Supplier struct {
+	o       Options
+	started time.Time
+	client  *http.Client
+	ctx     context.Context // of fetches that others wait for
+	stop    context.CancelFunc
+	work    sync.WaitGroup
+
+	mu       sync.Mutex
+	guard    *fetch.Guard
+	freed    chan struct{} // closed when a request to the store has ended
+	peers    *fetch.Peers
+	holders  *fetch.Holders
+	uploads  *fetch.Uploads
+	under    map[layer.Digest]*flight
+	releases map[string]release // newest by name
+	counts   Counts
+}
+
+type release struct {
+	layer.Release
+	manifest pack.Manifest
+	digest   string
+}
+
+type flight struct {
+	done    chan struct{}
+	content []byte
+	packed  []byte
+	err     error
+}
+
+const chunksRemembered = 10_000 // whose holders are told to others
+
+// ErrUnknown says that no release of a package is known.
+var ErrUnknown = errors.New("no such release is known")
+
+// New makes a Supplier; it knows the releases that its folder has from an earlier life.
+func New(o Options) (*Supplier, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Peers == nil {
+		o.Peers = func() []Peer { return nil }
+	}
+	if o.Busy == nil {
+		o.Busy = func() float64 { return 0 }
+	}
+	s := &Supplier{o: o, started: time.Now(), guard: fetch.NewGuard(), freed: make(chan struct{}), peers: fetch.NewPeers(),
+		holders: fetch.NewHolders(chunksRemembered), uploads: fetch.NewUploads(o.Capacity, o.Part, o.Slots),
+		under: map[layer.Digest]*flight{}, releases: map[string]release{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxIdleConns: 256, IdleConnTimeout: 30 * time.Second}}}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	if err := os.MkdirAll(s.kept(), 0o755); err != nil {
+		return nil, fmt.Errorf("supply: %w", err)
+	}
+	files, err := filepath.Glob(filepath.Join(s.kept(), "*.release"))
+	if err != nil {
+		return nil, fmt.Errorf("supply: %w", err)
+	}
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		if err == nil {
+			err = s.learn(b)
+		}
+		if err != nil {
+			o.Log.Warn("a kept release is not used", "file", f, "err", err)
+		}
+	}
+	return s, nil
+}
+
+// Close ends what is under way.
+func (s *Supplier) Close() {
+	s.stop()
+	s.work.Wait()
+	s.client.CloseIdleConnections()
+}
+
+func (s *Supplier) now() time.Duration { return time.Since(s.started) }
+
+func (s *Supplier) kept() string { return filepath.Join(s.o.Folder, "releases") }
+
+// Counts tells what it did.
+func (s *Supplier) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// learn takes a release as the newest of its package.
+func (s *Supplier) learn(encoded []byte) error {
+	r, err := layer.Decode(encoded)
+	if err != nil {
+		return err
+	}
+	m, err := r.Package()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releases[m.Name] = release{r, m, layer.Sum(encoded).String()}
+	return nil
+}
+
+// Packages are the manifests of the newest known releases.
+func (s *Supplier) Packages() []pack.Manifest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []pack.Manifest
+	for _, r := range s.releases {
+		all = append(all, r.manifest)
+	}
+	return all
+}
+
+// Refresh asks the store for new releases. What is known stays known when it does not answer; a release that can't be read
+// is left out and told in the log.
+func (s *Supplier) Refresh(ctx context.Context) error {
+	all, err := s.o.Store.Packages(ctx)
+	if err != nil {
+		return err
+	}
+	for _, e := range all {
+		s.mu.Lock()
+		known := s.releases[e.Name].digest == e.Digest
+		s.mu.Unlock()
+		if known {
+			continue
+		}
+		b, err := s.o.Store.Release(ctx, e.Name, e.Version)
+		if err == nil && layer.Sum(b).String() != e.Digest {
+			err = layer.ErrCorrupt
+		}
+		var refused *store.Refused
+		if errors.As(err, &refused) || ctx.Err() != nil {
+			return fmt.Errorf("release %s of %s: %w", e.Version, e.Name, err)
+		}
+		if err == nil {
+			if err = s.learn(b); err == nil {
+				err = s.keep(e.Name, b)
+			}
+		}
+		if err != nil {
+			s.o.Log.Error("release left out", "package", e.Name, "version", e.Version, "err", err)
+		}
+	}
+	return nil
+}
+
+func (s *Supplier) keep(name string, b []byte) error {
+	path := filepath.Join(s.kept(), layer.Sum([]byte(name)).String()+".release") // a name may have any letters
+	if err := os.WriteFile(path+".new", b, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// Bring builds the newest release of a package, if it is the version that is asked for, in a folder that does not exist yet.
+func (s *Supplier) Bring(ctx context.Context, name, version, folder string) (pack.Package, error) {
+	s.mu.Lock()
+	r, known := s.releases[name]
+	s.mu.Unlock()
+	if !known || r.manifest.Version != version {
+		return pack.Package{}, fmt.Errorf("version %s of %s: %w", version, name, ErrUnknown)
+	}
+	chunks := r.Chunks()
+	defer s.o.Cache.Pin(chunks)()
+	contents := make(map[layer.Digest]chan []byte, len(chunks))
+	for _, c := range chunks {
+		contents[c.Digest] = make(chan []byte, 1)
+	}
+	g, gctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(1, s.o.Parallel) + 1)
+	var p pack.Package
+	g.Go(func() (err error) { // files are written in order while later chunks still come
+		last := map[layer.Digest][]byte{}
+		p, err = layer.Build(r.Release, folder, func(ref layer.Ref) ([]byte, error) {
+			if b, is := last[ref.Digest]; is {
+				return b, nil
+			}
+			select {
+			case b := <-contents[ref.Digest]:
+				last[ref.Digest] = b
+				return b, nil
+			case <-gctx.Done():
+				return nil, context.Cause(gctx)
+			}
+		})
+		return err
+	})
+	for _, c := range chunks {
+		g.Go(func() error {
+			b, _, err := s.chunk(gctx, c.Digest)
+			if err == nil {
+				contents[c.Digest] <- b
+			}
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return p, errors.Join(fmt.Errorf("bring %s version %s: %w", name, version, err), os.RemoveAll(folder))
+	}
+	return p, nil
+}
+
+// chunk gives a chunk's content and packed form, verified; whoever wants the same one at a time shares the search.
+func (s *Supplier) chunk(ctx context.Context, d layer.Digest) (content, packed []byte, err error) {
+	if content, packed, ok := s.o.Cache.Get(d); ok {
+		s.mu.Lock()
+		s.counts.FromDisk++
+		s.mu.Unlock()
+		return content, packed, nil
+	}
+	f := s.begin(d)
+	select {
+	case <-f.done:
+		return f.content, f.packed, f.err
+	case <-ctx.Done():
+		return nil, nil, context.Cause(ctx)
+	}
+}
+
+// begin has a chunk looked for, unless it is already.
+func (s *Supplier) begin(d layer.Digest) *flight {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f := s.under[d]; f != nil {
+		return f
+	}
+	f := &flight{done: make(chan struct{})}
+	if s.ctx.Err() != nil {
+		f.err = s.ctx.Err()
+		close(f.done)
+		return f
+	}
+	s.under[d] = f
+	s.work.Go(func() {
+		f.content, f.packed, f.err = s.look(d)
+		s.mu.Lock()
+		delete(s.under, d)
+		s.mu.Unlock()
+		close(f.done)
+	})
+	return f
+}
+
+// look carries out what a want decides until the chunk is here.
+func (s *Supplier) look(d layer.Digest) (content, packed []byte, err error) {
+	at := map[string]string{}
+	names := []string{s.o.Name}
+	for _, p := range s.o.Peers() {
+		if p.Name != s.o.Name {
+			at[p.Name] = p.Addr
+			names = append(names, p.Name)
+		}
+	}
+	s.mu.Lock()
+	s.peers.Keep(names)
+	s.mu.Unlock()
+	want := fetch.NewWant(s.o.Name, fetch.Order(d[:], names), s.now(), s.o.Patience)
+	last := errors.New("nobody was asked")
+	for repeat := false; ; {
+		now := s.now()
+		s.mu.Lock()
+		step := want.Next(now, func(p string) bool { return s.peers.Trusted(now, p) }, rand.Float64())
+		s.mu.Unlock()
+		switch step.Do {
+		case fetch.GiveUp:
+			s.mu.Lock()
+			s.counts.GivenUp++
+			s.mu.Unlock()
+			return nil, nil, fmt.Errorf("chunk %.12s: given up after %v: %w", d, s.o.Patience, last)
+		case fetch.Pause:
+			if !s.sleep(step.Wait, nil) {
+				return nil, nil, s.ctx.Err()
+			}
+		case fetch.AskPeer:
+			content, packed, err = s.askPeer(want, at[step.Peer], step, d)
+			if err == nil {
+				s.o.Cache.Put(d, packed, false)
+				return content, packed, nil
+			}
+			last = err
+		case fetch.AskStore:
+			s.mu.Lock()
+			ok, after := s.guard.Ask(now, repeat)
+			freed := s.freed
+			s.mu.Unlock()
+			switch {
+			case !ok && after > 0:
+				want.Store(now, after)
+			case !ok:
+				if !s.sleep(s.o.Patience/64, freed) {
+					return nil, nil, s.ctx.Err()
+				}
+			default:
+				content, packed, err = s.askStore(want, d)
+				if err == nil {
+					s.o.Cache.Put(d, packed, true)
+					return content, packed, nil
+				}
+				last, repeat = err, true
+			}
+		}
+	}
+}
+
+// sleep waits for d, or until wake is closed; false if the supplier ends.
+func (s *Supplier) sleep(d time.Duration, wake <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-wake:
+	case <-timer.C:
+	}
+	return true
+}
+
+func (s *Supplier) askStore(want *fetch.Want, d layer.Digest) (content, packed []byte, err error) {
+	began := s.now()
+	ctx, stop := context.WithTimeout(s.ctx, s.o.Patience/4)
+	packed, err = s.o.Store.Chunk(ctx, d)
+	stop()
+	outcome, after := fetch.Good, time.Duration(0)
+	var refused *store.Refused
+	switch {
+	case err == nil:
+		if content, err = layer.Unpack(d, packed); err != nil {
+			after = time.Second // the store's copy may be mended
+		}
+	case errors.As(err, &refused) && refused.Status == http.StatusNotFound:
+		after = s.o.Patience / 8 // others may have it
+	case errors.As(err, &refused) && refused.Status == http.StatusTooManyRequests:
+		outcome, after = fetch.TurnedAway, refused.After
+	case errors.As(err, &refused):
+		outcome, after = fetch.Broken, refused.After
+	default:
+		outcome = fetch.Broken
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.guard.Ended(s.now(), began, outcome, after, rand.Float64())
+	close(s.freed)
+	s.freed = make(chan struct{})
+	if err != nil {
+		if errors.Is(err, layer.ErrCorrupt) {
+			s.counts.CorruptStore++
+			s.o.Log.Error("the store gave a corrupt chunk", "chunk", d, "err", err)
+		}
+		want.Store(s.now(), after)
+		return nil, nil, err
+	}
+	s.counts.FromStore++
+	s.counts.Bytes += int64(len(packed))
+	return content, packed, nil
+}
+
+func (s *Supplier) askPeer(want *fetch.Want, addr string, step fetch.Step, d layer.Digest) (content, packed []byte, err error) {
+	// what the peer says it waits for is bounded by it, what it sends by twice that
+	ctx, stop := context.WithTimeout(s.ctx, 2*step.Wait)
+	defer stop()
+	said, packed, more, err := ask(ctx, s.client, addr, s.o.Name, d, step)
+	if said == fetch.Gave {
+		if content, err = layer.Unpack(d, packed); err != nil {
+			said = fetch.Corrupt
+		}
+	}
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers.Heard(now, step.Peer, said)
+	if said == fetch.Gave {
+		s.counts.FromPeers++
+		s.counts.Bytes += int64(len(packed))
+		return content, packed, nil
+	}
+	if said == fetch.Corrupt {
+		s.counts.CorruptPeers++
+		s.o.Log.Error("a peer gave a corrupt chunk", "peer", step.Peer, "chunk", d, "err", err)
+	}
+	want.Heard(now, step.Peer, said, more.Holders, more.after())
+	if err == nil {
+		err = fmt.Errorf("%s says %s", step.Peer, more.Said)
+	}
+	return nil, nil, err
+}
+
+// ask asks a peer for a chunk.
+func ask(ctx context.Context, client *http.Client, addr, self string, d layer.Digest, step fetch.Step) (fetch.Said, []byte, word, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/chunks/"+d.String(), nil)
+	if err != nil {
+		return fetch.Failed, nil, word{}, err
+	}
+	req.Header.Set(headerAsker, self)
+	if step.Held {
+		req.Header.Set(headerHeld, "1")
+	} else {
+		req.Header.Set(headerWait, min(step.Wait, mostWait).String()) // a longer one would be refused
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fetch.Failed, nil, word{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, layer.MaxPacked+1))
+	if err != nil {
+		return fetch.Failed, nil, word{}, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return fetch.Gave, b, word{}, nil
+	}
+	w, said, err := readWord(b)
+	if err != nil {
+		return fetch.Failed, nil, w, fmt.Errorf("status %s: %w", resp.Status, err)
+	}
+	return said, nil, w, nil
+}
