--- a/cmd/lpctl/main.go
+++ b/cmd/lpctl/main.go
@@ -31,6 +31,8 @@
 	Invoke   invokeCmd   `cmd:"" help:"Send one event to a front end."`
 	Check    checkCmd    `cmd:"" help:"Check a file of settings."`
 	Workers  workersCmd  `cmd:"" help:"Show the list of workers, or drain one."`
+	Publish  publishCmd  `cmd:"" help:"Publish a package to the store, and say what it makes workers fetch."`
+	Package  packageCmd  `cmd:"" help:"Look at the packages of the store."`
 	Trouble  troubleCmd  `cmd:"" help:"Have a worker misbehave for a time, over its control interface."`
 	Rehearse rehearseCmd `cmd:"" help:"Play rehearsed days of trouble on loopback and judge the five rules."`
 	Rules    rulesCmd    `cmd:"" help:"Judge the five rules from a folder of captures."`
--- /dev/null
+++ b/cmd/lpctl/packages.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"lupinpond/internal/layer"
+	"lupinpond/internal/store"
+)
+
+type storeFlag struct {
+	Store string `default:"http://127.0.0.1:8730" help:"Address of lpstore."`
+}
+
+func (f storeFlag) client() store.Client {
+	return store.Client{Base: f.Store, HTTP: http.DefaultClient}
+}
+
+type publishCmd struct {
+	storeFlag
+	Folder string `arg:"" type:"existingdir" help:"The package: its content and the manifest that lpworker pack has written."`
+	Dry    bool   `help:"Send nothing; say what a worker that has the newest release would fetch."`
+}
+
+// Run publishes a package and says what its release makes workers fetch.
+func (c *publishCmd) Run(ctx context.Context, _ *slog.Logger) error {
+	next, err := layer.Cut(c.Folder, func(layer.Ref, []byte) error { return nil })
+	if err != nil {
+		return err
+	}
+	m, err := next.Package()
+	if err != nil {
+		return err
+	}
+	var old layer.Release
+	since := "a worker without any release"
+	if b, err := c.client().Release(ctx, m.Name, ""); err == nil {
+		if old, err = layer.Decode(b); err != nil {
+			return err
+		}
+		om, err := old.Package()
+		if err != nil {
+			return err
+		}
+		since = "a worker that has version " + om.Version
+	} else if refused, is := err.(*store.Refused); !is || refused.Status != http.StatusNotFound {
+		return err
+	}
+	chunks, bytes, all := layer.Diff(old, next)
+	if !c.Dry {
+		sent, err := c.client().Publish(ctx, c.Folder)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s version %s, release %.12s: %d chunks, %d sent\n", sent.Name, sent.Version, sent.Digest, sent.Chunks, sent.New)
+	}
+	fmt.Printf("%s fetches %d chunks, %s of %s (%.1f %%)\n", since, chunks, mib(bytes), mib(all), 100*float64(bytes)/float64(max(1, all)))
+	return nil
+}
+
+func mib(n int64) string { return fmt.Sprintf("%.2f MiB", float64(n)/(1<<20)) }
+
+type packageCmd struct {
+	List packageListCmd `cmd:"" help:"The newest release of every package."`
+	Show packageShowCmd `cmd:"" help:"What a release consists of."`
+	Diff packageDiffCmd `cmd:"" help:"What a worker that has one release would fetch for another."`
+}
+
+type packageListCmd struct{ storeFlag }
+
+// Run lists packages.
+func (c *packageListCmd) Run(ctx context.Context, _ *slog.Logger) error {
+	all, err := c.client().Packages(ctx)
+	if err != nil {
+		return err
+	}
+	t := table.NewWriter()
+	t.SetOutputMirror(os.Stdout)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"package", "version", "release"})
+	for _, e := range all {
+		t.AppendRow(table.Row{e.Name, e.Version, e.Digest[:12]})
+	}
+	t.Render()
+	return nil
+}
+
+type packageShowCmd struct {
+	storeFlag
+	Name    string `arg:""`
+	Version string `arg:"" optional:"" help:"The newest unless named."`
+}
+
+func (f storeFlag) release(ctx context.Context, name, version string) (layer.Release, error) {
+	b, err := f.client().Release(ctx, name, version)
+	if err != nil {
+		return layer.Release{}, err
+	}
+	return layer.Decode(b)
+}
+
+// Run shows a release.
+func (c *packageShowCmd) Run(ctx context.Context, _ *slog.Logger) error {
+	r, err := c.release(ctx, c.Name, c.Version)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s", r.Manifest)
+	t := table.NewWriter()
+	t.SetOutputMirror(os.Stdout)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"layer", "file", "bytes", "chunks"})
+	for _, l := range r.Layers {
+		for _, f := range l.Files {
+			t.AppendRow(table.Row{l.Name, f.Path, f.Size(), len(f.Chunks)})
+		}
+	}
+	t.Render()
+	fmt.Printf("%d chunks, %s\n", len(r.Chunks()), mib(r.Size()))
+	return nil
+}
+
+type packageDiffCmd struct {
+	storeFlag
+	Name string `arg:""`
+	Old  string `arg:"" help:"A version."`
+	New  string `arg:"" optional:"" help:"Another; the newest unless named."`
+}
+
+// Run compares two releases, file by file.
+func (c *packageDiffCmd) Run(ctx context.Context, _ *slog.Logger) error {
+	old, err := c.release(ctx, c.Name, c.Old)
+	if err != nil {
+		return err
+	}
+	next, err := c.release(ctx, c.Name, c.New)
+	if err != nil {
+		return err
+	}
+	have := map[layer.Digest]bool{}
+	for _, x := range old.Chunks() {
+		have[x.Digest] = true
+	}
+	t := table.NewWriter()
+	t.SetOutputMirror(os.Stdout)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"layer", "file", "chunks", "new", "new bytes"})
+	for _, l := range next.Layers {
+		for _, f := range l.Files {
+			n, size := 0, 0
+			for _, x := range f.Chunks {
+				if !have[x.Digest] {
+					n, size = n+1, size+x.Size
+				}
+			}
+			t.AppendRow(table.Row{l.Name, f.Path, len(f.Chunks), n, size})
+		}
+	}
+	t.Render()
+	chunks, bytes, all := layer.Diff(old, next)
+	fmt.Printf("%d chunks, %s of %s (%.1f %%)\n", chunks, mib(bytes), mib(all), 100*float64(bytes)/float64(max(1, all)))
+	return nil
+}
--- a/cmd/lpctl/rehearse.go
+++ b/cmd/lpctl/rehearse.go
@@ -33,6 +33,7 @@
 	Keep     string   `help:"Folder for captures, list news and core recordings; a folder in it for each day." type:"path"`
 	Jobs     int      `default:"3" help:"Days played at a time."`
 	Workers  string   `enum:"imitation,runtime" default:"imitation" help:"What workers are: ${enum}."`
+	Alone    bool     `help:"With --workers runtime: workers give each other no chunks, each asks the store alone."`
 	Payroll  string   `default:"bin/payroll" help:"With --workers runtime: the built example package (go build -o bin/ ./examples/payroll)." type:"path"`
 	JSON     bool     `help:"Results as JSON lines."`
 }
@@ -108,7 +109,7 @@
 		g.Go(func() error {
 			o := rehearse.Options{File: f, Log: log, Progress: func(part float64) { move(i, int(100*part)) }}
 			if c.Workers == "runtime" {
-				o.Payroll = c.Payroll
+				o.Payroll, o.Alone = c.Payroll, c.Alone
 			}
 			if c.Keep != "" {
 				o.Keep = filepath.Join(c.Keep, d.Name)
--- /dev/null
+++ b/cmd/lpstore/main.go
@@ -0,0 +1,85 @@
+// Command lpstore is the store of packages.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
+
+	"lupinpond/internal/config"
+	"lupinpond/internal/store"
+	"lupinpond/internal/telemetry"
+)
+
+type flags struct {
+	telemetry.Flags
+	Listen   string        `default:"127.0.0.1:8730" help:"Where workers and publishers come."`
+	Folder   string        `required:"" type:"path" help:"Where chunks and releases stand."`
+	Requests int           `default:"64" help:"Fetches at a time; more are turned away with a time to come back."`
+	Rate     float64       `help:"MB a second that it gives in all; 0: as fast as it goes."`
+	Stop     float64       `help:"So many times --requests tried within a second, while it is full, stop it for --stop-for; 0: never."`
+	StopFor  time.Duration `default:"5s" help:"How long it stops when it is pushed that far."`
+	Grace    time.Duration `default:"1h" help:"A chunk that no release names is collected after it."`
+	Collect  time.Duration `default:"10m" help:"Between two collections."`
+	ReadOnly bool          `help:"Take nothing new."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("lpstore"), kong.Description("The store of packages: releases, chunks, a stated capacity."))
+	if err := run(f); err != nil {
+		fmt.Fprintln(os.Stderr, "lpstore:", err)
+		os.Exit(1)
+	}
+}
+
+func run(f flags) (err error) {
+	if err := config.Loopback(f.Listen); err != nil {
+		return err
+	}
+	if f.Requests < 1 || f.Rate < 0 || f.Stop < 0 || f.StopFor <= 0 || f.Grace < 0 || f.Collect <= 0 {
+		return errors.New("--requests, --stop-for and --collect are above 0, --rate, --stop and --grace not below")
+	}
+	log := telemetry.New(os.Stderr, f.Flags)
+	s, err := store.Open(store.Options{Folder: f.Folder, Grace: f.Grace, Log: log, Capacity: store.Capacity{Rate: f.Rate * 1e6,
+		Requests: f.Requests, Stop: f.Stop, StopIn: time.Second, StopFor: f.StopFor}})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, s.Close()) }()
+	listener, err := net.Listen("tcp", f.Listen)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	server := &http.Server{Handler: s.Handler(!f.ReadOnly), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error { return s.Run(ctx, f.Collect) })
+	g.Go(func() error {
+		<-ctx.Done()
+		end, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		defer stop()
+		if err := server.Shutdown(end); err != nil {
+			return server.Close() // somebody reads slowly
+		}
+		return nil
+	})
+	log.Info("store listens", "address", listener.Addr().String())
+	return g.Wait()
+}
--- a/cmd/lpworker/main.go
+++ b/cmd/lpworker/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,11 +19,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"lupinpond/internal/admit"
+	"lupinpond/internal/cache"
 	"lupinpond/internal/config"
 	"lupinpond/internal/keys"
 	"lupinpond/internal/pack"
 	"lupinpond/internal/roster"
 	"lupinpond/internal/runner"
+	"lupinpond/internal/store"
+	"lupinpond/internal/supply"
 	"lupinpond/internal/telemetry"
 	"lupinpond/internal/worker"
 )
@@ -39,7 +43,13 @@
 	Name      string        `required:"" help:"Name in the list of workers."`
 	Listen    string        `default:"127.0.0.1:0" help:"Where front ends come."`
 	Folder    string        `required:"" help:"This worker's own folder: journal, fetched packages, compiled code." type:"path"`
-	Store     string        `required:"" help:"Folder of packages: NAME/VERSION/manifest.yaml." type:"existingdir"`
+	Store     string        `default:"http://127.0.0.1:8730" help:"Address of lpstore."`
+	Refresh   time.Duration `default:"2s" help:"Between two questions for new releases."`
+	Chunks    string        `default:"127.0.0.1:0" help:"Where it gives chunks to other workers of the list."`
+	Cache     int64         `default:"1024" help:"MiB of chunks kept on disk."`
+	Network   float64       `default:"1000" help:"MB a second that its network carries."`
+	Share     float64       `default:"0.25" help:"Part of that given to other workers at the most."`
+	Patience  time.Duration `default:"30s" help:"How long one chunk is looked for."`
 	List      string        `default:"http://127.0.0.1:8710" help:"Address of lproster; empty: it is put on no list."`
 	Lease     time.Duration `default:"3s" help:"Unless renewed for so long it is taken off the list."`
 	Zone      string        `default:"zone-0"`
@@ -60,15 +70,17 @@
 
 // Run serves until a signal; then it finishes what it has.
 func (c *serveCmd) Run(ctx context.Context, log *slog.Logger) (err error) {
-	for _, addr := range []string{c.Listen, c.Control} {
+	for _, addr := range []string{c.Listen, c.Control, c.Chunks} {
 		if addr != "" {
 			if err := config.Loopback(addr); err != nil {
 				return err
 			}
 		}
 	}
-	if c.Memory < 1 || c.Running < 1 || c.Waiting < 1 || c.Loads < 1 || c.Keep <= 0 || c.Cores <= 0 || c.Lease <= 0 {
-		return errors.New("memory, running, waiting, loads, keep, cores and lease are more than 0")
+	if c.Memory < 1 || c.Running < 1 || c.Waiting < 1 || c.Loads < 1 || c.Keep <= 0 || c.Cores <= 0 || c.Lease <= 0 ||
+		c.Refresh <= 0 || c.Cache < 1 || c.Network <= 0 || c.Share <= 0 || c.Share > 1 || c.Patience <= 0 {
+		return errors.New("memory, running, waiting, loads, keep, cores, lease, refresh, cache, network and patience are more than 0, " +
+			"share is up to 1")
 	}
 	self, err := os.Executable()
 	if err != nil {
@@ -77,7 +89,7 @@
 	if err := os.MkdirAll(c.Folder, 0o755); err != nil {
 		return err
 	}
-	o := worker.Options{Name: c.Name, Folder: c.Folder, Store: c.Store, Self: self, Launches: 256, Overhead: 96 << 20, Answer: 12 << 20,
+	o := worker.Options{Name: c.Name, Folder: c.Folder, Refresh: c.Refresh, Self: self, Launches: 256, Overhead: 96 << 20, Answer: 12 << 20,
 		Ready: time.Minute, Grace: time.Second, Sample: 50 * time.Millisecond, Log: log,
 		MostLog: c.MostLog << 20,
 		Limits:  admit.Limits{Memory: c.Memory << 20, Running: c.Running, Waiting: c.Waiting, Loads: c.Loads, Keep: c.Keep, OnMiss: c.OnMiss}}
@@ -93,6 +105,25 @@
 		}
 		defer o.Group.Close()
 	}
+	var life atomic.Pointer[worker.Worker]
+	var peers atomic.Pointer[[]supply.Peer]
+	peers.Store(&[]supply.Peer{})
+	chunks, err := cache.Open(c.Folder, c.Cache<<20, log)
+	if err != nil {
+		return err
+	}
+	o.Supply, err = supply.New(supply.Options{Name: c.Name, Folder: c.Folder, Store: store.Client{Base: c.Store, HTTP: &http.Client{}},
+		Cache: chunks, Peers: func() []supply.Peer { return *peers.Load() }, Capacity: c.Network * 1e6, Part: c.Share, Slots: 2 * c.Running,
+		Patience: c.Patience, Parallel: 16, Log: log, Busy: func() float64 {
+			if w := life.Load(); w != nil {
+				return w.Busy()
+			}
+			return 0
+		}})
+	if err != nil {
+		return err
+	}
+	defer o.Supply.Close()
 	w, err := worker.New(o)
 	if err != nil {
 		return err
@@ -100,14 +131,30 @@
 	for _, cut := range w.Cut() {
 		log.Warn("the last life died during a load", "function", cut.Function, "version", cut.Version, "events", cut.Events)
 	}
+	life.Store(w)
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
+	gives, err := net.Listen("tcp", c.Chunks)
+	if err != nil {
+		return err
+	}
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return w.Run(serving, listener) })
+	giver := &http.Server{Handler: o.Supply.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+	g.Go(func() error {
+		if err := giver.Serve(gives); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-serving.Done()
+		return giver.Close()
+	})
 	if c.Control != "" {
 		control := &http.Server{Addr: c.Control, Handler: w.Control(), ReadHeaderTimeout: 5 * time.Second}
 		g.Go(func() error {
@@ -122,13 +169,13 @@
 		})
 	}
 	entry := roster.Entry{Name: c.Name, Addr: listener.Addr().String(), Zone: c.Zone, Cell: c.Cell, Cores: c.Cores, State: roster.In,
-		Started: time.Now()}
+		Started: time.Now(), Chunks: gives.Addr().String()}
 	g.Go(func() error {
 		defer stop()
 		if c.List == "" {
 			<-ctx.Done()
 		} else {
-			c.listed(ctx, entry, log)
+			c.listed(ctx, entry, &peers, log)
 		}
 		w.Drain()
 		for end := time.Now().Add(c.Drain); time.Now().Before(end) && w.Holds() > 0; {
@@ -140,13 +187,24 @@
 	return g.Wait()
 }
 
-// listed keeps the worker on the list until ctx ends; then it is marked as draining.
-func (c *serveCmd) listed(ctx context.Context, e roster.Entry, log *slog.Logger) {
+// listed keeps the worker on the list until ctx ends, then it is marked as draining; and learns who else gives chunks.
+func (c *serveCmd) listed(ctx context.Context, e roster.Entry, peers *atomic.Pointer[[]supply.Peer], log *slog.Logger) {
 	list := roster.Client{Base: c.List, HTTP: &http.Client{Timeout: c.Lease}}
 	put := func() {
 		if err := list.Put(context.WithoutCancel(ctx), e, c.Lease); err != nil { // the last one says that it drains
 			log.Warn("not put on the list", "err", err)
 		}
+		listed, err := list.Workers(context.WithoutCancel(ctx))
+		if err != nil {
+			return // those that it knows go on being asked
+		}
+		var all []supply.Peer
+		for _, x := range listed {
+			if x.Chunks != "" && x.State == roster.In {
+				all = append(all, supply.Peer{Name: x.Name, Addr: x.Chunks})
+			}
+		}
+		peers.Store(&all)
 	}
 	tick := time.NewTicker(c.Lease / 3)
 	defer tick.Stop()
--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -5,12 +5,15 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lupinpond/internal/admit"
@@ -18,6 +21,8 @@
 	"lupinpond/internal/keys"
 	"lupinpond/internal/pack"
 	"lupinpond/internal/standin"
+	"lupinpond/internal/store"
+	"lupinpond/internal/supply"
 	"lupinpond/internal/worker"
 )
 
@@ -36,6 +41,7 @@
 
 // Releases is the packages of a store: every function of a catalogue, as the example program payroll.
 type Releases struct {
+	store  *Store
 	mu     sync.Mutex
 	folder string
 	binary string
@@ -43,18 +49,30 @@
 	number int
 }
 
-// NewReleases publishes every function of f into a folder; binary is the payroll program.
-func NewReleases(folder, binary string, f config.File) (*Releases, error) {
-	r := &Releases{folder: folder, binary: binary, file: f}
+// NewReleases opens a store in a folder and publishes every function of f; binary is the payroll program.
+func NewReleases(folder, binary string, f config.File, c store.Capacity) (*Releases, error) {
+	s, err := OpenStore(filepath.Join(folder, "store"), c)
+	if err != nil {
+		return nil, err
+	}
+	r := &Releases{store: s, folder: folder, binary: binary, file: f}
 	for _, fn := range f.Functions {
 		if err := r.Release(fn.Name); err != nil {
-			return nil, err
+			return nil, errors.Join(err, s.Close())
 		}
 	}
 	return r, nil
 }
 
-// Release publishes a function anew; the newest version is the last by name.
+// Close closes the store.
+func (r *Releases) Close() error { return r.store.Close() }
+
+// Store is the store, to have it stop or to read its counts.
+func (r *Releases) Store() *Store { return r.store }
+
+const ownContent = 512 << 10 // bytes in which a release differs from all others
+
+// Release publishes a function anew.
 func (r *Releases) Release(name string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -64,7 +82,7 @@
 			continue
 		}
 		version := fmt.Sprintf("%06d", r.number)
-		tmp := filepath.Join(r.folder, name, ".new")
+		tmp := filepath.Join(r.folder, "packages", name)
 		if err := os.MkdirAll(tmp, 0o755); err != nil {
 			return err
 		}
@@ -72,14 +90,18 @@
 		if err != nil {
 			return fmt.Errorf("package of %s: %w", name, err)
 		}
-		if err := os.WriteFile(filepath.Join(tmp, "entry"), b, 0o755); err != nil {
+		// what stands behind a program is not read by it: each release has some content of its own
+		own := make([]byte, ownContent)
+		_, _ = rand.NewChaCha8([32]byte{byte(r.number), byte(r.number >> 8)}).Read(own) // never fails
+		if err := os.WriteFile(filepath.Join(tmp, "entry"), append(b, own...), 0o755); err != nil {
 			return err
 		}
 		if _, err := pack.Write(tmp, pack.Manifest{Name: name, Version: version, Type: fn.Type, Kind: pack.Process, Lanes: fn.Lanes,
 			Memory: 64 << 20, Time: config.Time(30 * time.Second), Entry: "entry"}); err != nil {
 			return err
 		}
-		return os.Rename(tmp, filepath.Join(r.folder, name, version))
+		_, err = r.store.Client.Publish(context.Background(), tmp)
+		return err
 	}
 	return fmt.Errorf("no function %q", name)
 }
@@ -90,9 +112,9 @@
 	Folder  string // its own
 	Store   *Releases
 	Limits  admit.Limits
-	Effects *os.File                    // gets the log of all copies
-	Fetch   func(function string) error // see worker.Options
-	Group   *keys.Group                 // see worker.Options
+	Effects *os.File             // gets the log of all copies
+	Group   *keys.Group          // see worker.Options
+	Peers   func() []supply.Peer // that give chunks; nil: none
 }
 
 // Runtime is the worker runtime, started and stopped within this process.
@@ -100,6 +122,7 @@
 	o       RuntimeOptions
 	mu      sync.Mutex
 	w       *worker.Worker
+	giver   *Giver
 	stop    context.CancelFunc
 	ended   chan error
 	trouble standin.Troubles
@@ -118,8 +141,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w, err := worker.New(worker.Options{Name: r.o.Name, Folder: r.o.Folder, Store: r.o.Store.folder, Launches: 256, Answer: 1 << 20,
-		Ready: 20 * time.Second, Grace: time.Second, Sample: 500 * time.Millisecond, Effects: r.o.Effects, Fetch: r.o.Fetch,
+	var life atomic.Pointer[worker.Worker]
+	giver, err := NewGiver(r.o.Name, r.o.Folder, r.o.Store.store.Client.Base, 5*time.Second, func() float64 {
+		if w := life.Load(); w != nil {
+			return w.Busy()
+		}
+		return 0
+	}, r.o.Peers, nil)
+	if err != nil {
+		return "", time.Time{}, err
+	}
+	w, err := worker.New(worker.Options{Name: r.o.Name, Folder: r.o.Folder, Supply: giver.Supplier, Launches: 256, Answer: 1 << 20,
+		Ready: 20 * time.Second, Grace: time.Second, Sample: 500 * time.Millisecond, Refresh: 500 * time.Millisecond, Effects: r.o.Effects,
 		Group: r.o.Group, Limits: r.o.Limits})
 	if err != nil {
 		return "", time.Time{}, err
@@ -129,7 +162,8 @@
 		return "", time.Time{}, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r.w, r.stop, r.ended = w, stop, make(chan error, 1)
+	life.Store(w)
+	r.w, r.stop, r.ended, r.giver = w, stop, make(chan error, 1), giver
 	ended := r.ended
 	go func() { ended <- w.Run(ctx, listener) }()
 	started := time.Now()
@@ -142,7 +176,7 @@
 // Stop ends the life; what ran is lost.
 func (r *Runtime) Stop() {
 	r.mu.Lock()
-	stop, ended, w := r.stop, r.ended, r.w
+	stop, ended, w, giver := r.stop, r.ended, r.w, r.giver
 	r.stop = nil
 	r.mu.Unlock()
 	if stop == nil {
@@ -150,9 +184,20 @@
 	}
 	w.Silence(false)
 	stop()
+	giver.Close()
 	<-ended
 }
 
+// Chunks is where it gives chunks to others; empty while it is stopped.
+func (r *Runtime) Chunks() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stop == nil {
+		return ""
+	}
+	return r.giver.Addr
+}
+
 // Falls is 0: they are not played by the runtime: it is as cold as it is.
 func (r *Runtime) Falls() int { return 0 }
 
@@ -183,7 +228,7 @@
 func (r *Runtime) Goodbye() { r.now().Drain() }
 
 // Release is done in the store for all workers; each reads it anew.
-func (r *Runtime) Release(string) { _ = r.now().Refresh() } // a store that can't be read is as before
+func (r *Runtime) Release(string) { _ = r.now().Refresh(context.Background()) } // a store that can't be read is as before
 
 // Effects counts what ran at the workers, from the logs that the packages write.
 func Effects(path string) (map[string]int, error) {
--- /dev/null
+++ b/internal/crew/store.go
@@ -0,0 +1,121 @@
+package crew
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"lupinpond/internal/cache"
+	"lupinpond/internal/store"
+	"lupinpond/internal/supply"
+)
+
+// Store is a store of packages inside this process, on loopback.
+type Store struct {
+	*store.Store
+	Client store.Client // of it
+	server *http.Server
+	served chan struct{}
+}
+
+// Easy is the capacity of a store that is in nobody's way.
+var Easy = store.Capacity{Requests: 256}
+
+// OpenStore opens one in a folder.
+func OpenStore(folder string, c store.Capacity) (*Store, error) {
+	s, err := store.Open(store.Options{Folder: folder, Capacity: c, Grace: time.Hour})
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Join(err, s.Close())
+	}
+	local := &Store{Store: s, Client: store.Client{Base: "http://" + listener.Addr().String(), HTTP: &http.Client{Transport: &http.Transport{}}},
+		server: &http.Server{Handler: s.Handler(true), ReadHeaderTimeout: 5 * time.Second}, served: make(chan struct{})}
+	go func() {
+		defer close(local.served)
+		_ = local.server.Serve(listener) // ends with Close
+	}()
+	return local, nil
+}
+
+// PublishAll publishes every package NAME/VERSION of a folder.
+func (s *Store) PublishAll(ctx context.Context, root string) error {
+	folders, err := filepath.Glob(filepath.Join(root, "*", "*", "manifest.yaml"))
+	if err != nil {
+		return err
+	}
+	for _, f := range folders {
+		if _, err := s.Client.Publish(ctx, filepath.Dir(f)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends it.
+func (s *Store) Close() error {
+	err := s.server.Close()
+	<-s.served
+	s.Client.HTTP.CloseIdleConnections()
+	return errors.Join(err, s.Store.Close())
+}
+
+// Giver is a worker's supplier and the server on which it gives chunks to others.
+type Giver struct {
+	*supply.Supplier
+	Addr   string
+	client *http.Client
+	server *http.Server
+	served chan struct{}
+}
+
+// NewGiver makes a supplier in a worker's folder, of the store at base. busy and peers may be nil.
+func NewGiver(name, folder, base string, patience time.Duration, busy func() float64, peers func() []supply.Peer, log *slog.Logger) (*Giver, error) {
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	folder = filepath.Join(folder, "cache")
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, fmt.Errorf("supplier of %s: %w", name, err)
+	}
+	c, err := cache.Open(folder, 1<<30, log)
+	if err != nil {
+		return nil, err
+	}
+	g := &Giver{client: &http.Client{Transport: &http.Transport{}}, served: make(chan struct{})}
+	if g.Supplier, err = supply.New(supply.Options{Name: name, Folder: folder, Store: store.Client{Base: base, HTTP: g.client}, Cache: c,
+		Peers: peers, Busy: busy, Capacity: 1e9, Part: 0.5, Slots: 16, Patience: patience, Parallel: 16, Log: log}); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		g.Supplier.Close()
+		return nil, err
+	}
+	g.Addr = listener.Addr().String()
+	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	go func() {
+		defer close(g.served)
+		_ = g.server.Serve(listener) // ends with Close
+	}()
+	return g, nil
+}
+
+// Close ends it, and what is under way.
+func (g *Giver) Close() {
+	var both sync.WaitGroup
+	both.Go(g.Supplier.Close)
+	_ = g.server.Close() // what was given is lost with it
+	both.Wait()
+	<-g.served
+	g.client.CloseIdleConnections()
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -35,6 +35,7 @@
 	Cell    string    `json:"cell,omitempty"`
 	Cores   float64   `json:"cores"`
 	State   State     `json:"state"`
+	Chunks  string    `json:"chunks,omitempty"` // where it gives chunks to other workers
 	Started time.Time `json:"started"`
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -136,6 +136,13 @@
 	s.crowd.Stop(s.now(), d)
 }
 
+// SetRate has it give so many bytes a second from now on; it does nothing to a store without a rate.
+func (s *Store) SetRate(bytes float64) {
+	if s.limiter != nil && bytes > 0 {
+		s.limiter.SetLimit(rate.Limit(bytes))
+	}
+}
+
 // Counts tells what it did.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
