--- a/internal/cache/cache.go
+++ b/internal/cache/cache.go
@@ -12,7 +12,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -78,18 +77,24 @@
 	most   int64
 	log    *slog.Logger
 
-	mu     sync.Mutex
-	items  map[layer.Digest]*Item
-	pins   map[layer.Digest]int
-	size   int64
-	counts Counts
+	mu      sync.Mutex
+	items   map[layer.Digest]*Item
+	pins    map[layer.Digest]int
+	writing map[layer.Digest]bool
+	size    int64
+	counts  Counts
 }
 
-// Open opens or makes a cache in a folder; most is its bytes on disk. Files that a killed process left half written are
-// removed; names that are no chunks are left alone.
+// Open opens or makes a cache in a folder; most is its bytes on disk. Files that a killed process left half written are seen
+// when they are read; names that are no chunks are left alone.
 func Open(folder string, most int64, log *slog.Logger) (*Cache, error) {
-	c := &Cache{folder: filepath.Join(folder, version), most: most, log: log, items: map[layer.Digest]*Item{}, pins: map[layer.Digest]int{}}
-	for _, dir := range []string{c.folder, c.aside()} {
+	c := &Cache{folder: filepath.Join(folder, version), most: most, log: log, items: map[layer.Digest]*Item{}, pins: map[layer.Digest]int{},
+		writing: map[layer.Digest]bool{}}
+	dirs := []string{c.aside()}
+	for _, letter := range "0123456789abcdef" {
+		dirs = append(dirs, filepath.Join(c.folder, string(letter)))
+	}
+	for _, dir := range dirs {
 		if err := os.MkdirAll(dir, 0o755); err != nil {
 			return nil, fmt.Errorf("cache: %w", err)
 		}
@@ -111,8 +116,6 @@
 			return filepath.SkipDir
 		case d.IsDir():
 			return nil
-		case strings.HasPrefix(d.Name(), ".new-"):
-			return os.Remove(path)
 		}
 		digest, err := layer.Parse(d.Name())
 		if err != nil {
@@ -138,7 +141,7 @@
 func (c *Cache) aside() string { return filepath.Join(c.folder, "aside") }
 
 func (c *Cache) path(d layer.Digest) string {
-	return filepath.Join(c.folder, d.String()[:2], d.String())
+	return filepath.Join(c.folder, d.String()[:1], d.String())
 }
 
 // Has tells whether a chunk stands there; it may turn out to be corrupt.
@@ -199,41 +202,35 @@
 // Put keeps a chunk that has been verified. One that can't be kept, for want of room or a full disk, is told in the counts
 // and the log: its user has it all the same.
 func (c *Cache) Put(d layer.Digest, packed []byte, rare bool) {
+	n := int64(len(packed))
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.items[d] != nil {
+	if c.items[d] != nil || c.writing[d] {
+		c.mu.Unlock()
 		return
 	}
+	room := c.room(n)
+	if room {
+		c.writing[d] = true
+		c.size += n
+	}
+	c.mu.Unlock()
 	err := errors.New("all that is there is in use")
-	if c.room(int64(len(packed))) {
-		err = write(c.path(d), packed)
+	if room { // under its name at once: half a file is seen when it is read, and a new name costs more than the bytes
+		err = os.WriteFile(c.path(d), packed, 0o644)
 	}
-	if err != nil {
-		c.counts.Unkept++
-		c.log.Warn("a chunk is not kept", "chunk", d, "err", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.writing, d)
+	if err == nil {
+		c.items[d] = &Item{Digest: d, Size: n, Used: time.Now(), Rare: rare}
 		return
 	}
-	c.items[d] = &Item{Digest: d, Size: int64(len(packed)), Used: time.Now(), Rare: rare}
-	c.size += int64(len(packed))
-}
-
-// write is whole or not at all; what a crash of the machine tears is seen when it is read.
-func write(path string, b []byte) error {
-	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		return err
-	}
-	tmp, err := os.CreateTemp(filepath.Dir(path), ".new-*")
-	if err != nil {
-		return err
-	}
-	_, err = tmp.Write(b)
-	if err = errors.Join(err, tmp.Close()); err == nil {
-		err = os.Rename(tmp.Name(), path)
-	}
-	if err != nil {
-		return errors.Join(err, os.Remove(tmp.Name()))
+	if room {
+		c.size -= n
+		_ = os.Remove(c.path(d)) // what is left of it is seen when it is read
 	}
-	return nil
+	c.counts.Unkept++
+	c.log.Warn("a chunk is not kept", "chunk", d, "err", err)
 }
 
 // room evicts until need more bytes fit; the lock is held.
