--- a/cmd/lpctl/rehearse.go
+++ b/cmd/lpctl/rehearse.go
@@ -31,7 +31,7 @@
 	List     bool     `help:"List the built-in days."`
 	Settings string   `help:"File of settings instead of the built-in defaults." type:"path"`
 	Keep     string   `help:"Folder for captures, list news and core recordings; a folder in it for each day." type:"path"`
-	Jobs     int      `default:"3" help:"Days played at a time."`
+	Jobs     int      `default:"0" help:"Days played at a time; 0: three, or one with --workers runtime, whose copies share this machine's cores."`
 	Workers  string   `enum:"imitation,runtime" default:"imitation" help:"What workers are: ${enum}."`
 	Alone    bool     `help:"With --workers runtime: workers give each other no chunks, each asks the store alone."`
 	Payroll  string   `default:"bin/payroll" help:"With --workers runtime: the built example package (go build -o bin/ ./examples/payroll)." type:"path"`
@@ -104,7 +104,13 @@
 	}
 	results := make([]rehearse.Result, len(chosen))
 	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(max(1, c.Jobs))
+	jobs := c.Jobs
+	if jobs == 0 {
+		if jobs = 3; c.Workers == "runtime" {
+			jobs = 1
+		}
+	}
+	g.SetLimit(max(1, jobs))
 	for i, d := range chosen {
 		g.Go(func() error {
 			o := rehearse.Options{File: f, Log: log, Progress: func(part float64) { move(i, int(100*part)) }}
