--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -587,6 +587,8 @@
 		w.due()
 		return
 	}
+	w.o.Log.Info("loaded", "package", p.Name, "version", p.Version, "fetch", took.Fetch, "verify", took.Verify, "compile", took.Compile,
+		"start", took.Start)
 	w.loads = append(w.loads[max(0, len(w.loads)-99):], took)
 	w.copies[id].copy = copy
 	w.room.Loaded(w.now(), id, true)
