--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -349,3 +349,35 @@
 		t.Error("a liar is trusted again")
 	}
 }
+
+// A late peer is hedged by holders first, then by the order, each once, never by the store and not before its time.
+func TestHedge(t *testing.T) {
+	all := func(string) bool { return true }
+	w := NewWant("x", []string{"a", "b", "c", "d", "x"}, 0, 64*time.Second)
+	s := w.Next(0, all, 0)
+	if s.Do != AskPeer || s.Peer != "a" {
+		t.Fatalf("%+v", s)
+	}
+	if _, ok, after := w.Hedge(2999*time.Millisecond, s, 0, all); ok || after != time.Millisecond { // a home may wait 2 s
+		t.Error("hedged early: ", ok, after)
+	}
+	if _, ok, after := w.Hedge(999*time.Millisecond, Step{Peer: "a", Held: true}, 0, all); ok || after != time.Millisecond {
+		t.Error("hedged early: ", ok, after)
+	}
+	w.Heard(0, "b", Missing, []string{"d"}, 0)
+	got := ""
+	for range 2 {
+		next, ok, _ := w.Hedge(3*time.Second, s, 0, all)
+		if !ok {
+			t.Fatal("nobody besides ", s.Peer)
+		}
+		got += fmt.Sprint(next.Peer, next.Held, " ")
+		s = next
+	}
+	if got != "dtrue cfalse " {
+		t.Error(got)
+	}
+	if s, ok, _ := w.Hedge(time.Hour, s, 0, all); ok {
+		t.Errorf("a second time: %+v", s)
+	}
+}
--- a/internal/fetch/want.go
+++ b/internal/fetch/want.go
@@ -18,10 +18,13 @@
 // Homes is how many workers of a chunk's order are its homes.
 const Homes = 3
 
+// Ratios of the time that a want has.
 // Ratios of the time that a want has.
 const (
-	waitShare  = 0.125 // that one home is given to fetch a chunk while it is waited for
-	ownShare   = 0.5   // after which a worker goes to the store though a home has promised to
+	sendShare  = 0.125    // that sending a chunk may take
+	waitShare  = 1.0 / 32 // that one home is given to fetch a chunk while it is waited for; then it promises, or is late
+	hedgeShare = 1.0 / 64 // that an answer may take besides; then another peer is asked as well
+	ownShare   = 0.5      // after which a worker goes to the store though a home has promised to
 	pauseShare = 1.0 / 64
 	pauseMost  = 0.125
 	mostComing = 8 // promises of one home in a round
@@ -66,6 +69,7 @@
 	Peer string
 	Held bool // ask only whether it holds the chunk: it is not to fetch it
 	Wait time.Duration
+	Send time.Duration // after Wait, until the chunk has to be here
 }
 
 // Said is what a peer says to a request for a chunk.
@@ -123,7 +127,7 @@
 	}
 	for _, p := range w.told {
 		if !w.tried[p] && trusted(p) {
-			return Step{Do: AskPeer, Peer: p, Held: true, Wait: w.wait()}
+			return Step{Do: AskPeer, Peer: p, Held: true, Wait: w.wait(), Send: share(w.patience, sendShare)}
 		}
 	}
 	reach := min(len(w.order), w.homes<<min(w.round, 16)) // round by round, all are asked
@@ -134,7 +138,7 @@
 		if !w.tried[p] && trusted(p) {
 			// homes before this worker fetch it; of all others it is only asked whether they hold it
 			held := i >= w.homes || w.self >= 0 && i >= w.self
-			return Step{Do: AskPeer, Peer: p, Held: held, Wait: w.wait()}
+			return Step{Do: AskPeer, Peer: p, Held: held, Wait: w.wait(), Send: share(w.patience, sendShare)}
 		}
 	}
 	own := !w.anyone || passed >= share(w.patience, ownShare)
@@ -151,6 +155,30 @@
 	return Step{Do: Pause, Wait: w.resume - now}
 }
 
+// Hedge says whom to ask besides a peer that was asked at since and has not answered, if it is time for that; if not, when it
+// will be. The store is never asked besides a peer. The peer that is late counts as asked in this round.
+func (w *Want) Hedge(now time.Duration, late Step, since time.Duration, trusted func(peer string) bool) (s Step, ok bool, after time.Duration) {
+	due := since + share(w.patience, hedgeShare)
+	if !late.Held { // it may be fetching, and says so when its time to wait is up
+		due += late.Wait
+	}
+	if now < due {
+		return s, false, due - now
+	}
+	w.tried[late.Peer] = true
+	for _, p := range w.told {
+		if !w.tried[p] && trusted(p) {
+			return Step{Do: AskPeer, Peer: p, Held: true, Wait: w.wait(), Send: share(w.patience, sendShare)}, true, 0
+		}
+	}
+	for i, p := range w.order {
+		if !w.tried[p] && trusted(p) {
+			return Step{Do: AskPeer, Peer: p, Held: i >= w.homes || w.self >= 0 && i >= w.self, Wait: w.wait(), Send: share(w.patience, sendShare)}, true, 0
+		}
+	}
+	return s, false, w.patience // nobody is left
+}
+
 func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
 
 func (w *Want) wait() time.Duration { return max(1, share(w.patience, waitShare)) }
--- a/internal/supply/supply.go
+++ b/internal/supply/supply.go
@@ -51,6 +51,7 @@
 	Given                          int   // to others
 	Busy                           int   // turned away, as enough was given
 	GivenUp                        int
+	Hedged                         int // peers asked besides one that was late
 }
 
 // Supplier is one worker's. Its methods may be called by any goroutine.
@@ -406,6 +407,9 @@
 	want := fetch.NewWant(s.o.Name, fetch.Order(d[:], names), s.now(), s.o.Patience)
 	last := errors.New("nobody was asked")
 	for repeat := false; ; {
+		if s.ctx.Err() != nil { // what ends with it says nothing about those that were asked
+			return nil, nil, false, s.ctx.Err()
+		}
 		now := s.now()
 		s.mu.Lock()
 		step := want.Next(now, func(p string) bool { return s.peers.Trusted(now, p) }, rand.Float64())
@@ -421,7 +425,7 @@
 				return nil, nil, false, s.ctx.Err()
 			}
 		case fetch.AskPeer:
-			content, packed, err = s.askPeer(want, at[step.Peer], step, d)
+			content, packed, err = s.askPeers(want, at, step, d)
 			if err == nil {
 				return content, packed, false, nil
 			}
@@ -501,11 +505,59 @@
 	return content, packed, nil
 }
 
-func (s *Supplier) askPeer(want *fetch.Want, addr string, step fetch.Step, d layer.Digest) (content, packed []byte, err error) {
-	// what the peer says it waits for is bounded by it, what it sends by twice that
-	ctx, stop := context.WithTimeout(s.ctx, 2*step.Wait)
+// askPeers asks a peer and, when it is late, others besides. The first chunk that is what it should be ends it.
+func (s *Supplier) askPeers(want *fetch.Want, at map[string]string, first fetch.Step, d layer.Digest) (content, packed []byte, err error) {
+	ctx, stop := context.WithCancel(s.ctx)
+	defer stop()
+	type answer struct {
+		peer            string
+		content, packed []byte
+		err             error
+	}
+	answers := make(chan answer, len(at)) // none waits for it to be read
+	under, late, since := 0, fetch.Step{}, time.Duration(0)
+	send := func(step fetch.Step) {
+		under++
+		late, since = step, s.now()
+		s.work.Go(func() {
+			c, p, err := s.askPeer(ctx, want, at[step.Peer], step, d)
+			answers <- answer{step.Peer, c, p, err}
+		})
+	}
+	send(first)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-answers:
+			if under--; a.err == nil {
+				return a.content, a.packed, nil
+			}
+			if err = a.err; under == 0 {
+				return nil, nil, err
+			}
+		case <-timer.C:
+			now := s.now()
+			s.mu.Lock()
+			step, ok, after := want.Hedge(now, late, since, func(p string) bool { return s.peers.Trusted(now, p) })
+			if ok {
+				s.counts.Hedged++
+				s.peers.Heard(now, late.Peer, fetch.Failed) // others are better asked elsewhere for a while
+			}
+			s.mu.Unlock()
+			if ok {
+				send(step)
+				after = time.Millisecond
+			}
+			timer.Reset(after)
+		}
+	}
+}
+
+func (s *Supplier) askPeer(ctx context.Context, want *fetch.Want, addr string, step fetch.Step, d layer.Digest) (content, packed []byte, err error) {
+	limit, stop := context.WithTimeout(ctx, step.Wait+step.Send)
 	defer stop()
-	said, packed, more, err := ask(ctx, s.client, addr, s.o.Name, d, step)
+	said, packed, more, err := ask(limit, s.client, addr, s.o.Name, d, step)
 	if said == fetch.Gave {
 		if content, err = layer.Unpack(d, packed); err != nil {
 			said = fetch.Corrupt
@@ -514,6 +566,9 @@
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if ctx.Err() != nil && said == fetch.Failed {
+		return nil, nil, ctx.Err() // another one was faster
+	}
 	s.peers.Heard(now, step.Peer, said)
 	if said == fetch.Gave {
 		s.counts.FromPeers++
--- a/internal/supply/supply_test.go
+++ b/internal/supply/supply_test.go
@@ -311,9 +311,13 @@
 		t.Errorf("%d of 8 have the package", n)
 	}
 	close(hold)
-	caught := 0
+	caught, hedged := 0, 0
 	for _, m := range f.workers {
 		caught += m.Counts().CorruptStore
+		hedged += m.Counts().Hedged
+	}
+	if hedged == 0 {
+		t.Error("nobody was asked besides the peer that never sends")
 	}
 	if caught != 5 {
 		t.Errorf("%d corrupt chunks of the store caught, 5 were given", caught)
