--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -89,23 +89,24 @@
 	silencer faults.Silencer
 	server   *link.Server
 
-	mu       sync.Mutex
-	room     *admit.Room
-	next     uint64
-	calls    map[uint64]*call
-	copies   map[uint64]*loaded
-	packages map[string]pack.Manifest
-	orders   []*order
-	wake     *time.Timer
-	memory   int64 // at the last look
-	draining bool
-	troubles Troubles
-	loads    []Loading
-	closed   bool
-	found    [recent]bool // of the last launches: found no warm copy
-	taken    int
-	warmed   bool // told in the journal
-	work     sync.WaitGroup
+	mu        sync.Mutex
+	room      *admit.Room
+	next      uint64
+	calls     map[uint64]*call
+	copies    map[uint64]*loaded
+	packages  map[string]pack.Manifest
+	orders    []*order
+	preparing map[string]bool // packages whose newest release is being fetched
+	wake      *time.Timer
+	memory    int64 // at the last look
+	draining  bool
+	troubles  Troubles
+	loads     []Loading
+	closed    bool
+	found     [recent]bool // of the last launches: found no warm copy
+	taken     int
+	warmed    bool // told in the journal
+	work      sync.WaitGroup
 }
 
 type call struct {
@@ -154,7 +155,7 @@
 		}
 	}
 	w := &Worker{o: o, started: time.Now(), room: admit.New(o.Limits), calls: map[uint64]*call{}, copies: map[uint64]*loaded{},
-		packages: map[string]pack.Manifest{}}
+		packages: map[string]pack.Manifest{}, preparing: map[string]bool{}}
 	ctx, stop := context.WithTimeout(context.Background(), o.Ready)
 	err := w.Refresh(ctx)
 	stop()
@@ -178,19 +179,53 @@
 	return w, nil
 }
 
-// Refresh asks for new functions and new releases. Copies of an old release finish what they run. What is known stays known
-// when the store does not answer.
+// Refresh asks for new functions and new releases. What is known stays known when the store does not answer. A release of
+// a function that has copies here takes their place only once all of it has been fetched: until then, and if the store stops
+// in between, the old one serves.
 func (w *Worker) Refresh(ctx context.Context) error {
 	err := w.o.Supply.Refresh(ctx)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.o.Supply.Packages() {
-		w.packages[p.Name] = p
-		w.room.Publish(admit.Function{Name: p.Name, Version: p.Version, Lanes: p.Lanes, Memory: w.reserve(p)})
+		old, known := w.packages[p.Name]
+		n := w.room.Of(p.Name)
+		switch {
+		case known && old.Version == p.Version, w.preparing[p.Name], w.closed:
+		case known && n.Warm+n.Loading > 0:
+			w.preparing[p.Name] = true
+			w.work.Go(func() { w.prepare(p) })
+		default:
+			w.replace(p)
+		}
 	}
 	return err
 }
 
+// prepare fetches a release, then has it take the place of the old one. If it can't be fetched, the next refresh tries again.
+func (w *Worker) prepare(p pack.Manifest) {
+	ctx, stop := context.WithTimeout(context.Background(), w.o.Ready)
+	defer stop()
+	err := w.o.Supply.Prepare(ctx, p.Name, p.Version)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.preparing, p.Name)
+	if err != nil {
+		w.o.Log.Warn("a new release can't be fetched: the old one serves", "package", p.Name, "version", p.Version, "err", err)
+		return
+	}
+	w.replace(p)
+	w.due()
+}
+
+// replace has a release be the one that is loaded; the lock is held. Copies of the old one finish what they run.
+func (w *Worker) replace(p pack.Manifest) {
+	w.packages[p.Name] = p
+	w.room.Publish(admit.Function{Name: p.Name, Version: p.Version, Lanes: p.Lanes, Memory: w.reserve(p)})
+	if err := w.o.Supply.Forget(p.Name); err != nil {
+		w.o.Log.Warn("an old release's files are left", "package", p.Name, "err", err)
+	}
+}
+
 // refresh does it every so often until ctx ends.
 func (w *Worker) refresh(ctx context.Context) error {
 	if w.o.Refresh <= 0 {
