The test of corrupt files waits until chunks are on disk before it tears them

A chunk is used before it is written; the test tore a file that was then written whole: one of five runs under the race detector failed. It waits for the cache to hold all.

--- a/internal/supply/supply_test.go
+++ b/internal/supply/supply_test.go
@@ -244,9 +244,24 @@
 		t.Fatal("the first worker has no package")
 	}
 	served := f.store.Counts().Served
-	files, err := filepath.Glob(filepath.Join(holder.folder, "chunks-1", "?", "*"))
-	if err != nil || len(files) < 5 {
-		t.Fatal(files, err)
+	var files []string
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) { // a chunk is used before it is on disk
+		var err error
+		if files, err = filepath.Glob(filepath.Join(holder.folder, "chunks-1", "?", "*")); err != nil {
+			t.Fatal(err)
+		}
+		there := 0
+		for _, name := range files {
+			if d, err := layer.Parse(filepath.Base(name)); err == nil && holder.cache.Has(d) {
+				there++
+			}
+		}
+		if there == f.store.Counts().Chunks {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d chunks are on disk", there, f.store.Counts().Chunks)
+		}
 	}
 	for _, name := range files[:2] { // torn and flipped
 		if err := os.WriteFile(name, []byte("torn"), 0o644); err != nil {
