--- a/cmd/lpctl/main.go
+++ b/cmd/lpctl/main.go
@@ -2,12 +2,10 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -18,6 +16,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/willabides/kongplete"
 
+	"lupinpond/internal/ask"
 	"lupinpond/internal/config"
 	"lupinpond/internal/telemetry"
 	"lupinpond/internal/worker"
@@ -96,18 +95,8 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.Control+"/v1/trouble", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("the worker does not answer: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		text, err := io.ReadAll(io.LimitReader(resp.Body, 1024))
-		return errors.Join(fmt.Errorf("refused: %s", bytes.TrimSpace(text)), err)
+	if _, err := ask.Do(ctx, http.DefaultClient, http.MethodPost, c.Control+"/v1/trouble", body, 4096); err != nil {
+		return fmt.Errorf("worker: %w", err)
 	}
 	return nil
 }
--- a/cmd/lpctl/packages.go
+++ b/cmd/lpctl/packages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
+	"lupinpond/internal/ask"
 	"lupinpond/internal/layer"
 	"lupinpond/internal/store"
 )
@@ -48,7 +50,7 @@
 			return err
 		}
 		since = "a worker that has version " + om.Version
-	} else if refused, is := err.(*store.Refused); !is || refused.Status != http.StatusNotFound {
+	} else if refused := (*ask.Refused)(nil); !errors.As(err, &refused) || refused.Status != http.StatusNotFound {
 		return err
 	}
 	chunks, bytes, all := layer.Diff(old, next)
--- /dev/null
+++ b/internal/ask/ask.go
@@ -0,0 +1,56 @@
+// Package ask asks the project's own HTTP interfaces: a request with a body, an answer within bounds, a refusal with its
+// reason and the time to come back.
+package ask
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	mostReason = 1024 // bytes of a refusal's reason
+	mostAfter  = time.Hour
+)
+
+// Refused is an answer other than the one asked for.
+type Refused struct {
+	Status int
+	After  time.Duration // when to come back, in whole seconds; 0: not told
+	Reason string
+}
+
+func (r *Refused) Error() string {
+	return fmt.Sprintf("%d %s: %s", r.Status, http.StatusText(r.Status), r.Reason)
+}
+
+// Do sends a request once and answers the body, of at most most bytes. An answer of status 300 and above is a *Refused; a
+// longer one, and none, are other errors.
+func Do(ctx context.Context, client *http.Client, method, url string, body []byte, most int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode >= 300 {
+		after, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // none of our interfaces names a date
+		return nil, &Refused{resp.StatusCode, min(max(0, time.Duration(after)*time.Second), mostAfter),
+			string(bytes.TrimSpace(b[:min(len(b), mostReason)]))}
+	}
+	if int64(len(b)) > most {
+		return nil, fmt.Errorf("%s answered more than %d bytes", url, most)
+	}
+	return b, nil
+}
--- a/internal/keys/group.go
+++ b/internal/keys/group.go
@@ -1,18 +1,18 @@
 package keys
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"lupinpond/internal/ask"
 )
 
 // Group asks the registers of a group. Its methods may be called by any goroutine.
@@ -138,24 +138,9 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := g.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxBody))
-	switch {
-	case err != nil:
+	text, err := ask.Do(ctx, g.client, http.MethodPost, url, body, 2*maxBody)
+	if err != nil || into == nil {
 		return err
-	case resp.StatusCode >= 300:
-		return fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(text))
-	case into == nil:
-		return nil
 	}
 	return json.Unmarshal(text, into)
 }
--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -1,17 +1,19 @@
 package roster
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
+
+	"lupinpond/internal/ask"
 )
 
+const mostAnswer = 16 << 20
+
 // Client asks a list at Base, such as http://127.0.0.1:8710.
 type Client struct {
 	Base string
@@ -52,21 +54,9 @@
 }
 
 func (c Client) ask(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.HTTP.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("lproster does not answer: %w", err)
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	b, err := ask.Do(ctx, c.HTTP, method, c.Base+path, body, mostAnswer)
 	if err != nil {
 		return nil, fmt.Errorf("lproster: %w", err)
 	}
-	if resp.StatusCode >= 300 {
-		return nil, fmt.Errorf("lproster: %s: %s", resp.Status, bytes.TrimSpace(text[:min(len(text), 1024)]))
-	}
-	return text, nil
+	return b, nil
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -6,14 +6,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
-	"strconv"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"lupinpond/internal/ask"
 	"lupinpond/internal/layer"
 )
 
@@ -23,17 +21,6 @@
 	HTTP *http.Client
 }
 
-// Refused is an answer other than the one asked for.
-type Refused struct {
-	Status int
-	After  time.Duration // the store's word on when to come back; 0: none
-	Reason string
-}
-
-func (r *Refused) Error() string {
-	return fmt.Sprintf("store: status %d: %s", r.Status, r.Reason)
-}
-
 // Chunk fetches a chunk's packed form, not verified.
 func (c Client) Chunk(ctx context.Context, d layer.Digest) ([]byte, error) {
 	return c.ask(ctx, http.MethodGet, "/v1/chunks/"+d.String(), nil, layer.MaxPacked)
@@ -145,26 +132,9 @@
 }
 
 func (c Client) ask(ctx context.Context, method, path string, body []byte, most int64) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.HTTP.Do(req)
+	b, err := ask.Do(ctx, c.HTTP, method, c.Base+path, body, most)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
-	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
-	}
-	if resp.StatusCode >= 300 {
-		after, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // a date is not used by lpstore
-		return nil, &Refused{resp.StatusCode, time.Duration(min(max(after, 0), 3600)) * time.Second,
-			string(bytes.TrimSpace(b[:min(len(b), 1024)]))}
-	}
-	if int64(len(b)) > most {
-		return nil, fmt.Errorf("store: %s answered more than %d bytes", path, most)
-	}
 	return b, nil
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -20,6 +20,7 @@
 
 	"go.uber.org/goleak"
 
+	"lupinpond/internal/ask"
 	"lupinpond/internal/config"
 	"lupinpond/internal/layer"
 	"lupinpond/internal/pack"
@@ -278,7 +279,7 @@
 		t.Error("still stopped: ", v)
 	}
 	s.Stop(time.Hour)
-	var refused *store.Refused
+	var refused *ask.Refused
 	if _, err := c.Chunk(context.Background(), d); !errors.As(err, &refused) || refused.Status != 503 || refused.After <= 0 {
 		t.Error(err)
 	}
--- a/internal/supply/supply.go
+++ b/internal/supply/supply.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"lupinpond/internal/ask"
 	"lupinpond/internal/cache"
 	"lupinpond/internal/fetch"
 	"lupinpond/internal/layer"
@@ -216,7 +217,7 @@
 		if err == nil && layer.Sum(b).String() != e.Digest {
 			err = layer.ErrCorrupt
 		}
-		var refused *store.Refused
+		var refused *ask.Refused
 		if errors.As(err, &refused) || ctx.Err() != nil {
 			return fmt.Errorf("release %s of %s: %w", e.Version, e.Name, err)
 		}
@@ -506,7 +507,7 @@
 	packed, err = s.o.Store.Chunk(ctx, d)
 	stop()
 	outcome, after := fetch.Good, time.Duration(0)
-	var refused *store.Refused
+	var refused *ask.Refused
 	switch {
 	case err == nil:
 		if content, err = layer.Unpack(d, packed); err != nil {
@@ -591,7 +592,7 @@
 func (s *Supplier) askPeer(ctx context.Context, want *fetch.Want, addr string, step fetch.Step, d layer.Digest) (content, packed []byte, err error) {
 	limit, stop := context.WithTimeout(ctx, step.Wait+step.Send)
 	defer stop()
-	said, packed, more, err := ask(limit, s.client, addr, s.o.Name, d, step)
+	said, packed, more, err := askChunk(limit, s.client, addr, s.o.Name, d, step)
 	if said == fetch.Gave {
 		if content, err = layer.Unpack(d, packed); err != nil {
 			said = fetch.Corrupt
@@ -620,8 +621,8 @@
 	return nil, nil, err
 }
 
-// ask asks a peer for a chunk.
-func ask(ctx context.Context, client *http.Client, addr, self string, d layer.Digest, step fetch.Step) (fetch.Said, []byte, word, error) {
+// askChunk asks a peer for a chunk.
+func askChunk(ctx context.Context, client *http.Client, addr, self string, d layer.Digest, step fetch.Step) (fetch.Said, []byte, word, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/chunks/"+d.String(), nil)
 	if err != nil {
 		return fetch.Failed, nil, word{}, err
