--- a/cmd/lproster/main.go
+++ b/cmd/lproster/main.go
@@ -18,6 +18,7 @@
 
 	"lupinpond/internal/config"
 	"lupinpond/internal/roster"
+	"lupinpond/internal/serve"
 	"lupinpond/internal/telemetry"
 )
 
@@ -59,16 +60,7 @@
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return r.Run(ctx) })
-	g.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	g.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	g.Go(func() error { return serve.Until(ctx, server, listener, 0) })
 	log.Info("list of workers listens", "address", listener.Addr().String())
 	return g.Wait()
 }
--- a/cmd/lpstore/main.go
+++ b/cmd/lpstore/main.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lupinpond/internal/config"
+	"lupinpond/internal/serve"
 	"lupinpond/internal/store"
 	"lupinpond/internal/telemetry"
 )
@@ -64,22 +65,8 @@
 	defer stop()
 	server := &http.Server{Handler: s.Handler(!f.ReadOnly), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	g.Go(func() error { return serve.Until(ctx, server, listener, 10*time.Second) })
 	g.Go(func() error { return s.Run(ctx, f.Collect) })
-	g.Go(func() error {
-		<-ctx.Done()
-		end, stop := context.WithTimeout(context.Background(), 10*time.Second)
-		defer stop()
-		if err := server.Shutdown(end); err != nil {
-			return server.Close() // somebody reads slowly
-		}
-		return nil
-	})
 	log.Info("store listens", "address", listener.Addr().String())
 	return g.Wait()
 }
--- a/cmd/lpworker/main.go
+++ b/cmd/lpworker/main.go
@@ -25,6 +25,7 @@
 	"lupinpond/internal/pack"
 	"lupinpond/internal/roster"
 	"lupinpond/internal/runner"
+	"lupinpond/internal/serve"
 	"lupinpond/internal/store"
 	"lupinpond/internal/supply"
 	"lupinpond/internal/telemetry"
@@ -145,28 +146,14 @@
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return w.Run(serving, listener) })
 	giver := &http.Server{Handler: o.Supply.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
-	g.Go(func() error {
-		if err := giver.Serve(gives); !errors.Is(err, http.ErrServerClosed) {
+	g.Go(func() error { return serve.Until(serving, giver, gives, 0) })
+	if c.Control != "" {
+		orders, err := net.Listen("tcp", c.Control)
+		if err != nil {
 			return err
 		}
-		return nil
-	})
-	g.Go(func() error {
-		<-serving.Done()
-		return giver.Close()
-	})
-	if c.Control != "" {
-		control := &http.Server{Addr: c.Control, Handler: w.Control(), ReadHeaderTimeout: 5 * time.Second}
-		g.Go(func() error {
-			if err := control.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		})
-		g.Go(func() error {
-			<-serving.Done()
-			return control.Close()
-		})
+		control := &http.Server{Handler: w.Control(), ReadHeaderTimeout: 5 * time.Second}
+		g.Go(func() error { return serve.Until(serving, control, orders, 0) })
 	}
 	entry := roster.Entry{Name: c.Name, Addr: listener.Addr().String(), Zone: c.Zone, Cell: c.Cell, Cores: c.Cores, State: roster.In,
 		Started: time.Now(), Chunks: gives.Addr().String()}
@@ -247,19 +234,14 @@
 	}
 	server := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	g.Go(func() error { return serve.Until(ctx, server, listener, 10*time.Second) })
 	g.Go(func() error {
 		tick := time.NewTicker(time.Second)
 		defer tick.Stop()
 		for {
 			select {
 			case <-ctx.Done():
-				return server.Shutdown(context.WithoutCancel(ctx))
+				return nil
 			case <-tick.C:
 				if _, err := r.Sweep(); err != nil {
 					return err
--- a/internal/crew/store.go
+++ b/internal/crew/store.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -13,6 +12,7 @@
 	"time"
 
 	"lupinpond/internal/cache"
+	"lupinpond/internal/serve"
 	"lupinpond/internal/store"
 	"lupinpond/internal/supply"
 )
@@ -21,8 +21,7 @@
 type Store struct {
 	*store.Store
 	Client store.Client // of it
-	server *http.Server
-	served chan struct{}
+	server *serve.Local
 }
 
 // Easy is the capacity of a store that is in nobody's way.
@@ -34,17 +33,12 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := serve.OnLoopback("127.0.0.1:0", s.Handler(true))
 	if err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
-	local := &Store{Store: s, Client: store.Client{Base: "http://" + listener.Addr().String(), HTTP: &http.Client{Transport: &http.Transport{}}},
-		server: &http.Server{Handler: s.Handler(true), ReadHeaderTimeout: 5 * time.Second}, served: make(chan struct{})}
-	go func() {
-		defer close(local.served)
-		_ = local.server.Serve(listener) // ends with Close
-	}()
-	return local, nil
+	client := store.Client{Base: "http://" + server.Addr, HTTP: &http.Client{Transport: &http.Transport{}}}
+	return &Store{Store: s, Client: client, server: server}, nil
 }
 
 // PublishAll publishes every package NAME/VERSION of a folder.
@@ -64,7 +58,6 @@
 // Close ends it.
 func (s *Store) Close() error {
 	err := s.server.Close()
-	<-s.served
 	s.Client.HTTP.CloseIdleConnections()
 	return errors.Join(err, s.Store.Close())
 }
@@ -74,8 +67,7 @@
 	*supply.Supplier
 	Addr   string
 	client *http.Client
-	server *http.Server
-	served chan struct{}
+	server *serve.Local
 }
 
 // NewGiver makes a supplier in a worker's folder, of the store at base. busy and peers may be nil.
@@ -91,22 +83,16 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Giver{client: &http.Client{Transport: &http.Transport{}}, served: make(chan struct{})}
+	g := &Giver{client: &http.Client{Transport: &http.Transport{}}}
 	if g.Supplier, err = supply.New(supply.Options{Name: name, Folder: folder, Store: store.Client{Base: base, HTTP: g.client}, Cache: c,
 		Peers: peers, Busy: busy, Capacity: 1e9, Part: 0.5, Slots: 16, Patience: patience, Parallel: 16, Log: log}); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if g.server, err = serve.OnLoopback("127.0.0.1:0", g.Handler()); err != nil {
 		g.Supplier.Close()
 		return nil, err
 	}
-	g.Addr = listener.Addr().String()
-	g.server = &http.Server{Handler: g.Handler(), ReadHeaderTimeout: 5 * time.Second}
-	go func() {
-		defer close(g.served)
-		_ = g.server.Serve(listener) // ends with Close
-	}()
+	g.Addr = g.server.Addr
 	return g, nil
 }
 
@@ -116,6 +102,5 @@
 	both.Go(g.Supplier.Close)
 	_ = g.server.Close() // what was given is lost with it
 	both.Wait()
-	<-g.served
 	g.client.CloseIdleConnections()
 }
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -24,6 +23,7 @@
 	"lupinpond/internal/keys"
 	"lupinpond/internal/roster"
 	"lupinpond/internal/rules"
+	"lupinpond/internal/serve"
 	"lupinpond/internal/standin"
 	"lupinpond/internal/store"
 	"lupinpond/internal/supply"
@@ -268,10 +268,15 @@
 func (s *stage) registers() (end func(), err error) {
 	var ends []func()
 	end = func() {
-		for _, f := range ends {
+		for _, f := range slices.Backward(ends) { // servers before their files
 			f()
 		}
 	}
+	defer func() {
+		if err != nil {
+			end()
+		}
+	}()
 	var at []string
 	for i := range 3 {
 		folder := filepath.Join(s.dir, fmt.Sprint("register-", i))
@@ -280,24 +285,17 @@
 		}
 		r, err := keys.Open(folder, 1<<20)
 		if err != nil {
-			end()
 			return nil, err
 		}
 		ends = append(ends, func() { r.Close() })
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		server, err := serve.OnLoopback("127.0.0.1:0", r.Handler())
 		if err != nil {
-			end()
 			return nil, err
 		}
-		server := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: 5 * time.Second}
-		go func() { _ = server.Serve(listener) }() // ends with Close
 		ends = append(ends, func() { server.Close() })
-		at = append(at, listener.Addr().String())
-	}
-	slices.Reverse(ends) // servers before their files
-	if s.keys, err = keys.NewGroup(at, time.Second, s.o.Log); err != nil {
-		end()
+		at = append(at, server.Addr)
 	}
+	s.keys, err = keys.NewGroup(at, time.Second, s.o.Log)
 	return end, err
 }
 
@@ -376,13 +374,11 @@
 		s.news = append(s.news, rules.Told{Front: front, At: at.Sub(s.base), News: n})
 	})
 	s.listen = func() (io.Closer, error) {
-		listener, err := net.Listen("tcp", s.list)
+		server, err := serve.OnLoopback(s.list, s.roster.Handler())
 		if err != nil {
 			return nil, err
 		}
-		s.list = listener.Addr().String()
-		server := &http.Server{Handler: s.roster.Handler(), ReadHeaderTimeout: 5 * time.Second}
-		go func() { _ = server.Serve(listener) }() // ends with Close
+		s.list = server.Addr
 		return server, nil
 	}
 	var err error
