--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -18,9 +18,9 @@
 
 	"lupinpond/internal/admit"
 	"lupinpond/internal/config"
+	"lupinpond/internal/faults"
 	"lupinpond/internal/keys"
 	"lupinpond/internal/pack"
-	"lupinpond/internal/standin"
 	"lupinpond/internal/store"
 	"lupinpond/internal/supply"
 	"lupinpond/internal/worker"
@@ -32,7 +32,7 @@
 	Start(addr string, old bool) (at string, started time.Time, err error)
 	Stop()
 	Falls() int
-	Trouble(func(*standin.Troubles))
+	Trouble(func(*faults.Troubles))
 	Silence(on bool)
 	Reset()
 	Goodbye()
@@ -119,13 +119,12 @@
 
 // Runtime is the worker runtime, started and stopped within this process.
 type Runtime struct {
-	o       RuntimeOptions
-	mu      sync.Mutex
-	w       *worker.Worker
-	giver   *Giver
-	stop    context.CancelFunc
-	ended   chan error
-	trouble standin.Troubles
+	o     RuntimeOptions
+	mu    sync.Mutex
+	w     *worker.Worker
+	giver *Giver
+	stop  context.CancelFunc
+	ended chan error
 }
 
 // NewRuntime makes one that is not started.
@@ -202,15 +201,7 @@
 func (r *Runtime) Falls() int { return 0 }
 
 // Trouble has it misbehave from now on.
-func (r *Runtime) Trouble(change func(*standin.Troubles)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	change(&r.trouble)
-	t := r.trouble
-	r.w.Trouble(func(x *worker.Troubles) {
-		*x = worker.Troubles{Hang: t.Hang, Slow: t.Slow, Refuse: t.Refuse, Errors: t.Errors, FailLoads: t.FailLoads, Reports: t.Reports}
-	})
-}
+func (r *Runtime) Trouble(change func(*faults.Troubles)) { r.now().Trouble(change) }
 
 func (r *Runtime) now() *worker.Worker {
 	r.mu.Lock()
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -22,10 +22,10 @@
 	"lupinpond/internal/admit"
 	"lupinpond/internal/config"
 	"lupinpond/internal/crew"
+	"lupinpond/internal/faults"
 	"lupinpond/internal/gate"
 	"lupinpond/internal/invoke"
 	"lupinpond/internal/roster"
-	"lupinpond/internal/standin"
 )
 
 var payroll string // the program of all packages, built once
@@ -171,7 +171,7 @@
 	}
 }
 
-func (r *rig) trouble(change func(*standin.Troubles)) {
+func (r *rig) trouble(change func(*faults.Troubles)) {
 	for _, w := range r.workers {
 		w.Trouble(change)
 	}
@@ -199,14 +199,14 @@
 	r := start(t, nil)
 	r.wants("gross-salary", "1", 2*time.Second, 200, " released")
 	r.wants("release-ravi", "0", 2*time.Second, 200, " released")
-	r.trouble(func(x *standin.Troubles) { x.Errors = true })
+	r.trouble(func(x *faults.Troubles) { x.Errors = true })
 	r.wants("gross-salary", "2", 2*time.Second, 502, `"may-have-run":true`)
-	r.trouble(func(x *standin.Troubles) { x.Errors, x.Refuse = false, "indus-textiles" })
+	r.trouble(func(x *faults.Troubles) { x.Errors, x.Refuse = false, "indus-textiles" })
 	resp := r.wants("gross-salary", "3", time.Second, 503, invoke.ProblemDeferred)
 	if resp.Header.Get("Retry-After") == "" || resp.Header.Get(invoke.HeaderBack) == "" {
 		t.Error("deferred without a time to come back")
 	}
-	r.trouble(func(x *standin.Troubles) { x.Refuse, x.Hang = "", true })
+	r.trouble(func(x *faults.Troubles) { x.Refuse, x.Hang = "", true })
 	r.wants("release-ravi", "4", 300*time.Millisecond, 502, `"may-have-run":true`)
 	r.wants("preview", "5", 300*time.Millisecond, 503, invoke.ProblemDeferred)
 	if n := r.ran("salary-release"); n != 3 { // none of the one that was told to fail
@@ -218,7 +218,7 @@
 func TestTwoEventsWithOneID(t *testing.T) {
 	r := start(t, nil)
 	r.wants("gross-salary", "0", 2*time.Second, 200, " released") // loaded
-	r.trouble(func(x *standin.Troubles) { x.Hang = true })
+	r.trouble(func(x *faults.Troubles) { x.Hang = true })
 	var both sync.WaitGroup
 	both.Go(func() { r.wants("gross-salary", "one", time.Second, 502, "dead-lettered") })
 	r.until("the first runs", func() bool { return r.ran("salary-release") == 2 })
@@ -227,7 +227,7 @@
 	if n := r.ran("salary-release"); n != 2 {
 		t.Errorf("%d runs", n)
 	}
-	r.trouble(func(x *standin.Troubles) { x.Hang = false })
+	r.trouble(func(x *faults.Troubles) { x.Hang = false })
 	r.wants("gross-salary", "one", 4*time.Second, 200, " released") // no longer in hand
 }
 
@@ -235,7 +235,7 @@
 func TestClientGoneWhileItRuns(t *testing.T) {
 	r := start(t, nil)
 	r.wants("gross-salary", "0", 2*time.Second, 200, " released") // loaded
-	r.trouble(func(x *standin.Troubles) { x.Hang = true })
+	r.trouble(func(x *faults.Troubles) { x.Hang = true })
 	ctx, leave := context.WithCancel(context.Background())
 	gone := make(chan error, 1)
 	go func() {
@@ -279,7 +279,7 @@
 	r.wants("gross-salary", "1", 2*time.Second, 200, " released") // loaded
 	r.until("known", func() bool { return r.gate.Counts(context.Background()).Handled == 1 })
 	var all sync.WaitGroup
-	r.trouble(func(x *standin.Troubles) { x.Slow = 20 })
+	r.trouble(func(x *faults.Troubles) { x.Slow = 20 })
 	before := r.ran("salary-release")
 	all.Go(func() { r.wants("gross-salary", "2", 900*time.Millisecond, 200, " released") })
 	r.until("it runs", func() bool { return r.ran("salary-release") > before })
@@ -290,7 +290,7 @@
 // On the signal to end: what is in hand is answered, nothing new is taken, and it ends.
 func TestDrain(t *testing.T) {
 	r := start(t, nil)
-	r.trouble(func(x *standin.Troubles) { x.Slow = 100 })
+	r.trouble(func(x *faults.Troubles) { x.Slow = 100 })
 	var all sync.WaitGroup
 	for i := range 8 {
 		all.Go(func() { r.wants("tax-slab", fmt.Sprint(i), 4*time.Second, 200, " released") })
@@ -394,7 +394,7 @@
 		}
 	}
 	r.wants("gross-salary", "0", 2*time.Second, 200, " released") // loaded
-	r.trouble(func(x *standin.Troubles) { x.Hang = true })
+	r.trouble(func(x *faults.Troubles) { x.Hang = true })
 	var one sync.WaitGroup
 	one.Go(func() { r.wants("gross-salary", "1", time.Second, 502, "dead-lettered") })
 	r.until("one in hand", func() bool { return r.ran("salary-release") == 2 })
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -19,6 +19,7 @@
 	"lupinpond/internal/capture"
 	"lupinpond/internal/config"
 	"lupinpond/internal/crew"
+	"lupinpond/internal/faults"
 	"lupinpond/internal/gate"
 	"lupinpond/internal/keys"
 	"lupinpond/internal/roster"
@@ -524,30 +525,16 @@
 	for _, i := range t.Workers {
 		workers = append(workers, s.workers[i])
 	}
-	set := func(change func(*standin.Troubles)) {
+	switch t.What {
+	case "hang", "slow", "errors", "fail-loads", "false-reports", "refuse":
+		set, undo, err := faults.Named(t.What, t.Tenant, t.Factor)
+		if err != nil {
+			return err
+		}
 		for _, w := range workers {
-			w.Trouble(change)
+			w.Trouble(set)
+			defer w.Trouble(undo)
 		}
-	}
-	switch t.What {
-	case "hang":
-		set(func(x *standin.Troubles) { x.Hang = true })
-		defer set(func(x *standin.Troubles) { x.Hang = false })
-	case "slow":
-		set(func(x *standin.Troubles) { x.Slow = t.Factor })
-		defer set(func(x *standin.Troubles) { x.Slow = 0 })
-	case "errors":
-		set(func(x *standin.Troubles) { x.Errors = true })
-		defer set(func(x *standin.Troubles) { x.Errors = false })
-	case "fail-loads":
-		set(func(x *standin.Troubles) { x.FailLoads = true })
-		defer set(func(x *standin.Troubles) { x.FailLoads = false })
-	case "false-reports":
-		set(func(x *standin.Troubles) { x.Reports = t.Factor })
-		defer set(func(x *standin.Troubles) { x.Reports = 0 })
-	case "refuse":
-		set(func(x *standin.Troubles) { x.Refuse = t.Tenant })
-		defer set(func(x *standin.Troubles) { x.Refuse = "" })
 	case "reset":
 		for _, w := range workers {
 			w.Reset()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -60,7 +60,7 @@
 	end      context.CancelFunc
 	ended    chan struct{}
 	addr     string
-	troubles Troubles
+	troubles faults.Troubles
 	window   []arrival // work that came lately, while cold
 	falls    int
 	silencer faults.Silencer
@@ -71,16 +71,6 @@
 	work time.Duration
 }
 
-// Troubles are how a worker misbehaves. The zero value does not.
-type Troubles struct {
-	Hang      bool    // takes events and never answers them
-	Slow      float64 // events take so many times longer; 0: as usual
-	Refuse    string  // turns this tenant away as full
-	Errors    bool    // answers errors at once
-	FailLoads bool
-	Reports   float64 // multiplies what it reports as waiting; 0: the truth
-}
-
 // set is the copies of one function.
 type set struct {
 	f       Function
@@ -179,7 +169,7 @@
 }
 
 // Trouble has the worker misbehave from now on.
-func (w *Worker) Trouble(change func(*Troubles)) {
+func (w *Worker) Trouble(change func(*faults.Troubles)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	change(&w.troubles)
--- a/internal/worker/control.go
+++ b/internal/worker/control.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"lupinpond/internal/faults"
 )
 
 // Order to misbehave, as the control interface takes it.
@@ -48,29 +50,11 @@
 			return fmt.Errorf("at %q: a time from now such as 2s", o.At)
 		}
 	}
-	set, undo := func(*Troubles) {}, func(*Troubles) {}
-	silence := false
-	switch o.What {
-	case "hang":
-		set, undo = func(t *Troubles) { t.Hang = true }, func(t *Troubles) { t.Hang = false }
-	case "silence":
-		silence = true
-	case "slow":
-		set, undo = func(t *Troubles) { t.Slow = o.Factor }, func(t *Troubles) { t.Slow = 0 }
-	case "refuse":
-		set, undo = func(t *Troubles) { t.Refuse = o.Tenant }, func(t *Troubles) { t.Refuse = "" }
-	case "errors":
-		set, undo = func(t *Troubles) { t.Errors = true }, func(t *Troubles) { t.Errors = false }
-	case "fail-loads":
-		set, undo = func(t *Troubles) { t.FailLoads = true }, func(t *Troubles) { t.FailLoads = false }
-	case "false-reports":
-		set, undo = func(t *Troubles) { t.Reports = o.Factor }, func(t *Troubles) { t.Reports = 0 }
-	default:
-		return fmt.Errorf("what %q is not hang, silence, slow, refuse, errors, fail-loads or false-reports", o.What)
-	}
-	if (o.What == "slow" || o.What == "false-reports") != (o.Factor > 0) || (o.What == "refuse") != (o.Tenant != "") {
-		return fmt.Errorf("%s: slow and false-reports need a factor, refuse a tenant, and only they", o.What)
+	set, undo, err := faults.Named(o.What, o.Tenant, o.Factor)
+	if err != nil {
+		return err
 	}
+	silence := o.What == "silence"
 	time.AfterFunc(at, func() {
 		w.Trouble(set)
 		if silence {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -69,16 +69,6 @@
 // Loading is how long the steps of a load took.
 type Loading struct{ Fetch, Verify, Compile, Start time.Duration }
 
-// Troubles are how a worker misbehaves when told. The zero value does not.
-type Troubles struct {
-	Hang      bool    // takes events, runs them and never answers
-	Slow      float64 // answers so many times later; 0: as usual
-	Refuse    string  // turns this tenant away as full
-	Errors    bool    // answers errors at once, though nothing ran
-	FailLoads bool
-	Reports   float64 // multiplies what it reports as waiting; 0: the truth
-}
-
 // Worker is one life of a worker.
 type Worker struct {
 	o        Options
@@ -100,7 +90,7 @@
 	wake      *time.Timer
 	memory    int64 // at the last look
 	draining  bool
-	troubles  Troubles
+	troubles  faults.Troubles
 	loads     []Loading
 	closed    bool
 	found     [recent]bool // of the last launches: found no warm copy
@@ -294,7 +284,7 @@
 }
 
 // Trouble has it misbehave from now on; Silence has it neither read nor write.
-func (w *Worker) Trouble(change func(*Troubles)) {
+func (w *Worker) Trouble(change func(*faults.Troubles)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	change(&w.troubles)
