Embedded files are opened, and files written whole, in one way

Registers and the store each opened bbolt with buckets and a format; every kept key built its CBOR mode anew. The kept list, manifests and known releases were each written by a temporary name of their own. internal/kept and renameio do it once.

--- a/internal/gate/keep.go
+++ b/internal/gate/keep.go
@@ -6,7 +6,8 @@
 	"fmt"
 	"io/fs"
 	"os"
-	"path/filepath"
+
+	"github.com/google/renameio/v2"
 
 	"lupinpond/internal/roster"
 )
@@ -32,29 +33,13 @@
 }
 
 // WriteList keeps a list for the next start. A crash leaves the old one or the new one.
-func WriteList(path string, n roster.News) (err error) {
+func WriteList(path string, n roster.News) error {
 	b, err := json.Marshal(n)
 	if err != nil {
 		return fmt.Errorf("keep list: %w", err)
 	}
-	tmp, err := os.CreateTemp(filepath.Dir(path), ".list-*")
-	if err != nil {
+	if err := renameio.WriteFile(path, b, 0o600); err != nil {
 		return fmt.Errorf("keep list: %w", err)
 	}
-	defer func() {
-		if err != nil {
-			os.Remove(tmp.Name())
-			err = fmt.Errorf("keep list: %w", err)
-		}
-	}()
-	if _, err = tmp.Write(b); err == nil {
-		err = tmp.Sync()
-	}
-	if cerr := tmp.Close(); err == nil {
-		err = cerr
-	}
-	if err != nil {
-		return err
-	}
-	return os.Rename(tmp.Name(), path)
+	return nil
 }
--- /dev/null
+++ b/internal/kept/kept.go
@@ -0,0 +1,50 @@
+// Package kept opens the files in which registers and the store keep what survives them, and encodes what is kept.
+package kept
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	bolt "go.etcd.io/bbolt"
+)
+
+// Meta is the bucket in which a file has its format, and whatever else its owner puts there.
+var Meta = []byte("meta")
+
+// Open opens or makes a file of a format, with Meta and these buckets. A file of another format, and one that another
+// process has open, are errors.
+func Open(path string, format byte, buckets ...[]byte) (*bolt.DB, error) {
+	db, err := bolt.Open(path, 0o644, &bolt.Options{Timeout: time.Second})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	err = db.Update(func(tx *bolt.Tx) error {
+		for _, name := range append(buckets, Meta) {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		meta := tx.Bucket(Meta)
+		if v := meta.Get([]byte("format")); v != nil && !bytes.Equal(v, []byte{format}) {
+			return fmt.Errorf("format %v, this program reads %d", v, format)
+		}
+		return meta.Put([]byte("format"), []byte{format})
+	})
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("%s: %w", path, err), db.Close())
+	}
+	return db, nil
+}
+
+// Mode is how kept values are encoded: CBOR whose times have their nanoseconds.
+var Mode = sync.OnceValue(func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // no option of it is wrong
+	}
+	return mode
+})
--- a/internal/keys/store.go
+++ b/internal/keys/store.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	bolt "go.etcd.io/bbolt"
 
+	"lupinpond/internal/kept"
 	"lupinpond/internal/steady"
 )
 
@@ -29,7 +30,6 @@
 var (
 	bucketKeys = []byte("keys") // Entry by key
 	bucketEnds = []byte("ends") // end of the window, then the key
-	bucketMeta = []byte("meta")
 )
 
 // ErrFull says that a register has as many keys inside their windows as it may keep.
@@ -61,22 +61,14 @@
 // keys; while as many are inside their windows it grants nothing.
 func Open(folder string, most int) (*Register, error) {
 	path := filepath.Join(folder, "register.bolt")
-	db, err := bolt.Open(path, 0o644, &bolt.Options{Timeout: time.Second})
+	db, err := kept.Open(path, format, bucketKeys, bucketEnds)
 	if err != nil {
-		return nil, fmt.Errorf("register %s: %w", path, err)
+		return nil, fmt.Errorf("register: %w", err)
 	}
 	db.MaxBatchDelay = time.Millisecond // claims that come together are synced together
 	r := &Register{db: db, most: most}
 	err = db.Update(func(tx *bolt.Tx) error {
-		for _, name := range [][]byte{bucketKeys, bucketEnds, bucketMeta} {
-			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
-				return err
-			}
-		}
-		meta := tx.Bucket(bucketMeta)
-		if v := meta.Get([]byte("format")); v != nil && !bytes.Equal(v, []byte{format}) {
-			return fmt.Errorf("format %v, this program reads %d", v, format)
-		}
+		meta := tx.Bucket(kept.Meta)
 		var last steady.Mark
 		if v := meta.Get([]byte("mark")); v != nil {
 			if err := cbor.Unmarshal(v, &last); err != nil {
@@ -85,11 +77,11 @@
 		}
 		now, mark := steady.Continue(last)
 		r.now = now
-		v, err := encode(mark)
+		v, err := kept.Mode().Marshal(mark)
 		if err != nil {
 			return err
 		}
-		return errors.Join(meta.Put([]byte("format"), []byte{format}), meta.Put([]byte("mark"), v))
+		return meta.Put([]byte("mark"), v)
 	})
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("register %s: %w", path, err), db.Close())
@@ -177,7 +169,7 @@
 }
 
 func put(tx *bolt.Tx, key string, have Entry, known bool, keep Entry) error {
-	v, err := encode(keep)
+	v, err := kept.Mode().Marshal(keep)
 	if err != nil {
 		return err
 	}
@@ -195,19 +187,11 @@
 	return tx.Bucket(bucketKeys).Put([]byte(key), v)
 }
 
-func encode(v any) ([]byte, error) {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		return nil, err
-	}
-	return mode.Marshal(v)
-}
-
 // count is the number of keys, changed by so many; bbolt would walk all of them to tell.
 func count(tx *bolt.Tx, by int) int {
-	n := int(tx.Bucket(bucketMeta).Sequence()) + by
+	n := int(tx.Bucket(kept.Meta).Sequence()) + by
 	if by != 0 {
-		_ = tx.Bucket(bucketMeta).SetSequence(uint64(n)) // fails only where the transaction can't be written
+		_ = tx.Bucket(kept.Meta).SetSequence(uint64(n)) // fails only where the transaction can't be written
 	}
 	return n
 }
--- a/internal/pack/pack.go
+++ b/internal/pack/pack.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/goccy/go-yaml"
+	"github.com/google/renameio/v2"
 	"github.com/zeebo/blake3"
 
 	"lupinpond/internal/config"
@@ -141,11 +142,7 @@
 	if err != nil {
 		return Package{}, fmt.Errorf("package %s: %w", m.Name, err)
 	}
-	tmp := filepath.Join(folder, ".manifest")
-	if err := os.WriteFile(tmp, b, 0o644); err != nil {
-		return Package{}, fmt.Errorf("package %s: %w", m.Name, err)
-	}
-	if err := os.Rename(tmp, filepath.Join(folder, File)); err != nil {
+	if err := renameio.WriteFile(filepath.Join(folder, File), b, 0o644); err != nil {
 		return Package{}, fmt.Errorf("package %s: %w", m.Name, err)
 	}
 	return Package{m, folder}, nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,13 +24,13 @@
 	bolt "go.etcd.io/bbolt"
 	"golang.org/x/time/rate"
 
+	"lupinpond/internal/kept"
 	"lupinpond/internal/layer"
 )
 
 const format = 1
 
 var (
-	bucketMeta     = []byte("meta")
 	bucketReleases = []byte("releases") // NAME, 0, VERSION: the encoded release
 	bucketNewest   = []byte("newest")   // NAME: VERSION
 )
@@ -89,7 +89,7 @@
 var ErrMissing = errors.New("the release names chunks that are not there")
 
 // Open opens or makes a store's folder. Another process that has it open is an error.
-func Open(o Options) (_ *Store, err error) {
+func Open(o Options) (*Store, error) {
 	if o.Fail == nil {
 		o.Fail = func(string) {}
 	}
@@ -99,28 +99,14 @@
 	if err := os.MkdirAll(filepath.Join(o.Folder, "chunks"), 0o755); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	db, err := bolt.Open(filepath.Join(o.Folder, "releases.bolt"), 0o644, &bolt.Options{Timeout: time.Second})
+	db, err := kept.Open(filepath.Join(o.Folder, "releases.bolt"), format, bucketReleases, bucketNewest)
 	if err != nil {
-		return nil, fmt.Errorf("store %s: %w", o.Folder, err)
+		return nil, fmt.Errorf("store: %w", err)
 	}
 	s := &Store{o: o, db: db, started: time.Now(), crowd: NewCrowd(o.Capacity), counts: map[layer.Digest]int{}}
 	if o.Capacity.Rate > 0 {
 		s.limiter = rate.NewLimiter(rate.Limit(o.Capacity.Rate), layer.MaxPacked)
 	}
-	err = db.Update(func(tx *bolt.Tx) error {
-		for _, b := range [][]byte{bucketMeta, bucketReleases, bucketNewest} {
-			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
-				return err
-			}
-		}
-		if v := tx.Bucket(bucketMeta).Get([]byte("format")); v != nil && !bytes.Equal(v, []byte{format}) {
-			return fmt.Errorf("format %v, this program reads %d", v, format)
-		}
-		return tx.Bucket(bucketMeta).Put([]byte("format"), []byte{format})
-	})
-	if err != nil {
-		return nil, errors.Join(fmt.Errorf("store %s: %w", o.Folder, err), db.Close())
-	}
 	return s, nil
 }
 
--- a/internal/supply/supply.go
+++ b/internal/supply/supply.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/renameio/v2"
 	"golang.org/x/sync/errgroup"
 
 	"lupinpond/internal/ask"
@@ -235,10 +236,7 @@
 
 func (s *Supplier) keep(name string, b []byte) error {
 	path := filepath.Join(s.kept(), layer.Sum([]byte(name)).String()+".release") // a name may have any letters
-	if err := os.WriteFile(path+".new", b, 0o644); err != nil {
-		return err
-	}
-	return os.Rename(path+".new", path)
+	return renameio.WriteFile(path, b, 0o644)
 }
 
 // Bring puts a release of a package, the newest or the one before that is not forgotten, into a folder that does not exist
--- a/internal/worker/export_test.go
+++ b/internal/worker/export_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"lupinpond/internal/kept"
 )
 
 // Shift rewrites a journal as if the system's clock had been off by so much all through the life that wrote it.
@@ -22,11 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	dec, enc := cbor.NewDecoder(bufio.NewReader(in)), mode.NewEncoder(out)
+	dec, enc := cbor.NewDecoder(bufio.NewReader(in)), kept.Mode().NewEncoder(out)
 	for {
 		var x note
 		if err := dec.Decode(&x); errors.Is(err, io.EOF) {
--- a/internal/worker/journal.go
+++ b/internal/worker/journal.go
@@ -15,6 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"lupinpond/internal/kept"
 	"lupinpond/internal/keys"
 	"lupinpond/internal/link"
 	"lupinpond/internal/steady"
@@ -92,11 +93,7 @@
 			err = fmt.Errorf("journal: %w", err)
 		}
 	}()
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		return nil, err
-	}
-	j.file, j.enc = tmp, mode.NewEncoder(tmp)
+	j.file, j.enc = tmp, kept.Mode().NewEncoder(tmp)
 	if err = j.enc.Encode(note{Kind: noteFormat, Format: journalVersion, Mark: &j.mark}); err != nil {
 		return nil, err
 	}
