Chunk sharing asks the worker how busy it is; old files go outside the worker's lock

Two programs carried a pointer around to tell a supplier how busy its worker is: the worker says so itself now. A chunk's order was made in two places and for every chunk given. A replaced release's files were removed while the worker's lock was held. A register's verdict is a closed channel in place of one message each. Fields that nothing read are gone.

--- a/cmd/lpworker/main.go
+++ b/cmd/lpworker/main.go
@@ -106,7 +106,6 @@
 		}
 		defer o.Group.Close()
 	}
-	var life atomic.Pointer[worker.Worker]
 	var peers atomic.Pointer[[]supply.Peer]
 	peers.Store(&[]supply.Peer{})
 	chunks, err := cache.Open(c.Folder, c.Cache<<20, log)
@@ -115,12 +114,7 @@
 	}
 	o.Supply, err = supply.New(supply.Options{Name: c.Name, Folder: c.Folder, Store: store.Client{Base: c.Store, HTTP: &http.Client{}},
 		Cache: chunks, Peers: func() []supply.Peer { return *peers.Load() }, Capacity: c.Network * 1e6, Part: c.Share, Slots: 2 * c.Running,
-		Patience: c.Patience, Parallel: 16, Log: log, Busy: func() float64 {
-			if w := life.Load(); w != nil {
-				return w.Busy()
-			}
-			return 0
-		}})
+		Patience: c.Patience, Parallel: 16, Log: log})
 	if err != nil {
 		return err
 	}
@@ -132,7 +126,6 @@
 	for _, cut := range w.Cut() {
 		log.Warn("the last life died during a load", "function", cut.Function, "version", cut.Version, "events", cut.Events)
 	}
-	life.Store(w)
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"lupinpond/internal/admit"
@@ -140,28 +139,23 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var life atomic.Pointer[worker.Worker]
-	giver, err := NewGiver(r.o.Name, r.o.Folder, r.o.Store.store.Client.Base, 5*time.Second, func() float64 {
-		if w := life.Load(); w != nil {
-			return w.Busy()
-		}
-		return 0
-	}, r.o.Peers, nil)
+	giver, err := NewGiver(r.o.Name, r.o.Folder, r.o.Store.store.Client.Base, 5*time.Second, r.o.Peers, nil)
 	if err != nil {
 		return "", time.Time{}, err
 	}
-	w, err := worker.New(worker.Options{Name: r.o.Name, Folder: r.o.Folder, Supply: giver.Supplier, Launches: 256, Answer: 1 << 20,
-		Ready: 20 * time.Second, Grace: time.Second, Sample: 500 * time.Millisecond, Refresh: 500 * time.Millisecond, Effects: r.o.Effects,
-		Group: r.o.Group, Limits: r.o.Limits})
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
+		giver.Close()
 		return "", time.Time{}, err
 	}
-	listener, err := net.Listen("tcp", addr)
+	w, err := worker.New(worker.Options{Name: r.o.Name, Folder: r.o.Folder, Supply: giver.Supplier, Launches: 256, Answer: 1 << 20,
+		Ready: 20 * time.Second, Grace: time.Second, Sample: 500 * time.Millisecond, Refresh: 500 * time.Millisecond, Effects: r.o.Effects,
+		Group: r.o.Group, Limits: r.o.Limits})
 	if err != nil {
-		return "", time.Time{}, err
+		giver.Close()
+		return "", time.Time{}, errors.Join(err, listener.Close())
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	life.Store(w)
 	r.w, r.stop, r.ended, r.giver = w, stop, make(chan error, 1), giver
 	ended := r.ended
 	go func() { ended <- w.Run(ctx, listener) }()
--- a/internal/crew/store.go
+++ b/internal/crew/store.go
@@ -70,8 +70,8 @@
 	server *serve.Local
 }
 
-// NewGiver makes a supplier in a worker's folder, of the store at base. busy and peers may be nil.
-func NewGiver(name, folder, base string, patience time.Duration, busy func() float64, peers func() []supply.Peer, log *slog.Logger) (*Giver, error) {
+// NewGiver makes a supplier in a worker's folder, of the store at base. peers may be nil.
+func NewGiver(name, folder, base string, patience time.Duration, peers func() []supply.Peer, log *slog.Logger) (*Giver, error) {
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
 	}
@@ -85,7 +85,7 @@
 	}
 	g := &Giver{client: &http.Client{Transport: &http.Transport{}}}
 	if g.Supplier, err = supply.New(supply.Options{Name: name, Folder: folder, Store: store.Client{Base: base, HTTP: g.client}, Cache: c,
-		Peers: peers, Busy: busy, Capacity: 1e9, Part: 0.5, Slots: 16, Patience: patience, Parallel: 16, Log: log}); err != nil {
+		Peers: peers, Capacity: 1e9, Part: 0.5, Slots: 16, Patience: patience, Parallel: 16, Log: log}); err != nil {
 		return nil, err
 	}
 	if g.server, err = serve.OnLoopback("127.0.0.1:0", g.Handler()); err != nil {
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -344,7 +344,7 @@
 		}
 	}
 	p.Heard(time.Hour, "liar", Missing)
-	p.Keep(nil)
+	p.Keep(func(string) bool { return false })
 	if p.Trusted(1000*time.Hour, "liar") {
 		t.Error("a liar is trusted again")
 	}
--- a/internal/fetch/give.go
+++ b/internal/fetch/give.go
@@ -147,10 +147,10 @@
 	return s == nil || s.lies < mostLies && now >= s.until
 }
 
-// Keep forgets all peers but these, and none that has lied.
-func (p *Peers) Keep(names []string) {
+// Keep forgets all peers but the listed ones, and none that has lied.
+func (p *Peers) Keep(listed func(name string) bool) {
 	for n, s := range p.of {
-		if s.lies == 0 && !slices.Contains(names, n) {
+		if s.lies == 0 && !listed(n) {
 			delete(p.of, n)
 		}
 	}
--- a/internal/keys/group.go
+++ b/internal/keys/group.go
@@ -53,7 +53,7 @@
 		body     []byte
 	}
 	all := make(chan heard, len(g.registers))
-	verdict := make(chan Verdict)
+	decided := make(chan struct{}) // closed when the verdict stands
 	for i, base := range g.registers {
 		g.work.Go(func() {
 			var a answer
@@ -70,7 +70,8 @@
 				}
 			}
 			all <- h
-			if v := <-verdict; v != Run && (h.said == Granted || h.said == Failed) {
+			<-decided
+			if v != Run && (h.said == Granted || h.said == Failed) {
 				g.tell(base+"/v1/release", message{Key: key, Claim: claim})
 			}
 		})
@@ -90,12 +91,8 @@
 			break
 		}
 	}
-	g.work.Go(func() {
-		for range g.registers {
-			verdict <- v
-		}
-	})
-	return claim, v, body
+	close(decided)
+	return // as they stand: what was asked reads them
 }
 
 // Handled tells all registers that the event of a claim was handled. It does not wait for them.
--- a/internal/supply/give.go
+++ b/internal/supply/give.go
@@ -78,7 +78,8 @@
 	}
 	asker := r.Header.Get(headerAsker)
 	_, packed, holds := s.o.Cache.Get(d)
-	switch fetch.Reply(holds, s.home(d), r.Header.Get(headerHeld) == "1") {
+	held := r.Header.Get(headerHeld) == "1"
+	switch fetch.Reply(holds, !holds && !held && s.home(d), held) {
 	case fetch.Missing:
 		s.say(w, "missing", d, asker, 0)
 		return
@@ -100,7 +101,10 @@
 			return
 		}
 	}
-	busy := s.o.Busy()
+	s.mu.Lock()
+	follow := s.busy
+	s.mu.Unlock()
+	busy := follow() // the worker has a lock of its own
 	s.mu.Lock()
 	ok, after := s.uploads.Ask(s.now(), len(packed), busy)
 	if !ok {
@@ -126,13 +130,8 @@
 
 // home tells whether this worker is among the homes of a chunk by its own list.
 func (s *Supplier) home(d layer.Digest) bool {
-	names := []string{s.o.Name}
-	for _, p := range s.o.Peers() {
-		if p.Name != s.o.Name {
-			names = append(names, p.Name)
-		}
-	}
-	return slices.Index(fetch.Order(d[:], names), s.o.Name) < fetch.Homes
+	order, _ := s.order(d)
+	return slices.Index(order, s.o.Name) < fetch.Homes
 }
 
 func (s *Supplier) say(w http.ResponseWriter, what string, d layer.Digest, asker string, after time.Duration) {
--- a/internal/supply/supply.go
+++ b/internal/supply/supply.go
@@ -35,13 +35,12 @@
 	Folder   string // its releases are kept there
 	Store    store.Client
 	Cache    *cache.Cache
-	Peers    func() []Peer  // listed workers that give chunks; this one may be among them. nil: none
-	Busy     func() float64 // part of the worker's lanes that run, for what it may give; nil: none
-	Capacity float64        // bytes a second of its network
-	Part     float64        // of it that is given to others
-	Slots    int            // chunks given at a time
-	Patience time.Duration  // for one chunk
-	Parallel int            // chunks of a release looked for at a time
+	Peers    func() []Peer // listed workers that give chunks; this one may be among them. nil: none
+	Capacity float64       // bytes a second of its network
+	Part     float64       // of it that is given to others
+	Slots    int           // chunks given at a time
+	Patience time.Duration // for one chunk
+	Parallel int           // chunks of a release looked for at a time
 	Log      *slog.Logger
 }
 
@@ -66,6 +65,7 @@
 	work    sync.WaitGroup
 
 	mu       sync.Mutex
+	busy     func() float64 // part of the worker's lanes that run
 	guard    *fetch.Guard
 	freed    chan struct{} // closed when a request to the store has ended
 	peers    *fetch.Peers
@@ -104,13 +104,11 @@
 	if o.Peers == nil {
 		o.Peers = func() []Peer { return nil }
 	}
-	if o.Busy == nil {
-		o.Busy = func() float64 { return 0 }
-	}
 	s := &Supplier{o: o, started: time.Now(), guard: fetch.NewGuard(), freed: make(chan struct{}), peers: fetch.NewPeers(),
 		holders: fetch.NewHolders(chunksRemembered), uploads: fetch.NewUploads(o.Capacity, o.Part, o.Slots),
 		under: map[layer.Digest]*flight{}, releases: map[string]release{}, older: map[string]release{}, built: map[string]*built{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxIdleConns: 256, IdleConnTimeout: 30 * time.Second}}}
+	s.Follow(func() float64 { return 0 })
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	if err := errors.Join(os.RemoveAll(s.builds()), os.MkdirAll(s.kept(), 0o755), os.MkdirAll(s.builds(), 0o755)); err != nil {
 		return nil, fmt.Errorf("supply: %w", err)
@@ -138,6 +136,13 @@
 	s.client.CloseIdleConnections()
 }
 
+// Follow has what is given to others depend on how busy the worker is: busy is the part of its lanes that run.
+func (s *Supplier) Follow(busy func() float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+}
+
 func (s *Supplier) now() time.Duration { return time.Since(s.started) }
 
 func (s *Supplier) kept() string { return filepath.Join(s.o.Folder, "releases") }
@@ -172,21 +177,28 @@
 // Forget says that a package's release before the newest is not brought any more: the newest has taken its place.
 func (s *Supplier) Forget(name string) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	old, is := s.older[name]
-	if !is {
+	delete(s.older, name)
+	b := s.built[old.digest]
+	if !is || b == nil || old.digest == s.releases[name].digest {
+		s.mu.Unlock()
 		return nil
 	}
-	delete(s.older, name)
-	if b := s.built[old.digest]; b != nil && old.digest != s.releases[name].digest {
-		select {
-		case <-b.done:
-			delete(s.built, old.digest)
-			return os.RemoveAll(filepath.Join(s.builds(), old.digest)) // copies have links of their own
-		default: // a load goes on with it; its files are removed at the next start
-		}
+	select {
+	case <-b.done:
+	default: // a load goes on with it; its files are removed at the next start
+		s.mu.Unlock()
+		return nil
 	}
-	return nil
+	delete(s.built, old.digest)
+	base := filepath.Join(s.builds(), old.digest)
+	gone := base + ".gone" // so that the same release can be built again while this is removed
+	err := os.Rename(base, gone)
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return os.RemoveAll(gone) // copies have links of their own
 }
 
 // Packages are the manifests of the newest known releases.
@@ -426,18 +438,11 @@
 
 // look carries out what a want decides until the chunk is here; rare says that it came from the store.
 func (s *Supplier) look(d layer.Digest) (content, packed []byte, rare bool, err error) {
-	at := map[string]string{}
-	names := []string{s.o.Name}
-	for _, p := range s.o.Peers() {
-		if p.Name != s.o.Name {
-			at[p.Name] = p.Addr
-			names = append(names, p.Name)
-		}
-	}
+	order, at := s.order(d)
 	s.mu.Lock()
-	s.peers.Keep(names)
+	s.peers.Keep(func(name string) bool { return at[name] != "" })
 	s.mu.Unlock()
-	want := fetch.NewWant(s.o.Name, fetch.Order(d[:], names), s.now(), s.o.Patience)
+	want := fetch.NewWant(s.o.Name, order, s.now(), s.o.Patience)
 	last := errors.New("nobody was asked")
 	for repeat := false; ; {
 		if s.ctx.Err() != nil { // what ends with it says nothing about those that were asked
@@ -486,6 +491,19 @@
 	}
 }
 
+// order is a chunk's order of this worker and the listed ones, and where the listed ones are.
+func (s *Supplier) order(d layer.Digest) (names []string, at map[string]string) {
+	at = map[string]string{}
+	names = []string{s.o.Name}
+	for _, p := range s.o.Peers() {
+		if p.Name != s.o.Name {
+			at[p.Name] = p.Addr
+			names = append(names, p.Name)
+		}
+	}
+	return fetch.Order(d[:], names), at
+}
+
 // sleep waits for d, or until wake is closed; false if the supplier ends.
 func (s *Supplier) sleep(d time.Duration, wake <-chan struct{}) bool {
 	timer := time.NewTimer(d)
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -105,7 +105,6 @@
 	reply  func(*link.Answer)
 	warmth link.Warmth
 	others int // of its function here when it came
-	begun  bool
 }
 
 // keeper knows which keyed events were begun inside their windows: the worker's own journal, or registers of a group.
@@ -117,8 +116,7 @@
 
 type loaded struct {
 	copy *runner.Copy // nil while it loads
-	pkg  pack.Manifest
-	gone bool // told to unload, or dead
+	gone bool         // told to unload, or dead
 }
 
 type order struct {
@@ -166,6 +164,7 @@
 	w.server = &link.Server{Hello: link.Hello{Name: o.Name, Started: w.started, Launches: o.Launches, Cut: w.journal.cut,
 		WarmUp: w.journal.warmUp}, Handler: w}
 	w.wake = time.AfterFunc(time.Hour, w.step)
+	o.Supply.Follow(w.Busy)
 	return w, nil
 }
 
@@ -211,9 +210,11 @@
 func (w *Worker) replace(p pack.Manifest) {
 	w.packages[p.Name] = p
 	w.room.Publish(admit.Function{Name: p.Name, Version: p.Version, Lanes: p.Lanes, Memory: w.reserve(p)})
-	if err := w.o.Supply.Forget(p.Name); err != nil {
-		w.o.Log.Warn("an old release's files are left", "package", p.Name, "err", err)
-	}
+	w.work.Go(func() { // it removes files
+		if err := w.o.Supply.Forget(p.Name); err != nil {
+			w.o.Log.Warn("an old release's files are left", "package", p.Name, "err", err)
+		}
+	})
 }
 
 // refresh does it every so often until ctx ends.
@@ -475,7 +476,7 @@
 	}
 	for _, l := range st.Loads {
 		p := w.packages[l.Function.Name]
-		w.copies[l.Copy] = &loaded{pkg: p}
+		w.copies[l.Copy] = &loaded{}
 		fail := w.troubles.FailLoads
 		w.work.Go(func() { w.load(l.Copy, p, fail) })
 	}
@@ -565,7 +566,6 @@
 			return
 		}
 	}
-	c.begun = true
 	slow := w.troubles.Slow
 	w.work.Add(1)
 	l.copy.Call(e.Body, e.Left, func(res runner.Result) {
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		panic(err)
 	}
-	giver, err := crew.NewGiver("w", folder, base, 2*time.Second, nil, nil, nil)
+	giver, err := crew.NewGiver("w", folder, base, 2*time.Second, nil, nil)
 	if err != nil {
 		panic(err)
 	}
