lpctl publish cuts a package once less; the store reads its list of releases once a release

Publishing cut the folder three times, and every worker's question for new releases had the store hash them all. Tables, what a release makes workers fetch and JSON answers were each written in several places.

--- a/cmd/lpctl/main.go
+++ b/cmd/lpctl/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/willabides/kongplete"
 
 	"lupinpond/internal/ask"
@@ -80,6 +81,15 @@
 	return config.Read(path)
 }
 
+// newTable is a table on standard output; Render prints it.
+func newTable(header ...any) table.Writer {
+	t := table.NewWriter()
+	t.SetOutputMirror(os.Stdout)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(header)
+	return t
+}
+
 type troubleCmd struct {
 	What    string        `arg:"" help:"hang, silence, slow, refuse, errors, fail-loads or false-reports."`
 	Control string        `required:"" help:"The worker's control address, such as http://127.0.0.1:8720."`
--- a/cmd/lpctl/packages.go
+++ b/cmd/lpctl/packages.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"os"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"lupinpond/internal/ask"
 	"lupinpond/internal/layer"
+	"lupinpond/internal/pack"
 	"lupinpond/internal/store"
 )
 
@@ -31,40 +31,49 @@
 
 // Run publishes a package and says what its release makes workers fetch.
 func (c *publishCmd) Run(ctx context.Context, _ *slog.Logger) error {
-	next, err := layer.Cut(c.Folder, func(layer.Ref, []byte) error { return nil })
+	p, err := pack.Open(c.Folder)
 	if err != nil {
 		return err
 	}
-	m, err := next.Package()
-	if err != nil {
-		return err
-	}
-	var old layer.Release
-	since := "a worker without any release"
-	if b, err := c.client().Release(ctx, m.Name, ""); err == nil {
+	old, since := layer.Release{}, "a worker without any release"
+	b, err := c.client().Release(ctx, p.Name, "")
+	var refused *ask.Refused
+	switch {
+	case err == nil:
 		if old, err = layer.Decode(b); err != nil {
 			return err
 		}
-		om, err := old.Package()
+		m, err := old.Package()
 		if err != nil {
 			return err
 		}
-		since = "a worker that has version " + om.Version
-	} else if refused := (*ask.Refused)(nil); !errors.As(err, &refused) || refused.Status != http.StatusNotFound {
+		since = "a worker that has version " + m.Version
+	case !errors.As(err, &refused) || refused.Status != http.StatusNotFound:
 		return err
 	}
-	chunks, bytes, all := layer.Diff(old, next)
-	if !c.Dry {
-		sent, err := c.client().Publish(ctx, c.Folder)
+	if c.Dry {
+		next, err := layer.Cut(c.Folder, func(layer.Ref, []byte) error { return nil })
 		if err != nil {
 			return err
 		}
-		fmt.Printf("%s version %s, release %.12s: %d chunks, %d sent\n", sent.Name, sent.Version, sent.Digest, sent.Chunks, sent.New)
+		fmt.Printf("%s fetches %s\n", since, fetched(old, next))
+		return nil
+	}
+	sent, err := c.client().Publish(ctx, c.Folder)
+	if err != nil {
+		return err
 	}
-	fmt.Printf("%s fetches %d chunks, %s of %s (%.1f %%)\n", since, chunks, mib(bytes), mib(all), 100*float64(bytes)/float64(max(1, all)))
+	fmt.Printf("%s version %s, release %.12s: %d chunks, %d sent\n", sent.Name, sent.Version, sent.Digest, sent.Chunks, sent.New)
+	fmt.Printf("%s fetches %s\n", since, fetched(old, sent.Release))
 	return nil
 }
 
+// fetched says what a worker that has one release fetches for another.
+func fetched(old, next layer.Release) string {
+	chunks, bytes, all := layer.Diff(old, next)
+	return fmt.Sprintf("%d chunks, %s of %s (%.1f %%)", chunks, mib(bytes), mib(all), 100*float64(bytes)/float64(max(1, all)))
+}
+
 func mib(n int64) string { return fmt.Sprintf("%.2f MiB", float64(n)/(1<<20)) }
 
 type packageCmd struct {
@@ -81,10 +90,7 @@
 	if err != nil {
 		return err
 	}
-	t := table.NewWriter()
-	t.SetOutputMirror(os.Stdout)
-	t.SetStyle(table.StyleLight)
-	t.AppendHeader(table.Row{"package", "version", "release"})
+	t := newTable("package", "version", "release")
 	for _, e := range all {
 		t.AppendRow(table.Row{e.Name, e.Version, e.Digest[:12]})
 	}
@@ -113,10 +119,7 @@
 		return err
 	}
 	fmt.Printf("%s", r.Manifest)
-	t := table.NewWriter()
-	t.SetOutputMirror(os.Stdout)
-	t.SetStyle(table.StyleLight)
-	t.AppendHeader(table.Row{"layer", "file", "bytes", "chunks"})
+	t := newTable("layer", "file", "bytes", "chunks")
 	for _, l := range r.Layers {
 		for _, f := range l.Files {
 			t.AppendRow(table.Row{l.Name, f.Path, f.Size(), len(f.Chunks)})
@@ -144,14 +147,8 @@
 	if err != nil {
 		return err
 	}
-	have := map[layer.Digest]bool{}
-	for _, x := range old.Chunks() {
-		have[x.Digest] = true
-	}
-	t := table.NewWriter()
-	t.SetOutputMirror(os.Stdout)
-	t.SetStyle(table.StyleLight)
-	t.AppendHeader(table.Row{"layer", "file", "chunks", "new", "new bytes"})
+	have := old.Has()
+	t := newTable("layer", "file", "chunks", "new", "new bytes")
 	for _, l := range next.Layers {
 		for _, f := range l.Files {
 			n, size := 0, 0
@@ -164,7 +161,6 @@
 		}
 	}
 	t.Render()
-	chunks, bytes, all := layer.Diff(old, next)
-	fmt.Printf("%d chunks, %s of %s (%.1f %%)\n", chunks, mib(bytes), mib(all), 100*float64(bytes)/float64(max(1, all)))
+	fmt.Println(fetched(old, next))
 	return nil
 }
--- a/cmd/lpctl/rehearse.go
+++ b/cmd/lpctl/rehearse.go
@@ -145,11 +145,8 @@
 			}
 		}
 	} else {
-		t := table.NewWriter()
-		t.SetOutputMirror(os.Stdout)
-		t.SetStyle(table.StyleLight)
-		t.AppendHeader(table.Row{"day", "events", "tries", "handled", "deferred", "dead", "left", "lost", "launches", "orders",
-			"in time", "p50 ms", "p99 ms", "ran twice", "cold used", "rules"})
+		t := newTable("day", "events", "tries", "handled", "deferred", "dead", "left", "lost", "launches", "orders",
+			"in time", "p50 ms", "p99 ms", "ran twice", "cold used", "rules")
 		for _, r := range results {
 			v, state := r.Verdict, "kept"
 			if !r.Kept() {
--- a/cmd/lpctl/up.go
+++ b/cmd/lpctl/up.go
@@ -141,10 +141,7 @@
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(entries)
 	}
-	t := table.NewWriter()
-	t.SetOutputMirror(os.Stdout)
-	t.SetStyle(table.StyleLight)
-	t.AppendHeader(table.Row{"worker", "address", "zone", "cell", "cores", "state", "started"})
+	t := newTable("worker", "address", "zone", "cell", "cores", "state", "started")
 	for _, e := range entries {
 		t.AppendRow(table.Row{e.Name, e.Addr, e.Zone, e.Cell, e.Cores, e.State, e.Started.Format(time.RFC3339)})
 	}
--- a/internal/layer/layer.go
+++ b/internal/layer/layer.go
@@ -348,12 +348,18 @@
 	return out.Close()
 }
 
+// Has is the digests of a release's chunks.
+func (r Release) Has() map[Digest]bool {
+	all := map[Digest]bool{}
+	for _, c := range r.Chunks() {
+		all[c.Digest] = true
+	}
+	return all
+}
+
 // Diff tells what a worker that has the release old would fetch for next: its chunks and their bytes, and the bytes of all.
 func Diff(old, next Release) (chunks int, bytes, all int64) {
-	have := map[Digest]bool{}
-	for _, c := range old.Chunks() {
-		have[c.Digest] = true
-	}
+	have := old.Has()
 	for _, c := range next.Chunks() {
 		all += int64(c.Size)
 		if !have[c.Digest] {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -56,6 +56,7 @@
 // Sent tells what publishing sent.
 type Sent struct {
 	Entry
+	Release         layer.Release
 	Chunks, New     int // of the release, and those that the store did not have
 	Bytes, NewBytes int64
 }
@@ -115,6 +116,7 @@
 	if err != nil {
 		return sent, err
 	}
+	sent.Release = r
 	second, err := layer.Encode(again)
 	if err != nil {
 		return sent, err
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -63,6 +63,7 @@
 	crowd  *Crowd
 	counts map[layer.Digest]int // fetches that were served
 	sum    Counts
+	list   []Entry // the newest releases; nil: not read since one was published
 
 	publish sync.RWMutex // held for writing while chunks are collected
 }
@@ -240,6 +241,9 @@
 	if err != nil {
 		return Entry{}, fmt.Errorf("store: %w", err)
 	}
+	s.mu.Lock()
+	s.list = nil
+	s.mu.Unlock()
 	s.o.Fail(PointWritten)
 	return Entry{m.Name, m.Version, layer.Sum(encoded).String()}, nil
 }
@@ -273,17 +277,26 @@
 	return encoded, err
 }
 
-// Packages are the newest releases.
-func (s *Store) Packages() (all []Entry, err error) {
-	all = []Entry{}
-	err = s.db.View(func(tx *bolt.Tx) error {
+// Packages are the newest releases. Every worker asks for them again and again: they are read once for each that is published.
+func (s *Store) Packages() ([]Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list != nil {
+		return s.list, nil
+	}
+	all := []Entry{}
+	err := s.db.View(func(tx *bolt.Tx) error {
 		return tx.Bucket(bucketNewest).ForEach(func(name, version []byte) error {
 			v := tx.Bucket(bucketReleases).Get(releaseKey(string(name), string(version)))
 			all = append(all, Entry{string(name), string(version), layer.Sum(v).String()})
 			return nil
 		})
 	})
-	return all, err
+	if err != nil {
+		return nil, err
+	}
+	s.list = all
+	return all, nil
 }
 
 // Collect removes chunks that no release names and that nobody has written or asked about within the grace, and what a kill
@@ -356,10 +369,7 @@
 	mux.HandleFunc("GET /v1/packages/{name}", release)
 	mux.HandleFunc("GET /v1/packages/{name}/{version}", release)
 	mux.HandleFunc("GET /v1/chunks/{digest}", s.taken(s.chunk))
-	mux.HandleFunc("GET /v1/counts", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s.Counts()) // the asker is gone
-	})
+	mux.HandleFunc("GET /v1/counts", func(w http.ResponseWriter, _ *http.Request) { tell(w, s.Counts()) })
 	if publish {
 		s.publishing(mux)
 	}
@@ -460,8 +470,7 @@
 		for _, d := range s.Missing(all) {
 			missing = append(missing, d.String())
 		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(missing) // the asker is gone
+		tell(w, missing)
 	})
 	mux.HandleFunc("POST /v1/releases", func(w http.ResponseWriter, r *http.Request) {
 		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, layer.MaxRelease))
@@ -474,8 +483,7 @@
 			return
 		}
 		s.o.Log.Info("published", "package", e.Name, "version", e.Version, "digest", e.Digest)
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(e) // the asker is gone
+		tell(w, e)
 	})
 	mux.HandleFunc("DELETE /v1/packages/{name}/{version}", func(w http.ResponseWriter, r *http.Request) {
 		ended(w, s.Withdraw(r.PathValue("name"), r.PathValue("version")))
@@ -492,6 +500,11 @@
 	})
 }
 
+func tell(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the asker is gone
+}
+
 func ended(w http.ResponseWriter, err error) {
 	switch {
 	case err == nil:
