--- /dev/null
+++ b/internal/crew/build.go
@@ -0,0 +1,28 @@
+package crew
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"lupinpond/internal/pack"
+)
+
+// Build builds a program of this module, such as lupinpond/examples/payroll, as a package's entry of a kind, with the Go
+// toolchain on the path. It is for tests.
+func Build(entry, program, kind string) error {
+	args, env := []string{"build", "-o", entry}, append(os.Environ(), "CGO_ENABLED=0")
+	if kind == pack.Wasm {
+		args, env = append(args, "-buildmode=c-shared"), append(env, "GOOS=wasip1", "GOARCH=wasm")
+	}
+	if err := os.MkdirAll(filepath.Dir(entry), 0o755); err != nil {
+		return err
+	}
+	cmd := exec.Command("go", append(args, program)...)
+	cmd.Env = env
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("build %s: %w: %s", program, err, out)
+	}
+	return nil
+}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -25,6 +24,7 @@
 	"lupinpond/internal/faults"
 	"lupinpond/internal/gate"
 	"lupinpond/internal/invoke"
+	"lupinpond/internal/pack"
 	"lupinpond/internal/roster"
 )
 
@@ -34,10 +34,7 @@
 	dir, err := os.MkdirTemp("", "payroll")
 	if err == nil {
 		payroll = filepath.Join(dir, "payroll")
-		build := exec.Command("go", "build", "-o", payroll, "lupinpond/examples/payroll")
-		build.Env = append(os.Environ(), "CGO_ENABLED=0")
-		build.Stderr = os.Stderr
-		err = build.Run()
+		err = crew.Build(payroll, "lupinpond/examples/payroll", pack.Process)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -14,6 +13,8 @@
 	"lupinpond/days"
 	"lupinpond/internal/config"
 	"lupinpond/internal/corelog"
+	"lupinpond/internal/crew"
+	"lupinpond/internal/pack"
 	"lupinpond/internal/rehearse"
 	"lupinpond/internal/rules"
 )
@@ -26,10 +27,8 @@
 // nobody. lpctl rehearse --all --workers runtime plays them all.
 func TestDaysOnTheWorkerRuntime(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "payroll")
-	build := exec.Command("go", "build", "-o", binary, "lupinpond/examples/payroll")
-	build.Env = append(os.Environ(), "CGO_ENABLED=0")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+	if err := crew.Build(binary, "lupinpond/examples/payroll", pack.Process); err != nil {
+		t.Fatal(err)
 	}
 	play(t, binary, "crash-and-kill", "drains", "hang", "silence")
 }
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -86,18 +85,9 @@
 		for _, kind := range []string{pack.Process, pack.Wasm} {
 			fn := name + "-" + kind
 			folder := filepath.Join(dir, fn, "1")
-			if err := os.MkdirAll(folder, 0o755); err != nil {
+			if err := crew.Build(filepath.Join(folder, "entry"), "lupinpond/examples/"+name, kind); err != nil {
 				return err
 			}
-			cmd := exec.Command("go", "build", "-o", filepath.Join(folder, "entry"), "lupinpond/examples/"+name)
-			cmd.Env = append(os.Environ(), "CGO_ENABLED=0")
-			if kind == pack.Wasm {
-				cmd.Args = slices.Insert(cmd.Args, 2, "-buildmode=c-shared")
-				cmd.Env = append(cmd.Env, "GOOS=wasip1", "GOARCH=wasm")
-			}
-			if out, err := cmd.CombinedOutput(); err != nil {
-				return fmt.Errorf("%w: %s", err, out)
-			}
 			if _, err := pack.Write(folder, pack.Manifest{Name: fn, Version: "1", Type: "t", Kind: kind, Lanes: 2, Memory: 96 << 20,
 				Time: config.Time(2 * time.Second), Entry: "entry"}); err != nil {
 				return err
