--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,6 +47,7 @@
 	spread                    = 8.0        // workers for first copies, over those that a function fills
 	crowdedShare              = 0.5        // fewer workers than this with room: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
+	unfilled                  = 0.8        // a worker whose cores are less busy than this runs all it holds
 	backedShare               = 0.5        // a report is believed for so much of the longest target time
 	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
 )
@@ -55,7 +56,7 @@
 func New(seed uint64, self, peers int, quantum time.Duration) *Chooser {
 	return &Chooser{chance: chance.New(seed), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
-		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
+		workers: map[string]*worker{}, kinds: map[string]*kind{}, fns: map[uint64]*function{}, longest: time.Second,
 		mostLaunches: 1, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
@@ -98,16 +99,44 @@
 
 func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
 
-// rank orders the workers of a function by hash; salt 0 gives the order that all front ends share.
-func rank(w *worker, fn uint64, salt int) uint64 {
-	return chance.Mix(w.hash ^ chance.Mix(fn+uint64(salt)<<44))
+// rank orders the workers of a function by hash, one of twice the size first twice as often; salt 0 gives the
+// order that all front ends share.
+func (c *Chooser) rank(w *worker, fn uint64, salt int) float64 {
+	drawn := chance.Mix(w.hash ^ chance.Mix(fn+uint64(salt)<<44))
+	return -math.Log1p(-float64(drawn>>11)/(1<<53)) / c.size(w)
 }
 
-func last(rank uint64, behind bool) uint64 {
+func last(rank float64, behind bool) float64 {
 	if behind {
-		return rank>>1 | 1<<63
+		return rank + math.MaxUint32
+	}
+	return rank
+}
+
+// size is a worker's part of the work over that of a mean one: its kind's mean, as each one's is told roughly.
+func (c *Chooser) size(w *worker) float64 {
+	return c.kinds[w.Kind].size
+}
+
+// measure takes the sizes from the list.
+func (c *Chooser) measure() {
+	all := &kind{}
+	for _, k := range c.kinds {
+		k.told, k.number = 0, 0
+	}
+	for _, w := range c.list {
+		k := c.kinds[w.Kind]
+		if k == nil {
+			k = &kind{}
+			c.kinds[w.Kind] = k
+		}
+		for _, k := range []*kind{k, all} {
+			k.told, k.number = k.told+cmp.Or(w.Size, 1), k.number+1
+		}
+	}
+	for _, k := range c.kinds {
+		k.size = k.told / max(1, k.number) / (all.told / max(1, all.number))
 	}
-	return rank >> 1
 }
 
 // Listed takes news of the list; where it is whole, workers that it does not name are gone.
@@ -132,6 +161,7 @@
 	maps.DeleteFunc(c.workers, func(_ string, w *worker) bool { return !w.listed && len(w.out) == 0 })
 	byName := func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) }
 	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
+	c.measure()
 	if c.all.took == nil {
 		c.all, c.loads = c.limits(firstLimit*float64(len(c.list))), c.limits(firstLimit*float64(c.peers))
 	}
@@ -164,7 +194,7 @@
 func (c *Chooser) coldPause(w *worker, weight float64, now time.Duration) time.Duration {
 	most := time.Duration(c.peers) * c.fall // with nothing known all front ends together send one in c.fall
 	mean := c.work.Inner(now) / 8 / float64(max(1, len(c.list)))
-	all := coldSafety * c.multiple * c.share(w, now) * mean / c.portion(now) / weight
+	all := coldSafety * c.multiple * c.share(w, now) * mean * min(1, c.size(w)) / c.portion(now) / weight
 	all = max(all-coldChance*math.Sqrt(min(all, float64(c.peers))), all/4)
 	return time.Duration(min(float64(c.fall)/max(all*c.portion(now), 1e-9), float64(most)))
 }
@@ -395,12 +425,12 @@
 
 // warm finds a believed-warm copy: a free lane by the salted order, or with spill the fewest own in flight.
 func (c *Chooser) warm(f *function, e *Event, spill bool, now time.Duration) (best *standing) {
-	var first uint64
+	var first float64
 	for _, s := range f.stands {
-		r := last(rank(s.w, f.id, c.self+1), s.w.behind(now))
+		r := last(c.rank(s.w, f.id, c.self+1), s.w.behind(now))
 		free := s.busy < s.copies*f.lanes && s.w != e.avoid
 		if spill {
-			r = uint64(len(s.w.out))
+			r = float64(len(s.w.out)+1) / c.size(s.w)
 		}
 		if (free || spill) && (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
@@ -464,7 +494,7 @@
 	case Full: // whatever the reason, a tenant refused again and again is served elsewhere; others stay
 		r := refusal{row: min(w.refuses[e.Tenant].row+1, refusedMost)}
 		s.shut = now + part(refusedShare, f.typ.Target)<<r.row
-		if w.limit = max(leastLimit, w.limit*fullFall); o.Load.Told && o.Load.Waiting < 1 { // it has room
+		if w.limit = max(leastLimit, w.limit*fullFall); o.Load.Told && c.waiting(w, o.Load) < 1 { // it has room
 			r.until = s.shut
 		}
 		w.refuses[e.Tenant] = r
@@ -525,12 +555,25 @@
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
 		w.toldAt, w.backed = now, 0
-		if l.Waiting > float64(len(w.out)) {
+		if c.waiting(w, l) > float64(len(w.out)) {
 			w.backed = now + part(backedShare, c.longest)
 		}
 	}
 }
 
+// waiting is how many events wait there. Where that is not told, those held stand in, less what its cores run at once:
+// as many as the workers of its kind hold for each core's worth of work while they are not full.
+func (c *Chooser) waiting(w *worker, l Load) float64 {
+	if l.Waiting >= 0 || l.Held < 0 || l.Busy < 0 {
+		return max(0, l.Waiting)
+	}
+	k := c.kinds[w.Kind]
+	if l.Busy < unfilled {
+		k.held, k.busy = k.held+l.Held, k.busy+l.Busy
+	}
+	return l.Held - (k.held+1)/(k.busy+1)
+}
+
 // lastCall is how long before the client gives up an event is given up: an answer is not to be had then.
 func (c *Chooser) lastCall(e *Event) time.Duration {
 	return max(2*c.quantum, min(2*c.expected(e.fn), e.Patience/2))
@@ -722,12 +765,12 @@
 	} else if !first {
 		return fit[c.chance.Below(len(fit))]
 	}
-	order := func(w *worker) uint64 { // those that hold many events last
-		return last(rank(w, f.id, 0), w.behind(now) || float64(len(w.out)) >= manyShare*w.limit)
+	order := func(w *worker) float64 { // those that hold many events last
+		return last(c.rank(w, f.id, 0), w.behind(now) || float64(len(w.out)) >= manyShare*w.limit)
 	}
 	slices.SortFunc(fit, func(v, w *worker) int { return cmp.Compare(order(v), order(w)) })
 	return slices.MinFunc(fit[:min(len(fit), c.homes(f, now))], func(v, w *worker) int {
-		return cmp.Compare(rank(v, f.id, c.self+1), rank(w, f.id, c.self+1))
+		return cmp.Compare(c.rank(v, f.id, c.self+1), c.rank(w, f.id, c.self+1))
 	})
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -129,8 +129,9 @@
 // Load is what a worker reports of itself, for all that it serves.
 type Load struct {
 	Told    bool    // false where no report came
-	Waiting float64 // events that wait there
-	Busy    float64 // part of its cores in use; 0 where it is not told
+	Waiting float64 // events that wait there; below 0 where it is not told
+	Held    float64 // events that it holds; below 0 where it is not told
+	Busy    float64 // part of its cores in use; below 0 where it is not told
 }
 
 // Condition is a worker's state in the list.
@@ -148,6 +149,8 @@
 	Worker    string
 	Zone      string
 	Cell      string
+	Kind      string
+	Size      float64 // what it can do, over others; 0: not told
 	Condition Condition
 	Started   time.Duration // 0: long ago
 }
@@ -176,6 +179,13 @@
 	patience time.Duration // most that a client has shown
 }
 
+// kind is what is known of the workers of one kind.
+type kind struct {
+	told, number float64 // sum of the sizes told, workers
+	size         float64 // of one of them, over a mean worker
+	held, busy   float64 // sums over reports of those not full
+}
+
 type tenant struct {
 	quota float64 // events a second within its share, at this front end
 	came  *window.Window
@@ -252,6 +262,7 @@
 	types   map[string]*evtType
 	tenants map[string]*tenant
 	workers map[string]*worker
+	kinds   map[string]*kind
 	list    []*worker // those listed or with launches outstanding, by name
 	fns     map[uint64]*function
 	active  []*function // with held events
--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -83,7 +83,7 @@
 	if r == nil {
 		return choice.Load{}
 	}
-	return choice.Load{Told: true, Waiting: float64(r.Waiting), Busy: r.Busy}
+	return choice.Load{Told: true, Waiting: float64(r.Waiting), Held: float64(r.Waiting + r.Running), Busy: r.Busy}
 }
 
 // Handle answers the client.
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -20,6 +20,7 @@
 	*core.Core
 	name    string
 	out     *simwire.Writer
+	sized   bool // the list tells sizes
 	touched bool
 }
 
@@ -203,7 +204,8 @@
 	if set["registry_mode"] == "ask" {
 		f.AskWithin = max(set.Time("rules.must_ask_in", 0), 1)
 	}
-	in := &instance{name: name, out: h.out}
+	in := &instance{name: name, out: h.out,
+		sized: set["weight_source"] == "nominal" || set["weight_source"] == "rough"}
 	in.Core = core.New(f, in)
 	if line.Done() == nil {
 		h.instances[name] = in
@@ -251,7 +253,7 @@
 			line.Complain("ENTRY")
 		}
 		l := choice.Listing{Worker: line.Word("worker"), Zone: line.Maybe("zone")}
-		line.Word("kind")
+		l.Kind = line.Maybe("kind")
 		l.Cell = line.Maybe("cell")
 		switch word := line.Word("condition"); word {
 		case "IN":
@@ -262,7 +264,9 @@
 		default:
 			line.Complain("IN, LAME or OUT, got " + strconv.Quote(word))
 		}
-		line.Number("size", true)
+		if size := line.Number("size", true); in.sized {
+			l.Size = size
+		}
 		l.Started = line.Time("start", true)
 		if err := line.Done(); err != nil {
 			return err
@@ -319,8 +323,13 @@
 // load decodes a load report.
 func load(line *simwire.Line) choice.Load {
 	pairs := line.Pairs("load report")
-	waiting, told := pairs["pending"]
-	return choice.Load{Told: told, Waiting: waiting, Busy: pairs["cpu_share"]}
+	value := func(name string) float64 {
+		if v, told := pairs[name]; told {
+			return v
+		}
+		return -1
+	}
+	return choice.Load{Told: pairs != nil, Waiting: value("pending"), Held: value("busy_reqs"), Busy: value("cpu_share")}
 }
 
 // outcome decodes a code; they stand in the order of choice's results.
