--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,6 +39,7 @@
 	rowBar, barMost           = 4, 8       // failures in a row that bar; longest bar in longest target times
 	overdue, believed         = 18.0, 0.5  // silence that bars, in mean answer times; most that can be bad
 	firstLimit, leastLimit    = 16.0, 2.0  // in-flight limit of a worker for all front ends, the least for each
+	leastAll                  = 0.5        // the least of all workers
 	tolerance, enoughShare    = 1.1, 0.5   // answers may take so many shortest ones, or so much of the target
 	growth, shortLasts        = 0.1, 20000 // least part for growth; answers that grow the shortest time e times
 	loadPatience, slowLoad    = 4.0, 2.0   // usual loads after which an order is lost; that tell a crowded store
@@ -113,29 +114,33 @@
 	return rank
 }
 
-// size is a worker's part of the work over that of a mean one: its kind's mean, as each one's is told roughly.
+// size is a worker's part of the work over that of a mean one: its kind's mean, as each one's is told roughly, and by
+// how long answers of that kind take over those of the same functions elsewhere.
 func (c *Chooser) size(w *worker) float64 {
 	return c.kinds[w.Kind].size
 }
 
 // measure takes the sizes from the list.
 func (c *Chooser) measure() {
-	all := &kind{}
+	all := 0.0
 	for _, k := range c.kinds {
 		k.told, k.number = 0, 0
 	}
 	for _, w := range c.list {
 		k := c.kinds[w.Kind]
 		if k == nil {
-			k = &kind{}
+			k = &kind{takes: 1}
 			c.kinds[w.Kind] = k
 		}
-		for _, k := range []*kind{k, all} {
-			k.told, k.number = k.told+cmp.Or(w.Size, 1), k.number+1
-		}
+		k.told, k.number = k.told+cmp.Or(w.Size, 1), k.number+1
+	}
+	for _, w := range c.list {
+		k := c.kinds[w.Kind]
+		k.size = k.told / k.number / k.takes
+		all += k.size / float64(len(c.list))
 	}
 	for _, k := range c.kinds {
-		k.size = k.told / max(1, k.number) / (all.told / max(1, all.number))
+		k.size = k.size / all
 	}
 }
 
@@ -152,7 +157,7 @@
 			w.listed, w = false, nil
 		}
 		if w == nil {
-			w = &worker{hash: chance.Hash(l.Worker), refuses: map[string]refusal{}, limited: c.limits(firstLimit),
+			w = &worker{hash: chance.Hash(l.Worker), refuses: map[string]refusal{}, limited: c.limits(firstLimit, leastLimit),
 				coldLast: now, coldPart: float64(c.chance.Below(1000)) / 1000}
 			c.workers[l.Worker] = w
 		}
@@ -163,15 +168,15 @@
 	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
 	c.measure()
 	if c.all.took == nil {
-		c.all, c.loads = c.limits(firstLimit*float64(len(c.list))), c.limits(firstLimit*float64(c.peers))
+		c.all, c.loads = c.limits(firstLimit*float64(len(c.list)), leastAll), c.limits(firstLimit*float64(c.peers), leastLimit)
 	}
 	if c.askAt > 0 { // the list of the start is no answer
 		c.askAt = math.MaxInt64
 	}
 }
 
-func (c *Chooser) limits(first float64) limited {
-	return limited{limit: max(leastLimit, first/float64(c.peers)),
+func (c *Chooser) limits(first, least float64) limited {
+	return limited{least: least, limit: max(least, first/float64(c.peers)),
 		took: window.New(2 * c.longest), may: window.New(2 * c.longest)}
 }
 
@@ -214,10 +219,11 @@
 // survey counts launches in flight, whether bars are believed, and whether few workers have room: a jam.
 func (c *Chooser) survey(now time.Duration) {
 	in, bad, free := 0.0, 0.0, 0.0
-	c.inFlight = 0
+	c.inFlight, c.rounding = 0, float64(c.chance.Below(1000))/1000
 	for _, w := range c.list {
 		for _, e := range w.out {
-			if now < e.sent+min(e.typ.Target, stuckAfter*e.typ.mean) && !w.trial {
+			// while others are answered, one that is out for long waits there, and its work is still to do
+			if !w.trial && (w.lastGood > e.sent || now < e.sent+min(e.typ.Target, stuckAfter*e.typ.mean)) {
 				c.inFlight++
 			}
 		}
@@ -243,7 +249,8 @@
 	return c.usable(w, now) && float64(len(w.out)) < w.limit
 }
 
-func (c *Chooser) full() bool { return float64(c.inFlight) >= c.all.limit }
+// full rounds the limit by chance: a front end among many has less than one launch of the fleet's to itself.
+func (c *Chooser) full() bool { return float64(c.inFlight)+c.rounding >= c.all.limit }
 
 // fail counts a failure; enough in a row bar the worker, longer each time.
 func (c *Chooser) fail(w *worker, now time.Duration) {
@@ -273,7 +280,10 @@
 
 // pace moves a worker's in-flight limit by the ratio of the shortest answer time to the present one.
 func (c *Chooser) pace(w *worker, e *Event, took, now time.Duration) {
-	t := e.typ
+	t, k := e.typ, c.kinds[w.Kind]
+	k.seen = min(k.seen+1, typeAveraged)
+	k.takes += (min(float64(took)/float64(e.fn.mean()), stuckAfter) - k.takes) / (averaged + k.seen)
+	c.measure()
 	t.seen = min(t.seen+1, typeAveraged)
 	if t.mean += (took - t.mean) / t.seen; t.seen < 3*averaged {
 		return
@@ -297,7 +307,7 @@
 	}
 	aim := l.limit*ratio + math.Sqrt(l.limit*portion)
 	if aim < l.limit || 2*float64(out+1) > l.limit {
-		l.limit = max(leastLimit, l.limit+(aim-l.limit)/l.limit)
+		l.limit = max(l.least, l.limit+(aim-l.limit)/max(1, l.limit))
 	}
 }
 
@@ -355,6 +365,9 @@
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
 	f.came.Add(now, 1)
 	c.came.Add(now, 1)
+	if now >= c.countAt {
+		c.count(now)
+	}
 	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 { // a tick without a queue advances too
 		f.next, f.arrived = now+c.tick(f), 0
 		if c.homes(f, now) > 1 {
@@ -389,6 +402,22 @@
 	return c.hold(e)
 }
 
+// count estimates how much of a seen event is luck (absolute discounting): all where functions come once only, little
+// where those seen once come twice as a rule.
+func (c *Chooser) count(now time.Duration) {
+	c.countAt = now + freshSpan/8
+	once, twice := 0.0, 0.0
+	for _, f := range c.fns {
+		switch f.came.All(now) {
+		case 1:
+			once++
+		case 2:
+			twice++
+		}
+	}
+	c.discount = (once + 1) / (once + 2*twice + 1)
+}
+
 func (c *Chooser) hold(e *Event) Answer {
 	f := e.fn
 	i, _ := slices.BinarySearchFunc(f.queue, e.came+1, func(x *Event, t time.Duration) int {
@@ -777,7 +806,6 @@
 // homes is the number of workers for first copies of a function, by its part of the traffic: each front end
 // sees few of its events at the first worker of the shared order; together they would overrun it.
 func (c *Chooser) homes(f *function, now time.Duration) int {
-	n := f.came.All(now)
-	part := (n - 1) / (c.came.All(now) + averaged) // one event tells nothing
+	part := (f.came.All(now) - c.discount) / (c.came.All(now) + averaged)
 	return max(1, int(spread*part*float64(min(c.peers, len(c.list)))))
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -183,6 +183,7 @@
 type kind struct {
 	told, number float64 // sum of the sizes told, workers
 	size         float64 // of one of them, over a mean worker
+	seen, takes  float64 // answers; their time over the mean of its function
 	held, busy   float64 // sums over reports of those not full
 }
 
@@ -195,6 +196,7 @@
 // limited is a limit of launches in flight and the answer times that move it.
 type limited struct {
 	limit     float64
+	least     float64
 	took, may *window.Window
 }
 
@@ -274,8 +276,9 @@
 	kept       int     // functions after the last clean-up
 	all        limited // launches in flight at all workers
 	inFlight   int
-	jam        bool // few workers have room
-	unbelieved bool // too many workers are barred to be believed
+	rounding   float64 // of the limit on them
+	jam        bool    // few workers have room
+	unbelieved bool    // too many workers are barred to be believed
 
 	mostLaunches int
 	cancel       bool
@@ -298,4 +301,7 @@
 	shares float64        // events a second within the shares of all tenants
 	fresh  *window.Window // first tries
 	came   *window.Window // events
+
+	discount float64 // of the events of a function, what may be luck
+	countAt  time.Duration
 }
