--- a/choice/choice.go
+++ b/choice/choice.go
@@ -221,11 +221,8 @@
 	in, bad, free := 0.0, 0.0, 0.0
 	c.inFlight, c.rounding = 0, float64(c.chance.Below(1000))/1000
 	for _, w := range c.list {
-		for _, e := range w.out {
-			// while others are answered, one that is out for long waits there, and its work is still to do
-			if !w.trial && (w.lastGood > e.sent || now < e.sent+min(e.typ.Target, stuckAfter*e.typ.mean)) {
-				c.inFlight++
-			}
+		if !w.trial { // one that is out for long waits there: its work is still to do
+			c.inFlight += len(w.out)
 		}
 		if w.listed && w.Condition == In {
 			in++
