--- a/choice/choice.go
+++ b/choice/choice.go
@@ -453,10 +453,10 @@
 func (c *Chooser) warm(f *function, e *Event, spill bool, now time.Duration) (best *standing) {
 	var first float64
 	for _, s := range f.stands {
-		r := last(c.rank(s.w, f.id, c.self+1), s.w.behind(now))
+		r := last(c.rank(s.w, f.id, c.self+1), s.w.behind(now)) + s.w.waits(now)
 		free := s.busy < s.copies*f.lanes && s.w != e.avoid
 		if spill {
-			r = float64(len(s.w.out)+1) / c.size(s.w)
+			r = (s.w.waits(now) + float64(len(s.w.out)+1)) / c.size(s.w)
 		}
 		if (free || spill) && (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
@@ -580,13 +580,21 @@
 // told takes a load report. Where more events wait than ours, others take the lanes; ours obey the limit.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
-		w.toldAt, w.backed = now, 0
-		if c.waiting(w, l) > float64(len(w.out)) {
+		w.toldAt, w.backed, w.waiting = now, 0, c.waiting(w, l)
+		if w.waiting > float64(len(w.out)) {
 			w.backed = now + part(backedShare, c.longest)
 		}
 	}
 }
 
+// waits is how many events wait there, as far as is known.
+func (w *worker) waits(now time.Duration) float64 {
+	if now < w.backed {
+		return w.waiting
+	}
+	return 0
+}
+
 // waiting is how many events wait there. Where that is not told, those held stand in, less what its cores run at once:
 // as many as the workers of its kind hold for each core's worth of work while they are not full.
 func (c *Chooser) waiting(w *worker, l Load) float64 {
--- a/choice/types.go
+++ b/choice/types.go
@@ -212,6 +212,7 @@
 	barFor   time.Duration
 	trial    bool
 	toldAt   time.Duration // its last load report
+	waiting  float64       // events waiting by it
 	probed   bool          // a probe is out since probedAt
 	deaf     bool          // the last probe failed, nothing came since
 	probedAt time.Duration
