--- a/choice/choice.go
+++ b/choice/choice.go
@@ -734,13 +734,15 @@
 		}
 	}
 	total := have + under
-	power := float64(c.tick(f)) / float64(f.mean()) * float64(f.lanes)
+	// a lane runs one event at least, however long answers take against the tick
+	power := max(1, float64(c.tick(f))/float64(f.mean())) * float64(f.lanes)
 	required := int(math.Ceil(float64(queued) / power))
 	switch {
 	case total == 0:
 		short = 1
 	case have == 0:
-		short = (f.arrived+f.lanes-1)/f.lanes - under
+		in := max(1, enoughShare*float64(f.typ.Target)/float64(f.mean())) * float64(f.lanes)
+		short = int(math.Ceil(float64(f.arrived)/in)) - under
 	case total < queued && f.arrived < queued:
 		short = required - under
 	case float64(f.arrived) >= power*float64(total):
