--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,7 +45,8 @@
 	loadPatience, slowLoad    = 4.0, 2.0   // usual loads after which an order is lost; that tell a crowded store
 	coldSafety, coldChance    = 0.9, 1.0   // part of the cold budget that is used, less so many errors of chance
 	manyShare, fullFall       = 0.75, 0.9  // of its limit in flight: the next; what a refusal leaves of it
-	spread                    = 8.0        // workers for first copies, over those that a function fills
+	spread, leastSpread       = 8.0, 1.0   // workers for first copies, over those that a function fills
+	copyShare                 = 0.5        // of all memory, for first copies
 	crowdedShare              = 0.5        // fewer workers than this with room: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
 	unfilled                  = 0.8        // a worker whose cores are less busy than this runs all it holds
@@ -58,11 +59,21 @@
 	return &Chooser{chance: chance.New(seed), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
 		workers: map[string]*worker{}, kinds: map[string]*kind{}, fns: map[uint64]*function{}, longest: time.Second,
-		mostLaunches: 1, askAt: math.MaxInt64,
+		mostLaunches: 1, spread: spread, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
 }
 
+// AddKind tells the memory of a worker of one kind, in the unit of the events' memory.
+func (c *Chooser) AddKind(name string, memory float64) { c.kind(name).memory = memory }
+
+func (c *Chooser) kind(name string) *kind {
+	if c.kinds[name] == nil {
+		c.kinds[name] = &kind{takes: 1}
+	}
+	return c.kinds[name]
+}
+
 func (c *Chooser) AddType(t EventType) {
 	t.Target = max(t.Target, time.Millisecond)
 	c.types[t.Name] = &evtType{EventType: t, seen: 1, mean: part(firstShare, t.Target)}
@@ -127,15 +138,11 @@
 		k.told, k.number = 0, 0
 	}
 	for _, w := range c.list {
-		k := c.kinds[w.Kind]
-		if k == nil {
-			k = &kind{takes: 1}
-			c.kinds[w.Kind] = k
-		}
+		k := c.kind(w.Kind)
 		k.told, k.number = k.told+cmp.Or(w.Size, 1), k.number+1
 	}
 	for _, w := range c.list {
-		k := c.kinds[w.Kind]
+		k := c.kind(w.Kind)
 		k.size = k.told / k.number / k.takes
 		all += k.size / float64(len(c.list))
 	}
@@ -356,7 +363,7 @@
 		f = &function{id: e.Function, came: window.New(4 * freshSpan)}
 		c.fns[e.Function] = f
 	}
-	f.typ, f.tenant, f.lanes, f.load = t, e.Tenant, max(1, e.Lanes), e.LoadTime
+	f.typ, f.tenant, f.lanes, f.load, f.memory = t, e.Tenant, max(1, e.Lanes), e.LoadTime, e.Memory
 	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
@@ -403,16 +410,25 @@
 // where those seen once come twice as a rule.
 func (c *Chooser) count(now time.Duration) {
 	c.countAt = now + freshSpan/8
-	once, twice := 0.0, 0.0
+	seen, once, twice, need, room := 0.0, 0.0, 0.0, 0, 0.0
 	for _, f := range c.fns {
-		switch f.came.All(now) {
+		switch n := f.came.All(now); n {
+		case 0:
+			continue
 		case 1:
 			once++
 		case 2:
 			twice++
 		}
+		seen, need = seen+1, need+int(f.memory)
+	}
+	for _, w := range c.list {
+		room += copyShare * c.kind(w.Kind).memory
 	}
 	c.discount = (once + 1) / (once + 2*twice + 1)
+	if c.spread = spread; room > 0 && need > 0 { // what memory holds beyond one copy of each
+		c.spread = min(spread, max(leastSpread, (room/float64(need)-1)*seen/float64(len(c.list))))
+	}
 }
 
 func (c *Chooser) hold(e *Event) Answer {
@@ -814,5 +830,5 @@
 // sees few of its events at the first worker of the shared order; together they would overrun it.
 func (c *Chooser) homes(f *function, now time.Duration) int {
 	part := (f.came.All(now) - c.discount) / (c.came.All(now) + averaged)
-	return max(1, int(spread*part*float64(min(c.peers, len(c.list)))))
+	return max(1, int(c.spread*part*float64(min(c.peers, len(c.list)))))
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -44,6 +44,7 @@
 	Function uint64
 	Patience time.Duration // how long the client still waits
 	Lanes    int           // events that one copy runs at a time
+	Memory   float64       // of one copy; 0 where it is not told
 	LoadTime time.Duration // usual time of a load; 0 where it is not told
 	Repeat   bool          // the client marked it as a repeat
 
@@ -183,6 +184,7 @@
 type kind struct {
 	told, number float64 // sum of the sizes told, workers
 	size         float64 // of one of them, over a mean worker
+	memory       float64 // of one of them; 0: not told
 	seen, takes  float64 // answers; their time over the mean of its function
 	held, busy   float64 // sums over reports of those not full
 }
@@ -246,6 +248,7 @@
 	typ     *evtType
 	lanes   int
 	load    time.Duration
+	memory  float64 // of a copy
 	queue   []*Event
 	stands  []*standing
 	past    window.Last
@@ -303,6 +306,7 @@
 	fresh  *window.Window // first tries
 	came   *window.Window // events
 
+	spread   float64 // workers for first copies, over those that a function fills
 	discount float64 // of the events of a function, what may be luck
 	countAt  time.Duration
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,12 @@
 	Quota float64 `cbor:"2,keyasint"`
 }
 
+// Kind is a kind of worker and the memory of one, in the unit of the events' memory.
+type Kind struct {
+	Name   string  `cbor:"1,keyasint"`
+	Memory float64 `cbor:"2,keyasint"`
+}
+
 // Loading is how functions come to workers; see choice.Chooser.Loading.
 type Loading struct {
 	Orders bool          `cbor:"1,keyasint"`
@@ -79,6 +85,7 @@
 	Loading    Loading            `cbor:"11,keyasint"`
 	ColdStarts ColdStarts         `cbor:"12,keyasint"`
 	AskWithin  time.Duration      `cbor:"13,keyasint"` // the list must be asked for at least so often; 0: it comes unasked
+	Kinds      []Kind             `cbor:"15,keyasint,omitempty"`
 	Deadlines  bool               `cbor:"14,keyasint"` // the core itself times launches out when their client's time is up
 }
 
@@ -119,6 +126,9 @@
 	for _, t := range f.Tenants {
 		c.AddTenant(t.Name, t.Quota)
 	}
+	for _, k := range f.Kinds {
+		c.AddKind(k.Name, k.Memory)
+	}
 	c.Allowed(f.Launches, f.Cancel, f.Probe, f.MostBack)
 	l := f.Loading
 	c.Loading(l.Orders, l.OnMiss, l.Keep, l.Limit, l.Within, l.Free, l.Share)
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -49,7 +49,7 @@
 // facts copies what is known of an event when it comes, without what the module keeps in it.
 func facts(e *choice.Event) *choice.Event {
 	return &choice.Event{ID: e.ID, Type: e.Type, Tenant: e.Tenant, Function: e.Function, Patience: e.Patience,
-		Lanes: e.Lanes, LoadTime: e.LoadTime, Repeat: e.Repeat}
+		Lanes: e.Lanes, Memory: e.Memory, LoadTime: e.LoadTime, Repeat: e.Repeat}
 }
 
 // Feed tells one recorded fact. An entry that no core can have recorded is an error, and nothing is done.
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -8,6 +8,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"lupinpond/choice"
@@ -189,6 +190,13 @@
 		at := "orgs." + strconv.Itoa(i) + "."
 		f.Tenants = append(f.Tenants, core.Tenant{Name: set[at+"name"], Quota: set.Number(at+"quota_per_s", 0)})
 	}
+	kinds, memory := strings.Split(set["kinds"], ","), strings.Split(set["family_info.machine_mb"], ",")
+	for i := range min(len(kinds), len(memory)) {
+		mb, err := strconv.ParseFloat(memory[i], 64)
+		if err == nil && mb > 0 {
+			f.Kinds = append(f.Kinds, core.Kind{Name: kinds[i], Memory: mb})
+		}
+	}
 	if set.Flag("policy_limits.retry_after", false) {
 		f.MostBack = set.Time("policy_limits.max_retry_after", 0)
 	}
@@ -286,7 +294,7 @@
 	e := &choice.Event{ID: line.Word("request"), Type: line.Word("class"), Tenant: line.Maybe("tenant"),
 		Function: line.Whole("function", false), Patience: line.Time("patience", false)}
 	line.Number("cost", true)
-	line.Number("memory", true)
+	e.Memory = line.Number("memory", true)
 	e.Lanes = int(line.Number("lanes", true))
 	e.LoadTime = time.Duration(line.Number("load time", true) * float64(time.Millisecond))
 	e.Repeat = line.Whole("flags", true)&2 != 0
