--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,6 +49,7 @@
 	copyShare                 = 0.5        // of all memory, for first copies
 	crowdedShare              = 0.5        // fewer workers than this with room: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
+	nearness                  = 3.0        // a worker in another zone is as far as one of so small a part of its size
 	unfilled                  = 0.8        // a worker whose cores are less busy than this runs all it holds
 	backedShare               = 0.5        // a report is believed for so much of the longest target time
 	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
@@ -104,6 +105,9 @@
 	c.work = window.New(8 * c.fall)
 }
 
+// Crossing says that launches to other zones than this one cost something.
+func (c *Chooser) Crossing(own string) { c.zone = own }
+
 // Asking says that the list of workers must be asked for, at least so often unless subscribed.
 func (c *Chooser) Asking(within time.Duration) {
 	c.askAt, c.askWait = 0, max(within/8, time.Millisecond)
@@ -115,7 +119,11 @@
 // order that all front ends share.
 func (c *Chooser) rank(w *worker, fn uint64, salt int) float64 {
 	drawn := chance.Mix(w.hash ^ chance.Mix(fn+uint64(salt)<<44))
-	return -math.Log1p(-float64(drawn>>11)/(1<<53)) / c.size(w)
+	rank := -math.Log1p(-float64(drawn>>11)/(1<<53)) / c.size(w)
+	if salt > 0 && c.zone != "" && w.Zone != c.zone { // crossing costs
+		rank *= nearness
+	}
+	return rank
 }
 
 func last(rank float64, behind bool) float64 {
--- a/choice/types.go
+++ b/choice/types.go
@@ -269,6 +269,7 @@
 	tenants map[string]*tenant
 	workers map[string]*worker
 	kinds   map[string]*kind
+	zone    string // its own, where crossing costs
 	list    []*worker // those listed or with launches outstanding, by name
 	fns     map[uint64]*function
 	active  []*function // with held events
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,7 +86,8 @@
 	ColdStarts ColdStarts         `cbor:"12,keyasint"`
 	AskWithin  time.Duration      `cbor:"13,keyasint"` // the list must be asked for at least so often; 0: it comes unasked
 	Kinds      []Kind             `cbor:"15,keyasint,omitempty"`
-	Deadlines  bool               `cbor:"14,keyasint"` // the core itself times launches out when their client's time is up
+	Zone       string             `cbor:"16,keyasint,omitempty"` // its own, where launches to other zones cost something
+	Deadlines  bool               `cbor:"14,keyasint"`           // the core itself times launches out when their client's time is up
 }
 
 // hand is one event in hand.
@@ -129,6 +130,7 @@
 	for _, k := range f.Kinds {
 		c.AddKind(k.Name, k.Memory)
 	}
+	c.Crossing(f.Zone)
 	c.Allowed(f.Launches, f.Cancel, f.Probe, f.MostBack)
 	l := f.Loading
 	c.Loading(l.Orders, l.OnMiss, l.Keep, l.Limit, l.Within, l.Free, l.Share)
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -190,6 +190,9 @@
 		at := "orgs." + strconv.Itoa(i) + "."
 		f.Tenants = append(f.Tenants, core.Tenant{Name: set[at+"name"], Quota: set.Number(at+"quota_per_s", 0)})
 	}
+	if set.Number("prices.cross_zone", 0) > 0 {
+		f.Zone = set["locality"]
+	}
 	kinds, memory := strings.Split(set["kinds"], ","), strings.Split(set["family_info.machine_mb"], ",")
 	for i := range min(len(kinds), len(memory)) {
 		mb, err := strconv.ParseFloat(memory[i], 64)
