--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,6 +49,7 @@
 	copyShare                 = 0.5        // of all memory, for first copies
 	crowdedShare              = 0.5        // fewer workers than this with room: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
+	aheadKept                 = 0.95       // of what was seen of the events ahead, by the next
 	nearness                  = 3.0        // a worker in another zone is as far as one of so small a part of its size
 	unfilled                  = 0.8        // a worker whose cores are less busy than this runs all it holds
 	backedShare               = 0.5        // a report is believed for so much of the longest target time
@@ -293,6 +294,12 @@
 // pace moves a worker's in-flight limit by the ratio of the shortest answer time to the present one.
 func (c *Chooser) pace(w *worker, e *Event, took, now time.Duration) {
 	t, k := e.typ, c.kinds[w.Kind]
+	if e.ahead > 0 { // the time that each event ahead costs: at first as if only one were served at a time
+		c.ahead += e.ahead
+		c.delayed += float64(max(0, took-t.short))
+		c.delay = (float64(t.short) + c.delayed) / (1 + c.ahead)
+		c.ahead, c.delayed = c.ahead*aheadKept, c.delayed*aheadKept
+	}
 	k.seen = min(k.seen+1, typeAveraged)
 	k.takes += (min(float64(took)/float64(e.fn.mean()), stuckAfter) - k.takes) / (averaged + k.seen)
 	c.measure()
@@ -468,6 +475,9 @@
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
+	if c.delay*w.waits(now) > max(0, float64(e.due-now)) { // its answer would be late
+		return false
+	}
 	return s.copies > 0 && now >= max(s.shut, w.refuses[e.Tenant].until) && c.room(w, now) && !c.full() &&
 		c.mayGo(e, w, now) && c.coldRoom(w, e, now) &&
 		(!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
@@ -497,7 +507,7 @@
 
 func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
 	e.cold, e.sent, e.out, e.avoid = cold, now, s, nil
-	e.launches, s.busy = e.launches+1, s.busy+1
+	e.launches, s.busy, e.ahead = e.launches+1, s.busy+1, s.w.waits(now)
 	s.w.out = append(s.w.out, e)
 	c.inFlight++
 	s.w.coldLast, s.w.coldPart = now, 1
@@ -597,7 +607,9 @@
 	if w := c.workers[name]; w != nil {
 		w.probed = false
 		c.told(w, l, now)
-		w.deaf = r != Handled
+		if w.deaf = r != Handled; r == Unreached {
+			c.fail(w, now)
+		}
 	}
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -60,7 +60,8 @@
 	risk     *worker       // worker of the first launch that may have run
 	riskAt   time.Duration
 	avoid    *worker
-	over     bool // beyond its tenant's share when it came
+	ahead    float64 // events that waited there when it left, as far as was known
+	over     bool    // beyond its tenant's share when it came
 	ended    bool
 }
 
@@ -269,7 +270,7 @@
 	tenants map[string]*tenant
 	workers map[string]*worker
 	kinds   map[string]*kind
-	zone    string // its own, where crossing costs
+	zone    string    // its own, where crossing costs
 	list    []*worker // those listed or with launches outstanding, by name
 	fns     map[uint64]*function
 	active  []*function // with held events
@@ -307,6 +308,8 @@
 	fresh  *window.Window // first tries
 	came   *window.Window // events
 
+	ahead, delayed, delay float64 // events ahead of launches, what they took longer, and that for each
+
 	spread   float64 // workers for first copies, over those that a function fills
 	discount float64 // of the events of a function, what may be luck
 	countAt  time.Duration
