--- a/choice/choice.go
+++ b/choice/choice.go
@@ -607,7 +607,10 @@
 	if w := c.workers[name]; w != nil {
 		w.probed = false
 		c.told(w, l, now)
-		if w.deaf = r != Handled; r == Unreached {
+		switch w.deaf = r != Handled && r != Full; r {
+		case Full: // so many ask that it takes no more probes: it lives, and events wait there
+			w.toldAt, w.backed, w.waiting = now, now+part(backedShare, c.longest), max(1, w.waiting)
+		case Unreached:
 			c.fail(w, now)
 		}
 	}
@@ -663,6 +666,7 @@
 	}
 	if took > usual/4 { // else the copies stood; a crowded store or memory shows in loads that fail or take long
 		c.loads.follow(now, took, slowLoad*float64(usual), c.loadsOut, 1)
+		c.crowded += (float64(took)/float64(usual) - c.crowded) / averaged
 	}
 	s := f.at(w)
 	if s.loading = max(0, s.loading-1); r == Handled || r == Full || r == Failed { // else nothing was heard
@@ -777,7 +781,7 @@
 	case total == 0:
 		short = 1
 	case have == 0:
-		in := max(1, enoughShare*float64(f.typ.Target)/float64(f.mean())) * float64(f.lanes)
+		in := max(1, float64(f.typ.Target)/float64(f.mean())) * float64(f.lanes)
 		short = int(math.Ceil(float64(f.arrived)/in)) - under
 	case total < queued && f.arrived < queued:
 		short = required - under
@@ -806,7 +810,7 @@
 	s := f.at(w)
 	if c.orders && c.allowed(now) && s.copies+s.loading < 16 {
 		s.loading++
-		s.loadEnd = now + min(part(loadPatience, f.usualLoad()), c.orderLimit)
+		s.loadEnd = now + min(part(loadPatience*max(1, c.crowded), f.usualLoad()), c.orderLimit)
 		c.ordered.Add(now, 1)
 		c.loadsOut++
 		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
--- a/choice/types.go
+++ b/choice/types.go
@@ -279,6 +279,7 @@
 
 	loadsOut   int     // orders not answered yet
 	loads      limited // of them
+	crowded    float64 // what loads take, over what is usual
 	kept       int     // functions after the last clean-up
 	all        limited // launches in flight at all workers
 	inFlight   int
