--- a/choice/choice.go
+++ b/choice/choice.go
@@ -294,10 +294,10 @@
 // pace moves a worker's in-flight limit by the ratio of the shortest answer time to the present one.
 func (c *Chooser) pace(w *worker, e *Event, took, now time.Duration) {
 	t, k := e.typ, c.kinds[w.Kind]
-	if e.ahead > 0 { // the time that each event ahead costs: at first as if only one were served at a time
+	if e.ahead > 0 { // the time that each event ahead costs: little, until it is seen
 		c.ahead += e.ahead
 		c.delayed += float64(max(0, took-t.short))
-		c.delay = (float64(t.short) + c.delayed) / (1 + c.ahead)
+		c.delay = c.delayed / (averaged + c.ahead)
 		c.ahead, c.delayed = c.ahead*aheadKept, c.delayed*aheadKept
 	}
 	k.seen = min(k.seen+1, typeAveraged)
