--- a/choice/choice.go
+++ b/choice/choice.go
@@ -475,7 +475,8 @@
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
-	if c.delay*w.waits(now) > max(0, float64(e.due-now)) { // its answer would be late
+	soon := max(e.due-now, part(enoughShare, e.typ.Target)) // who is late already does not wait long behind others
+	if c.delay*w.waits(now) > float64(soon) {
 		return false
 	}
 	return s.copies > 0 && now >= max(s.shut, w.refuses[e.Tenant].until) && c.room(w, now) && !c.full() &&
