--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,7 +47,7 @@
 	manyShare, fullFall       = 0.75, 0.9  // of its limit in flight: the next; what a refusal leaves of it
 	spread, leastSpread       = 8.0, 1.0   // workers for first copies, over those that a function fills
 	copyShare                 = 0.5        // of all memory, for first copies
-	crowdedShare              = 0.5        // fewer workers than this with room: a jam
+	crowdedShare, enoughTold  = 0.5, 3     // fewer workers than this with room, of all or of so many heard of: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
 	aheadKept                 = 0.95       // of what was seen of the events ahead, by the next
 	nearness                  = 3.0        // a worker in another zone is as far as one of so small a part of its size
@@ -234,7 +234,7 @@
 
 // survey counts launches in flight, whether bars are believed, and whether few workers have room: a jam.
 func (c *Chooser) survey(now time.Duration) {
-	in, bad, free := 0.0, 0.0, 0.0
+	in, bad, free, told, open := 0.0, 0.0, 0.0, 0.0, 0.0
 	c.inFlight, c.rounding = 0, float64(c.chance.Below(1000))/1000
 	for _, w := range c.list {
 		if !w.trial { // one that is out for long waits there: its work is still to do
@@ -249,8 +249,15 @@
 		if c.room(w, now) && now >= w.backed {
 			free++
 		}
+		if w.toldAt > 0 && now < w.toldAt+2*c.longest {
+			told++
+			if w.waiting <= float64(len(w.out)) {
+				open++
+			}
+		}
 	}
-	c.unbelieved, c.jam = bad > believed*in, c.full() || free < crowdedShare*max(in, 1)
+	c.unbelieved, c.jam = bad > believed*in, c.full() || free < crowdedShare*max(in, 1) ||
+		told >= enoughTold && open < crowdedShare*told // a front end among many hears of few at a time
 }
 
 // usable: not drained nor gone (rule 3), nor barred unless most are, which must not leave us without any.
