The program takes kinds, sizes, zones and what reports carry from its settings

fleet.workers (sizes, kinds, reports), fleet.crossing and front.zone, checked; without them all is as before. A start is refused with the key named where they contradict: reports without waiting need held and busy, probes need a report, misses need two launches, a zone goes with crossing. Tests on loopback: one build serves the other shape by settings alone; the recording holds what the module was told and replays the same.

--- a/cmd/lpworker/main.go
+++ b/cmd/lpworker/main.go
@@ -55,6 +55,7 @@
 	Lease     time.Duration `default:"3s" help:"Unless renewed for so long it is taken off the list."`
 	Zone      string        `default:"zone-0"`
 	Cell      string        `default:"0"`
+	Kind      string        `help:"Kind of machine, as fleet.workers.kinds names it; empty: not told."`
 	Cores     float64       `default:"2" help:"Cores, as the list tells them."`
 	Memory    int64         `default:"2048" help:"MiB for all copies."`
 	Running   int           `default:"8" help:"Events at a time."`
@@ -148,7 +149,7 @@
 		control := &http.Server{Handler: w.Control(), ReadHeaderTimeout: 5 * time.Second}
 		g.Go(func() error { return serve.Until(serving, control, orders, 0) })
 	}
-	entry := roster.Entry{Name: c.Name, Addr: listener.Addr().String(), Zone: c.Zone, Cell: c.Cell, Cores: c.Cores, State: roster.In,
+	entry := roster.Entry{Name: c.Name, Addr: listener.Addr().String(), Zone: c.Zone, Cell: c.Cell, Kind: c.Kind, Cores: c.Cores, State: roster.In,
 		Started: time.Now(), Chunks: gives.Addr().String()}
 	g.Go(func() error {
 		defer stop()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -127,6 +128,31 @@
 	Fall         Time    `yaml:"fall"`
 }
 
+// Workers is what the list and the load reports tell of workers.
+type Workers struct {
+	Sizes   string   `yaml:"sizes"`   // cores: those on the list tell what a worker can do; none (also when left out): nothing does
+	Kinds   []Kind   `yaml:"kinds"`   // of the list; none: their memory is not told
+	Reports []string `yaml:"reports"` // of waiting, held and busy; left out: all three
+}
+
+// Kind is a kind of worker.
+type Kind struct {
+	Name   string `yaml:"name"`
+	Memory Size   `yaml:"memory"`
+}
+
+// Reported are what load reports can carry.
+const (
+	Waiting = "waiting" // events that wait there
+	Held    = "held"    // events that it holds
+	Busy    = "busy"    // part of its cores in use
+)
+
+// Reported tells whether load reports carry a value.
+func (w Workers) Reported(value string) bool {
+	return w.Reports == nil || slices.Contains(w.Reports, value)
+}
+
 // Allowed is what a front end may do.
 type Allowed struct {
 	Launches   int  `yaml:"launches"`
@@ -141,6 +167,8 @@
 	Tenants           []Tenant    `yaml:"tenants"`
 	Loading           Loading     `yaml:"loading"`
 	Cold              Cold        `yaml:"cold"`
+	Workers           Workers     `yaml:"workers"`
+	Crossing          bool        `yaml:"crossing"` // launches to other zones than front.zone cost something
 	Allowed           Allowed     `yaml:"allowed"`
 	AnswerSlack       Time        `yaml:"answer-slack"`        // after a client's time a final answer still counts
 	StopSendingWithin Time        `yaml:"stop-sending-within"` // after word of a drain
@@ -185,6 +213,7 @@
 type Front struct {
 	Listen string      `yaml:"listen"`
 	List   string      `yaml:"list"` // where lproster answers
+	Zone   string      `yaml:"zone"` // its own, as the list spells it; only with fleet.crossing
 	Limits FrontLimits `yaml:"limits"`
 	Link   Link        `yaml:"link"`
 }
@@ -357,6 +386,9 @@
 	case f.Fleet.StopSendingWithin <= 0:
 		return "$.fleet.stop-sending-within", "more than 0s"
 	}
+	if at, reason := f.mixed(); reason != "" {
+		return at, reason
+	}
 	if len(f.Functions) == 0 {
 		return "$.functions", "at least one function is needed"
 	}
@@ -398,6 +430,42 @@
 	return "", ""
 }
 
+// mixed finds settings that each stand for another shape of deployment.
+func (f File) mixed() (path, reason string) {
+	w, kinds := f.Fleet.Workers, map[string]bool{}
+	for i, k := range w.Kinds {
+		at := fmt.Sprintf("$.fleet.workers.kinds[%d].", i)
+		switch {
+		case k.Name == "" || kinds[k.Name]:
+			return at + "name", "each kind needs a name of its own"
+		case k.Memory <= 0:
+			return at + "memory", "more than 0B"
+		}
+		kinds[k.Name] = true
+	}
+	for i, value := range w.Reports {
+		if value != Waiting && value != Held && value != Busy || slices.Contains(w.Reports[:i], value) {
+			return fmt.Sprintf("$.fleet.workers.reports[%d]", i), fmt.Sprintf("%q is not waiting, held or busy, each once", value)
+		}
+	}
+	told := w.Reported(Waiting) || w.Reported(Held) && w.Reported(Busy)
+	switch {
+	case w.Sizes != "" && w.Sizes != "none" && w.Sizes != "cores":
+		return "$.fleet.workers.sizes", fmt.Sprintf("%q is not cores or none", w.Sizes)
+	case w.Reports != nil && len(w.Reports) > 0 && !told:
+		return "$.fleet.workers.reports", "without waiting, held and busy are both needed to stand in for it"
+	case !told && f.Fleet.Allowed.Probe:
+		return "$.fleet.allowed.probe", "fleet.workers.reports carries nothing: probes would teach nothing"
+	case f.Fleet.Loading.OnMiss == "miss" && f.Fleet.Allowed.Launches < 2:
+		return "$.fleet.allowed.launches", "with fleet.loading.on-miss miss a miss spends a launch: at least 2"
+	case f.Fleet.Crossing && f.Front.Zone == "":
+		return "$.front.zone", "fleet.crossing needs the front end's own zone"
+	case !f.Fleet.Crossing && f.Front.Zone != "":
+		return "$.front.zone", "a zone has no meaning without fleet.crossing"
+	}
+	return "", ""
+}
+
 // Loopback refuses an address of a socket that is not on loopback.
 func Loopback(addr string) error {
 	host, port, err := net.SplitHostPort(addr)
@@ -427,6 +495,10 @@
 	front.Launches, front.Cancel, front.Probe, front.MostBack = a.Launches, a.Cancel, a.Probe, a.RetryAfter.D()
 	front.Loading = core.Loading{Orders: l.Orders, OnMiss: l.OnMiss == "load", Keep: l.Keep.D(),
 		Limit: l.OrderLimit.D(), Within: l.Ration.Within.D(), Free: l.Ration.Free, Share: l.Ration.Share}
+	for _, k := range f.Fleet.Workers.Kinds {
+		front.Kinds = append(front.Kinds, core.Kind{Name: k.Name, Memory: float64(k.Memory)})
+	}
+	front.Zone = f.Front.Zone
 	front.ColdStarts = core.ColdStarts{From: c.From, WarmAfter: c.WarmAfter.D(), Multiple: c.FallMultiple,
 		Fall: c.Fall.D()}
 	return front
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -24,6 +24,14 @@
 		{"listen: 127.0.0.1", "listen: 0.0.0.0", `front.listen: "0.0.0.0:8711" is not on loopback`},
 		{"  quantum: 2ms\n", "  quantum: 2ms\n  quantum: 3ms\n", "f.yaml:24:3: mapping key"},
 		{"launches: 6", "launches: [6]", "f.yaml:19:"},
+		{"keep: 8s", "keep: 8s\n    by: all", "unknown field"},
+		{"  quantum: 2ms\n", "  quantum: 2ms\n  workers: {sizes: big}\n", `fleet.workers.sizes: "big" is not cores or none`},
+		{"  quantum: 2ms\n", "  quantum: 2ms\n  workers: {kinds: [{name: a, memory: 0B}]}\n", "fleet.workers.kinds[0].memory: more"},
+		{"  quantum: 2ms\n", "  quantum: 2ms\n  workers: {reports: [held]}\n", "fleet.workers.reports: without waiting"},
+		{"  quantum: 2ms\n", "  quantum: 2ms\n  workers: {reports: [held, held]}\n", "fleet.workers.reports[1]: \"held\""},
+		{"  quantum: 2ms\n", "  quantum: 2ms\n  workers: {reports: []}\n", "f.yaml:19:47: fleet.allowed.probe: fleet.workers.reports"},
+		{"  quantum: 2ms\n", "  quantum: 2ms\n  crossing: true\n", "front.zone: fleet.crossing needs"},
+		{"  listen:", "  zone: a\n  listen:", "f.yaml:32:9: front.zone: a zone has no meaning"},
 		{text, "", "f.yaml:1:1: the file is empty"},
 		{text, "fleet: [", "f.yaml:1:"},
 	} {
@@ -37,6 +45,10 @@
 	if _, err := config.Default(); err != nil {
 		t.Error(err)
 	}
+	miss := strings.NewReplacer("on-miss: load", "on-miss: miss", "launches: 6", "launches: 1").Replace(text)
+	if _, err := config.Parse("f.yaml", []byte(miss)); err == nil || !strings.Contains(err.Error(), "fleet.allowed.launches: with") {
+		t.Errorf("misses with one launch: %v", err)
+	}
 }
 
 func FuzzParse(f *testing.F) {
--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -10,6 +10,7 @@
 
 	"lupinpond/choice"
 	"lupinpond/internal/capture"
+	"lupinpond/internal/config"
 	"lupinpond/internal/core"
 	"lupinpond/internal/invoke"
 	"lupinpond/internal/link"
@@ -58,7 +59,7 @@
 		out.Result = choice.Withdrawn
 	case link.Answered:
 		a := o.Answer
-		out.Warmth, out.Load = choice.Warmth(a.Warmth), load(a.Report)
+		out.Warmth, out.Load = choice.Warmth(a.Warmth), g.load(a.Report)
 		switch a.Code {
 		case link.Done:
 			out.Result, e.body = choice.Handled, a.Body
@@ -79,11 +80,23 @@
 	}
 }
 
-func load(r *link.Report) choice.Load {
-	if r == nil {
+// load tells of a report what the settings say that reports carry.
+func (g *Gate) load(r *link.Report) choice.Load {
+	w := g.o.File.Fleet.Workers
+	if r == nil || w.Reports != nil && len(w.Reports) == 0 {
 		return choice.Load{}
 	}
-	return choice.Load{Told: true, Waiting: float64(r.Waiting), Held: float64(r.Waiting + r.Running), Busy: r.Busy}
+	l := choice.Load{Told: true, Waiting: -1, Held: -1, Busy: -1}
+	if w.Reported(config.Waiting) {
+		l.Waiting = float64(r.Waiting)
+	}
+	if w.Reported(config.Held) {
+		l.Held = float64(r.Waiting + r.Running)
+	}
+	if w.Reported(config.Busy) {
+		l.Busy = r.Busy
+	}
+	return l
 }
 
 // Handle answers the client.
@@ -198,7 +211,7 @@
 		g.box.put(func(now time.Duration) {
 			switch {
 			case o.Echo != nil:
-				end(now, choice.Handled, load(o.Echo.Report))
+				end(now, choice.Handled, g.load(o.Echo.Report))
 			case o.Fate == link.Unsent:
 				end(now, choice.Unreached, choice.Load{})
 			default:
@@ -259,7 +272,10 @@
 	g.peersMu.Lock()
 	for _, e := range n.Entries {
 		named[e.Name] = true
-		l := choice.Listing{Worker: e.Name, Zone: e.Zone, Cell: e.Cell, Started: max(0, e.Started.Sub(g.base))}
+		l := choice.Listing{Worker: e.Name, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, Started: max(0, e.Started.Sub(g.base))}
+		if g.o.File.Fleet.Workers.Sizes == "cores" {
+			l.Size = e.Cores
+		}
 		switch e.State {
 		case roster.Draining:
 			l.Condition = choice.Draining
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -335,8 +335,8 @@
 	id := fmt.Sprintf("%s-%d", g.o.Name, g.number.Add(1))
 	e := &event{call: call, reply: make(chan invoke.Answer, 1), out: map[int]*link.Call{},
 		fact: &choice.Event{ID: id, Type: call.Type.Name, Tenant: call.Tenant, Function: call.Function.ID(),
-			Patience: call.Patience, Lanes: call.Function.Lanes, LoadTime: call.Function.LoadTime.D(),
-			Repeat: call.Repeat}}
+			Patience: call.Patience, Lanes: call.Function.Lanes, Memory: float64(call.Function.Memory),
+			LoadTime: call.Function.LoadTime.D(), Repeat: call.Repeat}}
 	g.box.put(func(now time.Duration) { g.came(now, e) })
 	select {
 	case a := <-e.reply:
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -56,6 +56,7 @@
 	workers []crew.Worker
 	entries []roster.Entry
 	effects string // what ran, written by the copies
+	record  bytes.Buffer
 	drain   context.CancelFunc
 	kill    context.CancelFunc
 	done    chan struct{}
@@ -87,13 +88,14 @@
 	for i := range 2 {
 		name := fmt.Sprint("w", i)
 		w := crew.NewRuntime(crew.RuntimeOptions{Name: name, Folder: filepath.Join(dir, name), Store: releases, Effects: effects,
-			Limits: admit.Limits{Memory: 16 * 64 << 20, Running: 8, Waiting: 100, Loads: 4, Keep: time.Minute, OnMiss: true}})
+			Limits: admit.Limits{Memory: 16 * 64 << 20, Running: 8, Waiting: 100, Loads: 4, Keep: time.Minute,
+				OnMiss: file.Fleet.Loading.OnMiss == "load"}})
 		addr, started, err := w.Start("", true)
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(w.Stop)
-		e := roster.Entry{Name: w.Name(), Addr: addr, Zone: "z", Cores: 4, State: roster.In, Started: started}
+		e := roster.Entry{Name: w.Name(), Addr: addr, Zone: "z", Kind: "box", Cores: 4, State: roster.In, Started: started}
 		r.workers, r.entries = append(r.workers, w), append(r.entries, e)
 		r.roster.Set(e)
 	}
@@ -103,7 +105,7 @@
 	}
 	r.addr = listener.Addr().String()
 	r.file.Front.List = list.URL
-	r.gate, err = gate.New(gate.Options{Name: "f", File: r.file, Listener: listener, Seed: 1})
+	r.gate, err = gate.New(gate.Options{Name: "f", File: r.file, Listener: listener, Seed: 1, Record: &r.record})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/gate/shape_test.go
@@ -0,0 +1,103 @@
+package gate_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"lupinpond/choice"
+	"lupinpond/internal/config"
+	"lupinpond/internal/core"
+	"lupinpond/internal/corelog"
+)
+
+// One build serves a deployment whose workers answer a miss, report no waiting events and are told by kind and zone, by
+// its settings alone; the load reports and the list reach the module as those settings say.
+func TestOtherShape(t *testing.T) {
+	r := start(t, func(f *config.File) {
+		f.Fleet.Loading.OnMiss = "miss"
+		f.Fleet.Allowed.Launches = 3
+		f.Fleet.Tenants, f.Fleet.Crossing, f.Front.Zone = nil, true, "z"
+		for i := range f.Functions {
+			f.Functions[i].Tenant = ""
+		}
+		f.Fleet.Workers = config.Workers{Sizes: "cores", Kinds: []config.Kind{{Name: "box", Memory: 1 << 30}},
+			Reports: []string{config.Held, config.Busy}}
+		f.Front.List = "http://127.0.0.1:1"
+		b, err := yaml.Marshal(*f)
+		if err == nil {
+			_, err = config.Parse("other.yaml", b)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+	for _, id := range []string{"1", "2", "3"} { // the first brings a load order, whose copy the others find
+		r.wants("preview", id, 3*time.Second, 200, " released")
+	}
+	r.until("an order", func() bool { return r.gate.Counts(context.Background()).Orders > 0 })
+	if n := r.ran("pay-preview"); n != 3 {
+		t.Errorf("%d runs, want 3", n)
+	}
+	r.drain()
+	<-r.done
+	facts := entries(t, &r.record)
+	listed, came, told := false, false, false
+	for _, e := range facts {
+		for _, l := range e.News {
+			listed = listed || l.Kind == "box" && l.Size == 4
+		}
+		came = came || e.Op == core.OpCame && e.Event.Memory == float64(128<<20)
+		if l := e.Outcome.Load; l.Told {
+			told = true
+			if l.Waiting >= 0 || l.Held < 0 || l.Busy < 0 {
+				t.Errorf("a report %+v, told held and busy only", l)
+			}
+		}
+	}
+	if !listed || !came || !told {
+		t.Errorf("the module heard of kind and size %v, of a copy's memory %v, of load %v", listed, came, told)
+	}
+}
+
+// The shape that was there before stays as it was: its reports tell waiting events, its list no size.
+func TestFormerShape(t *testing.T) {
+	r := start(t, nil)
+	r.wants("preview", "1", 2*time.Second, 200, " released")
+	r.drain()
+	<-r.done
+	told := false
+	for _, e := range entries(t, &r.record) {
+		for _, l := range e.News {
+			if l.Size != 0 {
+				t.Errorf("a size was told: %+v", l)
+			}
+		}
+		if l := e.Outcome.Load; l != (choice.Load{}) {
+			told = true
+			if !l.Told || l.Waiting < 0 {
+				t.Errorf("a report without waiting events: %+v", l)
+			}
+		}
+	}
+	if !told {
+		t.Error("no report")
+	}
+}
+
+// entries are the facts of a recording, which a replay repeats to the last action.
+func entries(t *testing.T, record *bytes.Buffer) (facts []core.Entry) {
+	t.Helper()
+	_, err := corelog.Replay(bytes.NewReader(record.Bytes()), func(e *core.Entry, _ *corelog.Action) {
+		if e != nil {
+			facts = append(facts, *e)
+		}
+	})
+	if err != nil {
+		t.Error(err)
+	}
+	return facts
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,6 +33,7 @@
 	Addr    string    `json:"addr"`
 	Zone    string    `json:"zone,omitempty"`
 	Cell    string    `json:"cell,omitempty"`
+	Kind    string    `json:"kind,omitempty"`
 	Cores   float64   `json:"cores"`
 	State   State     `json:"state"`
 	Chunks  string    `json:"chunks,omitempty"` // where it gives chunks to other workers
