--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
 	aheadKept                 = 0.95       // of what was seen of the events ahead, by the next
 	nearness                  = 3.0        // a worker in another zone is as far as one of so small a part of its size
-	unfilled                  = 0.8        // a worker whose cores are less busy than this runs all it holds
+	echoWeight                = 2.0        // waiting events for each mean excess that a probe takes beyond one
 	backedShare               = 0.5        // a report is believed for so much of the longest target time
 	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
 )
@@ -60,7 +60,7 @@
 func New(seed uint64, self, peers int, quantum time.Duration) *Chooser {
 	return &Chooser{chance: chance.New(seed), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
-		workers: map[string]*worker{}, kinds: map[string]*kind{}, fns: map[uint64]*function{}, longest: time.Second,
+		workers: map[string]*worker{}, kinds: map[string]*kind{}, echoes: map[string]*echoes{}, fns: map[uint64]*function{}, longest: time.Second,
 		mostLaunches: 1, spread: spread, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
@@ -562,7 +562,7 @@
 	case Full: // whatever the reason, a tenant refused again and again is served elsewhere; others stay
 		r := refusal{row: min(w.refuses[e.Tenant].row+1, refusedMost)}
 		s.shut = now + part(refusedShare, f.typ.Target)<<r.row
-		if w.limit = max(leastLimit, w.limit*fullFall); o.Load.Told && c.waiting(w, o.Load) < 1 { // it has room
+		if w.limit = max(leastLimit, w.limit*fullFall); o.Load.Told && o.Load.Waiting < 1 { // it has room
 			r.until = s.shut
 		}
 		w.refuses[e.Tenant] = r
@@ -611,9 +611,12 @@
 	return w.deaf || w.probed && now >= w.probedAt+firstLatency
 }
 
-func (c *Chooser) Probed(now time.Duration, name string, r Result, l Load) {
+func (c *Chooser) Probed(now time.Duration, name string, r Result, l Load, took time.Duration) {
 	if w := c.workers[name]; w != nil {
 		w.probed = false
+		if r == Handled {
+			l.Waiting, l.Told = l.Waiting+c.crowd(w, took), true
+		}
 		c.told(w, l, now)
 		switch w.deaf = r != Handled && r != Full; r {
 		case Full: // so many ask that it takes no more probes: it lives, and events wait there
@@ -627,7 +630,7 @@
 // told takes a load report. Where more events wait than ours, others take the lanes; ours obey the limit.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
-		w.toldAt, w.backed, w.waiting = now, 0, c.waiting(w, l)
+		w.toldAt, w.backed, w.waiting = now, 0, l.Waiting
 		if w.waiting > float64(len(w.out)) {
 			w.backed = now + part(backedShare, c.longest)
 		}
@@ -642,17 +645,18 @@
 	return 0
 }
 
-// waiting is how many events wait there. Where that is not told, those held stand in, less what its cores run at once:
-// as many as the workers of its kind hold for each core's worth of work while they are not full.
-func (c *Chooser) waiting(w *worker, l Load) float64 {
-	if l.Waiting >= 0 || l.Held < 0 || l.Busy < 0 {
-		return max(0, l.Waiting)
-	}
-	k := c.kinds[w.Kind]
-	if l.Busy < unfilled {
-		k.held, k.busy = k.held+l.Held, k.busy+l.Busy
+// crowd is how crowded a worker is by a probe's time, in events that wait there: what it took over the shortest of its
+// zone, against the mean of that. It is now, where reports are late, and stands in where they tell no waiting events.
+func (c *Chooser) crowd(w *worker, took time.Duration) float64 {
+	z := c.echoes[w.Zone]
+	if z == nil {
+		z = &echoes{least: took}
+		c.echoes[w.Zone] = z
 	}
-	return l.Held - (k.held+1)/(k.busy+1)
+	z.least = min(z.least, took)
+	over := float64(took - z.least)
+	z.over += (over - z.over) / averaged
+	return echoWeight * max(0, over/max(z.over, 1)-1)
 }
 
 // lastCall is how long before the client gives up an event is given up: an answer is not to be had then.
--- a/choice/types.go
+++ b/choice/types.go
@@ -131,9 +131,7 @@
 // Load is what a worker reports of itself, for all that it serves.
 type Load struct {
 	Told    bool    // false where no report came
-	Waiting float64 // events that wait there; below 0 where it is not told
-	Held    float64 // events that it holds; below 0 where it is not told
-	Busy    float64 // part of its cores in use; below 0 where it is not told
+	Waiting float64 // events that wait there; 0 where it is not told
 }
 
 // Condition is a worker's state in the list.
@@ -187,7 +185,12 @@
 	size         float64 // of one of them, over a mean worker
 	memory       float64 // of one of them; 0: not told
 	seen, takes  float64 // answers; their time over the mean of its function
-	held, busy   float64 // sums over reports of those not full
+}
+
+// echoes is what probes of a zone take.
+type echoes struct {
+	least time.Duration
+	over  float64 // mean beyond that
 }
 
 type tenant struct {
@@ -270,8 +273,9 @@
 	tenants map[string]*tenant
 	workers map[string]*worker
 	kinds   map[string]*kind
-	zone    string    // its own, where crossing costs
-	list    []*worker // those listed or with launches outstanding, by name
+	echoes  map[string]*echoes // by zone
+	zone    string             // its own, where crossing costs
+	list    []*worker          // those listed or with launches outstanding, by name
 	fns     map[uint64]*function
 	active  []*function // with held events
 	grown   []*function // whose first copy may belong elsewhere
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -130,9 +130,9 @@
 
 // Workers is what the list and the load reports tell of workers.
 type Workers struct {
-	Sizes   string   `yaml:"sizes"`   // cores: those on the list tell what a worker can do; none (also when left out): nothing does
-	Kinds   []Kind   `yaml:"kinds"`   // of the list; none: their memory is not told
-	Reports []string `yaml:"reports"` // of waiting, held and busy; left out: all three
+	Sizes   string `yaml:"sizes"`   // cores: those on the list tell what a worker can do; none (also when left out): nothing does
+	Kinds   []Kind `yaml:"kinds"`   // of the list; none: their memory is not told
+	Reports string `yaml:"reports"` // waiting (also when left out): load reports tell events that wait; none: they don't
 }
 
 // Kind is a kind of worker.
@@ -141,18 +141,6 @@
 	Memory Size   `yaml:"memory"`
 }
 
-// Reported are what load reports can carry.
-const (
-	Waiting = "waiting" // events that wait there
-	Held    = "held"    // events that it holds
-	Busy    = "busy"    // part of its cores in use
-)
-
-// Reported tells whether load reports carry a value.
-func (w Workers) Reported(value string) bool {
-	return w.Reports == nil || slices.Contains(w.Reports, value)
-}
-
 // Allowed is what a front end may do.
 type Allowed struct {
 	Launches   int  `yaml:"launches"`
@@ -443,19 +431,11 @@
 		}
 		kinds[k.Name] = true
 	}
-	for i, value := range w.Reports {
-		if value != Waiting && value != Held && value != Busy || slices.Contains(w.Reports[:i], value) {
-			return fmt.Sprintf("$.fleet.workers.reports[%d]", i), fmt.Sprintf("%q is not waiting, held or busy, each once", value)
-		}
-	}
-	told := w.Reported(Waiting) || w.Reported(Held) && w.Reported(Busy)
 	switch {
 	case w.Sizes != "" && w.Sizes != "none" && w.Sizes != "cores":
 		return "$.fleet.workers.sizes", fmt.Sprintf("%q is not cores or none", w.Sizes)
-	case w.Reports != nil && len(w.Reports) > 0 && !told:
-		return "$.fleet.workers.reports", "without waiting, held and busy are both needed to stand in for it"
-	case !told && f.Fleet.Allowed.Probe:
-		return "$.fleet.allowed.probe", "fleet.workers.reports carries nothing: probes would teach nothing"
+	case w.Reports != "" && w.Reports != "none" && w.Reports != "waiting":
+		return "$.fleet.workers.reports", fmt.Sprintf("%q is not waiting or none", w.Reports)
 	case f.Fleet.Loading.OnMiss == "miss" && f.Fleet.Allowed.Launches < 2:
 		return "$.fleet.allowed.launches", "with fleet.loading.on-miss miss a miss spends a launch: at least 2"
 	case f.Fleet.Crossing && f.Front.Zone == "":
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -217,10 +217,10 @@
 	return true
 }
 
-// Probed tells how a probe ended.
-func (c *Core) Probed(now time.Duration, worker string, r choice.Result, l choice.Load) {
-	c.record(Entry{Op: OpProbed, Now: now, Worker: worker, Outcome: choice.Outcome{Result: r, Load: l}})
-	c.chooser.Probed(now, worker, r, l)
+// Probed tells how a probe ended; took is the time from the probe to its answer.
+func (c *Core) Probed(now time.Duration, worker string, r choice.Result, l choice.Load, took time.Duration) {
+	c.record(Entry{Op: OpProbed, Now: now, Worker: worker, Outcome: choice.Outcome{Result: r, Load: l, Took: took}})
+	c.chooser.Probed(now, worker, r, l, took)
 }
 
 // Loaded tells how a load order ended; took is the time from the order to its answer.
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -72,7 +72,7 @@
 	case OpLeft:
 		c.Left(e.Now, e.ID)
 	case OpProbed:
-		c.Probed(e.Now, e.Worker, e.Outcome.Result, e.Outcome.Load)
+		c.Probed(e.Now, e.Worker, e.Outcome.Result, e.Outcome.Load, e.Outcome.Took)
 	case OpLoaded:
 		c.Loaded(e.Now, e.Order, e.Outcome.Result, e.Outcome.Took)
 	case OpWoke:
--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -10,7 +10,6 @@
 
 	"lupinpond/choice"
 	"lupinpond/internal/capture"
-	"lupinpond/internal/config"
 	"lupinpond/internal/core"
 	"lupinpond/internal/invoke"
 	"lupinpond/internal/link"
@@ -82,21 +81,10 @@
 
 // load tells of a report what the settings say that reports carry.
 func (g *Gate) load(r *link.Report) choice.Load {
-	w := g.o.File.Fleet.Workers
-	if r == nil || w.Reports != nil && len(w.Reports) == 0 {
+	if r == nil || g.o.File.Fleet.Workers.Reports == "none" {
 		return choice.Load{}
 	}
-	l := choice.Load{Told: true, Waiting: -1, Held: -1, Busy: -1}
-	if w.Reported(config.Waiting) {
-		l.Waiting = float64(r.Waiting)
-	}
-	if w.Reported(config.Held) {
-		l.Held = float64(r.Waiting + r.Running)
-	}
-	if w.Reported(config.Busy) {
-		l.Busy = r.Busy
-	}
-	return l
+	return choice.Load{Told: true, Waiting: float64(r.Waiting)}
 }
 
 // Handle answers the client.
@@ -196,15 +184,15 @@
 	g.peersMu.Unlock()
 	if p == nil {
 		g.later = append(g.later, func(now time.Duration) {
-			g.core.Probed(now, worker, choice.Unreached, choice.Load{})
+			g.core.Probed(now, worker, choice.Unreached, choice.Load{}, 0)
 		})
 		return
 	}
-	answered := false
+	answered, sent := false, time.Now()
 	end := func(now time.Duration, r choice.Result, l choice.Load) {
 		if !answered {
 			answered = true
-			g.core.Probed(now, worker, r, l)
+			g.core.Probed(now, worker, r, l, time.Since(sent))
 		}
 	}
 	p.Probe(func(o link.Outcome) {
