--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/url"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
