--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,8 @@
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
 	aheadKept                 = 0.95       // of what was seen of the events ahead, by the next
 	nearness                  = 3.0        // a worker in another zone is as far as one of so small a part of its size
-	echoWeight                = 2.0        // waiting events for each mean excess that a probe takes beyond one
+	echoWeight, echoMost      = 2.0, 8.0   // waiting events for a probe's excess over the mean one; most excess
+	deepOver                  = 0.25       // mean excess of probes, over the shortest, that is more than the network's
 	backedShare               = 0.5        // a report is believed for so much of the longest target time
 	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
 )
@@ -647,6 +648,7 @@
 
 // crowd is how crowded a worker is by a probe's time, in events that wait there: what it took over the shortest of its
 // zone, against the mean of that. It is now, where reports are late, and stands in where they tell no waiting events.
+// Where it hardly varies, probes are answered beside the queue and tell nothing.
 func (c *Chooser) crowd(w *worker, took time.Duration) float64 {
 	z := c.echoes[w.Zone]
 	if z == nil {
@@ -654,9 +656,11 @@
 		c.echoes[w.Zone] = z
 	}
 	z.least = min(z.least, took)
-	over := float64(took - z.least)
-	z.over += (over - z.over) / averaged
-	return echoWeight * max(0, over/max(z.over, 1)-1)
+	over := min(float64(took)/float64(max(1, z.least))-1, echoMost)
+	if z.over += (over - z.over) / averaged; z.over < deepOver {
+		return 0
+	}
+	return echoWeight * max(0, over/z.over-1)
 }
 
 // lastCall is how long before the client gives up an event is given up: an answer is not to be had then.
--- a/choice/types.go
+++ b/choice/types.go
@@ -190,7 +190,7 @@
 // echoes is what probes of a zone take.
 type echoes struct {
 	least time.Duration
-	over  float64 // mean beyond that
+	over  float64 // mean beyond that, in parts of it
 }
 
 type tenant struct {
