--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
 	aheadKept                 = 0.95       // of what was seen of the events ahead, by the next
 	nearness                  = 3.0        // a worker in another zone is as far as one of so small a part of its size
-	echoWeight, echoMost      = 2.0, 8.0   // waiting events for a probe's excess over the mean one; most excess
+	echoWeight, echoMost      = 4.0, 8.0   // waiting events for a probe's excess over the mean one; most excess
 	deepOver                  = 0.25       // mean excess of probes, over the shortest, that is more than the network's
 	backedShare               = 0.5        // a report is believed for so much of the longest target time
 	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
