--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -252,29 +252,13 @@
 // Among many front ends the first copies of a busy function stand on many workers, those of a rare one on few.
 func Example_manyFrontEnds() {
 	for _, every := range []int{50, 2} {
-		homes := map[string]bool{}
-		for self := range 40 {
-			b := fleet(self, 40, 20)
-			for i := range 50 {
-				e := &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 4}
-				if i%every > 0 {
-					e.Function = uint64(100 + i)
-				}
-				b.Place(b.now, e)
-				st := b.Wait(b.now)
-				b.loaded(st)
-				for _, o := range st.Orders {
-					if o.Function == 9 {
-						homes[o.Worker] = true
-					}
-				}
-				for _, a := range b.Wait(b.now).Answers {
-					b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 100 * ms, Final: true})
-				}
-				b.now += 200 * ms
+		n := homes(0, func(i int) uint64 {
+			if i%every > 0 {
+				return uint64(100 + i)
 			}
-		}
-		fmt.Println("one event of", every, "workers with first copies", len(homes), "of 20")
+			return 9
+		})
+		fmt.Println("one event of", every, "workers with first copies", n, "of 20")
 	}
 	// Output:
 	// one event of 50 workers with first copies 1 of 20
@@ -389,10 +373,12 @@
 		for i := range 400 {
 			e := &choice.Event{Type: "redeliverable", Function: uint64(i % 20), Patience: 3000 * ms, Lanes: 4}
 			b.Place(b.now, e)
-			b.loaded(b.Wait(b.now))
-			b.Wait(b.now)
-			if e.Outstanding() {
-				b.After(b.now, e, choice.Outcome{Result: choice.Handled, Took: took, Final: true})
+			st := b.Wait(b.now)
+			b.loaded(st)
+			for _, a := range append(st.Answers, append(b.Wait(b.now).Answers, choice.Answer{Event: e})...) {
+				if a.Event.Outstanding() {
+					b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: took, Final: true})
+				}
 			}
 			b.now += 20 * ms
 		}
@@ -403,9 +389,217 @@
 				out++
 			}
 		}
+		for range 40 { // the limit is rounded by chance
+			for _, a := range b.Wait(b.now).Answers {
+				if a.Verb == choice.Launch {
+					out++
+				}
+			}
+		}
 		fmt.Println("answers of", took, "in flight at once", out)
 	}
 	// Output:
 	// answers of 100ms in flight at once 7
-	// answers of 900ms in flight at once 2
+	// answers of 900ms in flight at once 1
+}
+
+// The time of a probe tells of a crowd where it varies: the warm copy there is left for another.
+func Example_crowdedProbe() {
+	for _, took := range []time.Duration{ms, 9 * ms} {
+		b := newBench(9) // more front ends than workers
+		b.Allowed(4, true, true, 500*ms)
+		for range 12 { // what is usual
+			for i, worker := range []string{"a", "b", "c"} {
+				b.Probed(b.now, worker, choice.Handled, choice.Load{}, time.Duration(i+1)*ms)
+			}
+		}
+		b.now += time.Second
+		b.place("e", "redeliverable", 9)
+		b.Probed(b.now, "c", choice.Handled, choice.Load{}, took)
+		b.step(0)
+	}
+	// Output:
+	// 1s e hold
+	// 1s load 9 x1 on c
+	// 1s e hold
+	// 1s load 9 x1 on a
+}
+
+// A probe turned away as full is a sign of life: the load there counts, no other is ordered.
+func Example_probeTurnedAway() {
+	b := newBench(9)
+	b.Allowed(4, true, true, 500*ms)
+	b.place("e", "redeliverable", 9)
+	st := b.step(0)
+	b.Probed(b.now, st.Probes[0], choice.Full, choice.Load{}, ms)
+	b.step(250 * ms)
+	b.step(250 * ms)
+	// Output:
+	// 0s e hold
+	// 0s load 9 x1 on c
+}
+
+// A worker of three times the size gets first copies of about three times as many functions.
+func Example_sizes() {
+	b := newBench(1)
+	b.Listed(b.now, true, []choice.Listing{{Worker: "big", Kind: "b", Size: 3}, {Worker: "small", Kind: "s", Size: 1}})
+	orders := map[string]int{}
+	for fn := range uint64(200) {
+		b.quiet(fn)
+		st := b.Wait(b.now)
+		b.loaded(st)
+		for _, o := range st.Orders {
+			orders[o.Worker]++
+		}
+		for _, a := range b.Wait(b.now).Answers {
+			b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 10 * ms, Final: true})
+		}
+	}
+	fmt.Println(orders["big"]/10*10, orders["small"]/10*10)
+	// Output:
+	// 150 40
+}
+
+// Where answers outlast a tick, one event that waits for a lane does not ask for two more; three that come together
+// get one load.
+func Example_slowAnswers() {
+	b := newBench(1)
+	b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
+	b.quiet(9)
+	b.quiet(9)
+	b.quiet(9)
+	b.step(100 * ms)
+	b.step(300 * ms)
+	b.Loaded(b.now, choice.Order{Worker: "a", Function: 9, Copies: 1}, choice.Handled, 400*ms)
+	for range 3 { // one lane, one after the other
+		for _, a := range b.Wait(b.now).Answers {
+			b.now += 300 * ms
+			b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 300 * ms, Final: true})
+		}
+	}
+	fmt.Println(b.place("runs", "redeliverable", 9).Outstanding())
+	b.place("waits", "redeliverable", 9)
+	b.step(240 * ms)
+	// Output:
+	// 100ms load 9 x1 on a
+	// 1.3s runs launch on a
+	// true
+	// 1.3s waits hold
+}
+
+// Memory that does not hold a copy more of each function keeps a busy one to fewer workers.
+func Example_memory() {
+	for _, memory := range []float64{0, 4, 4000} {
+		n := homes(memory, func(i int) uint64 {
+			if i%4 > 0 {
+				return uint64(100 + i)
+			}
+			return 9
+		})
+		fmt.Println("memory", memory, "many workers", n > 12)
+	}
+	// Output:
+	// memory 0 many workers true
+	// memory 4 many workers false
+	// memory 4000 many workers true
+}
+
+// Where crossing zones costs, most events of a function that stands in all zones stay in the front end's own.
+func Example_nearness() {
+	for _, zone := range []string{"", "x"} {
+		own := 0
+		for fn := range uint64(100) {
+			b := newBench(1)
+			b.Crossing(zone)
+			b.Listed(b.now, true, []choice.Listing{{Worker: "a", Zone: "x"}, {Worker: "b", Zone: "y"}, {Worker: "c", Zone: "z"}})
+			b.quiet(fn)
+			for _, w := range []string{"a", "b", "c"} { // a copy at each
+				b.Loaded(b.now, choice.Order{Worker: w, Function: fn, Copies: 1}, choice.Handled, 400*ms)
+			}
+			if a := b.Wait(b.now).Answers; len(a) > 0 && a[0].Worker == "a" {
+				own++
+			}
+		}
+		fmt.Printf("own zone %q: over half stay %v\n", zone, own > 50)
+	}
+	// Output:
+	// own zone "": over half stay false
+	// own zone "x": over half stay true
+}
+
+// A front end that hears of few workers judges a jam by those: what is late then is deferred, not held to the end.
+func Example_jamHeardOf() {
+	for _, waiting := range []float64{0, 9} {
+		b := fleet(0, 100, 40)
+		b.Allowed(4, true, true, 500*ms)
+		for i := range 4 {
+			b.Probed(b.now, fmt.Sprint("w", i), choice.Handled, choice.Load{Told: true, Waiting: waiting}, ms)
+		}
+		e := &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 1, LoadTime: 900 * ms}
+		b.Place(b.now, e)
+		deferred := 0
+		for range 13 {
+			b.now += 100 * ms
+			for i := range 4 {
+				b.Probed(b.now, fmt.Sprint("w", i), choice.Handled, choice.Load{Told: true, Waiting: waiting}, ms)
+			}
+			for _, a := range b.Wait(b.now).Answers {
+				if a.Verb == choice.Defer {
+					deferred++
+				}
+			}
+		}
+		fmt.Println("waiting", waiting, "deferred", deferred)
+	}
+	// Output:
+	// waiting 0 deferred 0
+	// waiting 9 deferred 1
+}
+
+// Once launches have shown what events ahead cost, none goes to where they make it late.
+func Example_eventsAhead() {
+	b := newBench(1)
+	b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
+	told := func(waiting float64) {
+		b.Probed(b.now, "a", choice.Handled, choice.Load{Told: true, Waiting: waiting}, ms)
+	}
+	for range 8 {
+		e := b.quiet(9)
+		b.loaded(b.Wait(b.now))
+		told(8)
+		b.now += 20 * ms
+		b.Wait(b.now)
+		b.now += 900 * ms
+		b.After(b.now, e, choice.Outcome{Result: choice.Handled, Took: 900 * ms, Final: true, Warmth: choice.FoundWarm})
+	}
+	for _, waiting := range []float64{20, 1} {
+		told(waiting)
+		e := b.quiet(9)
+		b.now += 20 * ms
+		b.Wait(b.now)
+		fmt.Println("waiting", waiting, "launched", e.Outstanding())
+		b.now += 10 * ms
+		told(0)
+		b.Wait(b.now)
+		b.After(b.now, e, choice.Outcome{Result: choice.Handled, Took: 100 * ms, Final: true, Warmth: choice.FoundWarm})
+	}
+	// Output:
+	// waiting 20 launched false
+	// waiting 1 launched true
+}
+
+// A function seen thrice is rarer where others come once only than where they come again.
+func Example_seenAgain() {
+	for _, others := range []int{20, 1000} {
+		n := homes(0, func(i int) uint64 {
+			if i%20 == 9 {
+				return 9
+			}
+			return uint64(100 + i%others)
+		})
+		fmt.Println("of", others, "others: workers with first copies", n)
+	}
+	// Output:
+	// of 20 others: workers with first copies 9
+	// of 1000 others: workers with first copies 6
 }
--- a/choice/help_test.go
+++ b/choice/help_test.go
@@ -37,6 +37,13 @@
 	return e
 }
 
+// quiet takes a new event and prints nothing.
+func (b *bench) quiet(fn uint64) *choice.Event {
+	e := &choice.Event{Type: "redeliverable", Function: fn, Patience: 3000 * ms, Lanes: 1, LoadTime: 400 * ms}
+	b.Place(b.now, e)
+	return e
+}
+
 // after ends the outstanding launch of an event and prints the answer.
 func (b *bench) after(e *choice.Event, r choice.Result, took time.Duration) {
 	b.show(b.After(b.now, e, choice.Outcome{Result: r, Took: took, Final: r == choice.Handled}))
@@ -86,3 +93,27 @@
 	b.Listed(b.now, true, news)
 	return b
 }
+
+// homes counts the workers with first copies of function 9 after 50 events at each of 40 front ends of 20 workers.
+func homes(memory float64, function func(i int) uint64) int {
+	found := map[string]bool{}
+	for self := range 40 {
+		b := fleet(self, 40, 20)
+		b.AddKind("", memory)
+		for i := range 50 {
+			b.Place(b.now, &choice.Event{Type: "redeliverable", Function: function(i), Patience: 3000 * ms, Lanes: 4, Memory: 1})
+			st := b.Wait(b.now)
+			b.loaded(st)
+			for _, o := range st.Orders {
+				if o.Function == 9 {
+					found[o.Worker] = true
+				}
+			}
+			for _, a := range b.Wait(b.now).Answers {
+				b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 100 * ms, Final: true})
+			}
+			b.now += 200 * ms
+		}
+	}
+	return len(found)
+}
