A tenant is beyond its share by more than chance over five seconds

Among 130 front ends a tenant's share is one or two events a second at each: in a jam every second event within it counted as beyond (AddTenant's window of one second, Place).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,6 +54,7 @@
 	echoWeight, echoMost      = 4.0, 8.0   // waiting events for a probe's excess over the mean one; most excess
 	deepOver                  = 0.25       // mean excess of probes, over the shortest, that is more than the network's
 	backedShare               = 0.5        // a report is believed for so much of the longest target time
+	shareChance               = 1.0        // errors of chance by which a tenant may be beyond its share
 	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
 )
 
@@ -86,7 +87,7 @@
 // AddTenant tells of a tenant and of the events a second within its share, at all front ends together.
 func (c *Chooser) AddTenant(name string, quota float64) {
 	c.shares += quota
-	c.tenants[name] = &tenant{quota: quota, came: window.New(time.Second), again: window.New(freshSpan)}
+	c.tenants[name] = &tenant{quota: quota, came: window.New(freshSpan), again: window.New(freshSpan)}
 }
 
 // Allowed tells what the front end may do; back is the longest time to come back that clients honour, or 0.
@@ -406,7 +407,8 @@
 		c.fresh.Add(now, 1)
 	}
 	if n := c.tenants[e.Tenant]; n != nil {
-		if e.over = n.came.All(now) >= max(1, n.quota*c.portion(now)); !e.over {
+		within := n.quota * c.portion(now) * freshSpan.Seconds() // few come here: more than chance is over
+		if e.over = n.came.All(now) >= within+max(1, shareChance*math.Sqrt(within)); !e.over {
 			n.came.Add(now, 1)
 		}
 		if e.Repeat && n.again.All(now) >= repeatsFree+repeatShare*c.fresh.All(now) {
