--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,6 +46,7 @@
 	coldSafety, coldChance    = 0.9, 1.0   // part of the cold budget that is used, less so many errors of chance
 	manyShare, fullFall       = 0.75, 0.9  // of its limit in flight: the next; what a refusal leaves of it
 	spread, leastSpread       = 8.0, 1.0   // workers for first copies, over those that a function fills
+	atFirst                   = 5.0        // functions seen once or twice that stand for what is not known yet
 	copyShare                 = 0.5        // of all memory, for first copies
 	crowdedShare, enoughTold  = 0.5, 3     // fewer workers than this with room, of all or of so many heard of: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
@@ -450,7 +451,7 @@
 	for _, w := range c.list {
 		room += copyShare * c.kind(w.Kind).memory
 	}
-	c.discount = (once + 1) / (once + 2*twice + 1)
+	c.discount = (once + atFirst) / (once + 2*twice + 2*atFirst)
 	if c.spread = spread; room > 0 && need > 0 { // what memory holds beyond one copy of each
 		c.spread = min(spread, max(leastSpread, (room/float64(need)-1)*seen/float64(len(c.list))))
 	}
@@ -871,6 +872,6 @@
 // homes is the number of workers for first copies of a function, by its part of the traffic: each front end
 // sees few of its events at the first worker of the shared order; together they would overrun it.
 func (c *Chooser) homes(f *function, now time.Duration) int {
-	part := (f.came.All(now) - c.discount) / (c.came.All(now) + averaged)
+	part := (f.came.All(now) - c.discount) / (c.came.All(now) + 3*averaged)
 	return max(1, int(c.spread*part*float64(min(c.peers, len(c.list)))))
 }
