A function that serves many tenants, or none, is refused alone; lines brought to length

f.tenant was the tenant of the last event, and an empty one kept every function off a worker that had refused one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -11,11 +11,14 @@
 // Beside it stand six mechanisms:
 //  1. failures in a row bar a worker, one event on trial brings it back (fail, silent, usable)
 //  2. in-flight limits, of each worker and of all, follow the answer times (pace, follow)
-//  3. reports of waiting events, probed for where unknown, put a worker last (told, known)
+//  3. waiting events, reported or by the time of a probe, put a worker last (told, known)
 //  4. in a jam, what can't make its target time or is beyond its tenant's share is deferred, and so are a
 //     tenant's repeats beyond a part of its first tries; a tenant refused is served elsewhere (Place, serve)
 //  5. cold workers get a small part of a warm one's work (coldPause)
 //  6. the loads under way follow what comes of them (Loaded, load)
+//
+// What differs among workers and deployments is told or learned: sizes of kinds (measure, pace), how crowded
+// a worker is by the time of a probe (crowd), what events ahead cost (fits, pace), where memory ends (count).
 package choice
 
 import (
@@ -46,14 +49,14 @@
 	coldSafety, coldChance    = 0.9, 1.0   // part of the cold budget that is used, less so many errors of chance
 	manyShare, fullFall       = 0.75, 0.9  // of its limit in flight: the next; what a refusal leaves of it
 	spread, leastSpread       = 8.0, 1.0   // workers for first copies, over those that a function fills
-	atFirst                   = 5.0        // functions seen once or twice that stand for what is not known yet
+	atFirst, startAs          = 5.0, 30.0  // functions and events that stand for what is not seen yet
 	copyShare                 = 0.5        // of all memory, for first copies
-	crowdedShare, enoughTold  = 0.5, 3     // fewer workers than this with room, of all or of so many heard of: a jam
+	crowdedShare, enoughTold  = 0.5, 3     // fewer workers with room, of all or of so many heard of: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
 	aheadKept                 = 0.95       // of what was seen of the events ahead, by the next
-	nearness                  = 3.0        // a worker in another zone is as far as one of so small a part of its size
+	nearness                  = 3.0        // a worker of another zone is as far as one so much smaller
 	echoWeight, echoMost      = 4.0, 8.0   // waiting events for a probe's excess over the mean one; most excess
-	deepOver                  = 0.25       // mean excess of probes, over the shortest, that is more than the network's
+	deepOver                  = 0.25       // mean excess of probes over the shortest that is not the network's
 	backedShare               = 0.5        // a report is believed for so much of the longest target time
 	shareChance               = 1.0        // errors of chance by which a tenant may be beyond its share
 	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
@@ -63,7 +66,8 @@
 func New(seed uint64, self, peers int, quantum time.Duration) *Chooser {
 	return &Chooser{chance: chance.New(seed), self: self, peers: max(1, peers),
 		quantum: max(quantum, 0), types: map[string]*evtType{}, tenants: map[string]*tenant{},
-		workers: map[string]*worker{}, kinds: map[string]*kind{}, echoes: map[string]*echoes{}, fns: map[uint64]*function{}, longest: time.Second,
+		workers: map[string]*worker{}, fns: map[uint64]*function{}, longest: time.Second,
+		kinds: map[string]*kind{}, echoes: map[string]*echoes{},
 		mostLaunches: 1, spread: spread, askAt: math.MaxInt64,
 		ordered: window.New(0), taken: window.New(0), work: window.New(0),
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
@@ -137,8 +141,8 @@
 	return rank
 }
 
-// size is a worker's part of the work over that of a mean one: its kind's mean, as each one's is told roughly, and by
-// how long answers of that kind take over those of the same functions elsewhere.
+// size is a worker's part of the work over that of a mean one: its kind's mean, as each one's is told
+// roughly, and by how long answers of that kind take over those of the same functions elsewhere.
 func (c *Chooser) size(w *worker) float64 {
 	return c.kinds[w.Kind].size
 }
@@ -176,7 +180,8 @@
 			w.listed, w = false, nil
 		}
 		if w == nil {
-			w = &worker{hash: chance.Hash(l.Worker), refuses: map[string]refusal{}, limited: c.limits(firstLimit, leastLimit),
+			w = &worker{hash: chance.Hash(l.Worker), refuses: map[string]refusal{},
+				limited:  c.limits(firstLimit, leastLimit),
 				coldLast: now, coldPart: float64(c.chance.Below(1000)) / 1000}
 			c.workers[l.Worker] = w
 		}
@@ -187,7 +192,8 @@
 	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
 	c.measure()
 	if c.all.took == nil {
-		c.all, c.loads = c.limits(firstLimit*float64(len(c.list)), leastAll), c.limits(firstLimit*float64(c.peers), leastLimit)
+		c.all = c.limits(firstLimit*float64(len(c.list)), leastAll)
+		c.loads = c.limits(firstLimit*float64(c.peers), leastLimit)
 	}
 	if c.askAt > 0 { // the list of the start is no answer
 		c.askAt = math.MaxInt64
@@ -385,10 +391,13 @@
 			})
 			c.kept = len(c.fns)
 		}
-		f = &function{id: e.Function, came: window.New(4 * freshSpan)}
+		f = &function{id: e.Function, tenant: e.Tenant, came: window.New(4 * freshSpan)}
 		c.fns[e.Function] = f
 	}
-	f.typ, f.tenant, f.lanes, f.load, f.memory = t, e.Tenant, max(1, e.Lanes), e.LoadTime, e.Memory
+	if f.tenant != e.Tenant { // it serves many: a refusal says nothing of one of them
+		f.tenant = ""
+	}
+	f.typ, f.lanes, f.load, f.memory = t, max(1, e.Lanes), e.LoadTime, e.Memory
 	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
@@ -432,8 +441,8 @@
 	return c.hold(e)
 }
 
-// count estimates how much of a seen event is luck (absolute discounting): all where functions come once only, little
-// where those seen once come twice as a rule.
+// count estimates how much of a seen event is luck (absolute discounting): all where functions come once
+// only, little where those seen once come twice as a rule. And it fits first copies into the memory of all workers.
 func (c *Chooser) count(now time.Duration) {
 	c.countAt = now + freshSpan/8
 	seen, once, twice, need, room := 0.0, 0.0, 0.0, 0, 0.0
@@ -486,7 +495,7 @@
 // fits tells whether an event may go to a believed copy now. A worker on trial gets what may go again first.
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
-	soon := max(e.due-now, part(enoughShare, e.typ.Target)) // who is late already does not wait long behind others
+	soon := max(e.due-now, part(enoughShare, e.typ.Target)) // who is late already does not wait long
 	if c.delay*w.waits(now) > float64(soon) {
 		return false
 	}
@@ -566,7 +575,8 @@
 	case Full: // whatever the reason, a tenant refused again and again is served elsewhere; others stay
 		r := refusal{row: min(w.refuses[e.Tenant].row+1, refusedMost)}
 		s.shut = now + part(refusedShare, f.typ.Target)<<r.row
-		if w.limit = max(leastLimit, w.limit*fullFall); o.Load.Told && o.Load.Waiting < 1 { // it has room
+		w.limit = max(leastLimit, w.limit*fullFall)
+		if f.tenant != "" && o.Load.Told && o.Load.Waiting < 1 { // it has room
 			r.until = s.shut
 		}
 		w.refuses[e.Tenant] = r
@@ -649,8 +659,8 @@
 	return 0
 }
 
-// crowd is how crowded a worker is by a probe's time, in events that wait there: what it took over the shortest of its
-// zone, against the mean of that. It is now, where reports are late, and stands in where they tell no waiting events.
+// crowd is how crowded a worker is by a probe's time, in events that wait there: what it took over the shortest
+// of its zone, against the mean of that. It is fresh where reports are late, and stands in where they tell none.
 // Where it hardly varies, probes are answered beside the queue and tell nothing.
 func (c *Chooser) crowd(w *worker, took time.Duration) float64 {
 	z := c.echoes[w.Zone]
@@ -872,6 +882,6 @@
 // homes is the number of workers for first copies of a function, by its part of the traffic: each front end
 // sees few of its events at the first worker of the shared order; together they would overrun it.
 func (c *Chooser) homes(f *function, now time.Duration) int {
-	part := (f.came.All(now) - c.discount) / (c.came.All(now) + 3*averaged)
+	part := (f.came.All(now) - c.discount) / (c.came.All(now) + startAs)
 	return max(1, int(c.spread*part*float64(min(c.peers, len(c.list)))))
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -261,7 +261,7 @@
 		fmt.Println("one event of", every, "workers with first copies", n, "of 20")
 	}
 	// Output:
-	// one event of 50 workers with first copies 1 of 20
+	// one event of 50 workers with first copies 2 of 20
 	// one event of 2 workers with first copies 20 of 20
 }
 
@@ -366,6 +366,30 @@
 	// 0s e2 launch on a
 }
 
+// A refusal of a function that serves many tenants, or none, keeps no other function away from the worker.
+func Example_manyTenants() {
+	for _, tenants := range [][]string{{"m", "n"}, {"", ""}} {
+		b := newBench(1)
+		b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
+		for i, tenant := range tenants {
+			b.Place(b.now, &choice.Event{Type: "redeliverable", Tenant: tenant, Function: 1, Patience: 3000 * ms, Lanes: 2})
+			if i == 1 {
+				b.loaded(b.Wait(b.now))
+			}
+		}
+		for _, a := range b.Wait(b.now).Answers {
+			b.After(b.now, a.Event, choice.Outcome{Result: choice.Full, Load: choice.Load{Told: true}})
+		}
+		b.Place(b.now, &choice.Event{Type: "redeliverable", Tenant: tenants[1], Function: 2, Patience: 3000 * ms, Lanes: 2})
+		for _, o := range b.Wait(b.now).Orders {
+			fmt.Printf("load %d on %s\n", o.Function, o.Worker)
+		}
+	}
+	// Output:
+	// load 2 on a
+	// load 2 on a
+}
+
 // A front end among many that sees only slow answers lowers what it has in flight at all workers together.
 func Example_limitOfAll() {
 	for _, took := range []time.Duration{100 * ms, 900 * ms} {
@@ -601,5 +625,5 @@
 	}
 	// Output:
 	// of 20 others: workers with first copies 9
-	// of 1000 others: workers with first copies 6
+	// of 1000 others: workers with first copies 5
 }
