--- a/choice/choice.go
+++ b/choice/choice.go
@@ -442,7 +442,7 @@
 }
 
 // count estimates how much of a seen event is luck (absolute discounting): all where functions come once
-// only, little where those seen once come twice as a rule. And it fits first copies into the memory of all workers.
+// only, little where those seen once come twice as a rule. It fits first copies into the workers' memory too.
 func (c *Chooser) count(now time.Duration) {
 	c.countAt = now + freshSpan/8
 	seen, once, twice, need, room := 0.0, 0.0, 0.0, 0, 0.0
@@ -659,8 +659,8 @@
 	return 0
 }
 
-// crowd is how crowded a worker is by a probe's time, in events that wait there: what it took over the shortest
-// of its zone, against the mean of that. It is fresh where reports are late, and stands in where they tell none.
+// crowd is how crowded a worker is by a probe's time, in events that wait there: what it took over the
+// shortest of its zone, against the mean of that. It is fresh where reports are late, and stands in for them.
 // Where it hardly varies, probes are answered beside the queue and tell nothing.
 func (c *Chooser) crowd(w *worker, took time.Duration) float64 {
 	z := c.echoes[w.Zone]
