--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,6 +50,7 @@
 	manyShare, fullFall       = 0.75, 0.9  // of its limit in flight: the next; what a refusal leaves of it
 	spread, leastSpread       = 8.0, 1.0   // workers for first copies, over those that a function fills
 	atFirst, startAs          = 5.0, 30.0  // functions and events that stand for what is not seen yet
+	mostSize, mostMemory      = 1e5, 1e15  // more is not believed
 	copyShare                 = 0.5        // of all memory, for first copies
 	crowdedShare, enoughTold  = 0.5, 3     // fewer workers with room, of all or of so many heard of: a jam
 	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
@@ -74,7 +75,9 @@
 }
 
 // AddKind tells the memory of a worker of one kind, in the unit of the events' memory.
-func (c *Chooser) AddKind(name string, memory float64) { c.kind(name).memory = memory }
+func (c *Chooser) AddKind(name string, memory float64) {
+	c.kind(name).memory = told(memory, mostMemory)
+}
 
 func (c *Chooser) kind(name string) *kind {
 	if c.kinds[name] == nil {
@@ -121,6 +124,14 @@
 	c.askAt, c.askWait = 0, max(within/8, time.Millisecond)
 }
 
+// told is a value that may be believed; 0, as if not told, where it is absurd or no number.
+func told(v, most float64) float64 {
+	if v > 0 && v < most {
+		return v
+	}
+	return 0
+}
+
 func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
 
 // rank orders the workers of a function by hash, one of twice the size first twice as often; salt 0 gives the
@@ -185,6 +196,7 @@
 				coldLast: now, coldPart: float64(c.chance.Below(1000)) / 1000}
 			c.workers[l.Worker] = w
 		}
+		l.Size = told(l.Size, mostSize)
 		w.Listing, w.listed = l, l.Condition != Gone
 	}
 	maps.DeleteFunc(c.workers, func(_ string, w *worker) bool { return !w.listed && len(w.out) == 0 })
@@ -397,7 +409,7 @@
 	if f.tenant != e.Tenant { // it serves many: a refusal says nothing of one of them
 		f.tenant = ""
 	}
-	f.typ, f.lanes, f.load, f.memory = t, max(1, e.Lanes), e.LoadTime, e.Memory
+	f.typ, f.lanes, f.load, f.memory = t, max(1, e.Lanes), min(max(0, e.LoadTime), time.Hour), told(e.Memory, mostMemory)
 	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
@@ -445,7 +457,7 @@
 // only, little where those seen once come twice as a rule. It fits first copies into the workers' memory too.
 func (c *Chooser) count(now time.Duration) {
 	c.countAt = now + freshSpan/8
-	seen, once, twice, need, room := 0.0, 0.0, 0.0, 0, 0.0
+	seen, once, twice, need, room := 0.0, 0.0, 0.0, int64(0), 0.0
 	for _, f := range c.fns {
 		switch n := f.came.All(now); n {
 		case 0:
@@ -455,7 +467,7 @@
 		case 2:
 			twice++
 		}
-		seen, need = seen+1, need+int(f.memory)
+		seen, need = seen+1, need+int64(f.memory)
 	}
 	for _, w := range c.list {
 		room += copyShare * c.kind(w.Kind).memory
@@ -644,7 +656,7 @@
 // told takes a load report. Where more events wait than ours, others take the lanes; ours obey the limit.
 func (c *Chooser) told(w *worker, l Load, now time.Duration) {
 	if l.Told {
-		w.toldAt, w.backed, w.waiting = now, 0, l.Waiting
+		w.toldAt, w.backed, w.waiting = now, 0, told(l.Waiting, mostSize)
 		if w.waiting > float64(len(w.out)) {
 			w.backed = now + part(backedShare, c.longest)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"lupinpond/choice"
@@ -570,6 +571,7 @@
 			for _, a := range b.Wait(b.now).Answers {
 				if a.Verb == choice.Defer {
 					deferred++
+					fmt.Println("at", b.now-time.Hour, "of 3s, with a time to come back", a.Back > 0)
 				}
 			}
 		}
@@ -577,6 +579,7 @@
 	}
 	// Output:
 	// waiting 0 deferred 0
+	// at 1s of 3s, with a time to come back true
 	// waiting 9 deferred 1
 }
 
@@ -627,3 +630,33 @@
 	// of 20 others: workers with first copies 9
 	// of 1000 others: workers with first copies 5
 }
+
+// Sizes, memory and reports that are absurd or no numbers count as not told.
+func Example_absurdFacts() {
+	for _, v := range []float64{math.NaN(), math.Inf(1), -1, 1e300, 0} {
+		b := newBench(9)
+		b.Allowed(4, true, true, 500*ms)
+		b.AddKind("k", v)
+		b.Listed(b.now, true, []choice.Listing{{Worker: "a", Kind: "k", Size: v}, {Worker: "b", Kind: "l", Size: 1}})
+		orders := map[string]int{}
+		for fn := range uint64(100) {
+			b.Place(b.now, &choice.Event{Type: "redeliverable", Function: fn, Patience: 3000 * ms, Lanes: 1, Memory: v})
+			b.Probed(b.now, "a", choice.Handled, choice.Load{Told: true, Waiting: v}, ms)
+			st := b.Wait(b.now)
+			b.loaded(st)
+			for _, o := range st.Orders {
+				orders[o.Worker]++
+			}
+			for _, a := range b.Wait(b.now).Answers {
+				b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 10 * ms, Final: true})
+			}
+		}
+		fmt.Println(v, "both are used", orders["a"] > 20 && orders["b"] > 20)
+	}
+	// Output:
+	// NaN both are used true
+	// +Inf both are used true
+	// -1 both are used true
+	// 1e+300 both are used true
+	// 0 both are used true
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -146,6 +146,8 @@
 	Cancel     bool `yaml:"cancel"`
 	Probe      bool `yaml:"probe"`
 	RetryAfter Time `yaml:"retry-after"` // longest time to come back that clients honour; 0s: none is named
+	// SecondCopies lets launches of one event overlap. The module launches none; rule 2 is judged by it.
+	SecondCopies bool `yaml:"second-copies"`
 }
 
 // Fleet is what all front ends are told alike.
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -21,7 +21,7 @@
 
 // Every rehearsed day keeps the five rules, judged from the sockets; every event taken has one ending, no client was
 // left without an answer, no at-most-once event ran twice at the workers, and every core's recording replays alike.
-func TestDaysKeepTheRules(t *testing.T) { play(t, "") }
+func TestDaysKeepTheRules(t *testing.T) { play(t, "", nil) }
 
 // Four of the days on the worker runtime, one after the other: its copies are processes, and the machine is to be late for
 // nobody. lpctl rehearse --all --workers runtime plays them all.
@@ -30,15 +30,32 @@
 	if err := crew.Build(binary, "lupinpond/examples/payroll", pack.Process); err != nil {
 		t.Fatal(err)
 	}
-	play(t, binary, "crash-and-kill", "drains", "hang", "silence")
+	play(t, binary, nil, "crash-and-kill", "drains", "hang", "silence")
 }
 
-func play(t *testing.T, payroll string, only ...string) {
+// Three days of a deployment of another shape, by settings alone: workers answer a miss, there are no tenants, reports tell
+// no waiting events, the list tells sizes, and crossing zones costs.
+func TestDaysOfAnotherShape(t *testing.T) {
+	play(t, "", func(f *config.File) {
+		f.Fleet.Tenants = nil
+		for i := range f.Functions {
+			f.Functions[i].Tenant = ""
+		}
+		f.Fleet.Loading.OnMiss, f.Fleet.Allowed.Launches = "miss", 3
+		f.Fleet.Workers = config.Workers{Sizes: "cores", Reports: "none"}
+		f.Fleet.Crossing, f.Front.Zone = true, "zone-0"
+	}, "drains", "hang", "quiet")
+}
+
+func play(t *testing.T, payroll string, change func(*config.File), only ...string) {
 	defer goleak.VerifyNone(t)
 	f, err := config.Default()
 	if err != nil {
 		t.Fatal(err)
 	}
+	if change != nil {
+		change(&f)
+	}
 	all, err := rehearse.All(days.Files, f)
 	if err != nil || len(all) < 12 {
 		t.Fatalf("%d days: %v", len(all), err)
--- a/internal/rules/judge.go
+++ b/internal/rules/judge.go
@@ -183,7 +183,7 @@
 	return outstanding
 }
 
-// effects judges rule 2: no effect twice, never two launches at once.
+// effects judges rule 2: no effect twice, two launches at once only of redeliverable events and where settings allow it.
 func (j *judge) effects() {
 	where := j.places()
 	for event, launches := range j.events {
@@ -194,6 +194,9 @@
 			for _, earlier := range launches[:i] {
 				switch earlier.state(l.begin) {
 				case outstanding:
+					if t.Effect == "redeliverable" && j.facts.File.Fleet.Allowed.SecondCopies {
+						break
+					}
 					j.breach(2, l.front.Name, l.begin, event, l.worker, "launched while launch %d is outstanding at %s",
 						earlier.frame.Number, earlier.worker)
 				case mayHaveRun:
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -175,6 +175,19 @@
 			s.launch(0, 5002*ms, "b", "preview", "pay-preview", "x")(5040*ms, link.Done, ms)
 			s.answer(0, c, 5060*ms, 200, "x")
 		}},
+		{"two launches at once, allowed", nil, func(s *script) {
+			s.File.Fleet.Allowed.SecondCopies = true
+			c := s.request(0, 5*time.Second, "preview", "x")
+			s.launch(0, 5001*ms, "a", "preview", "pay-preview", "x")(5050*ms, link.Done, ms)
+			s.launch(0, 5002*ms, "b", "preview", "pay-preview", "x")(5040*ms, link.Done, ms)
+			s.answer(0, c, 5060*ms, 200, "x")
+		}},
+		{"launched after a longer grace", nil, func(s *script) {
+			s.File.Fleet.StopSendingWithin = config.Time(10 * time.Second)
+			c := s.request(0, 1500*ms, "preview", "x")
+			s.launch(0, 1501*ms, "c", "preview", "pay-preview", "x")(1510*ms, link.Done, ms)
+			s.answer(0, c, 1511*ms, 200, "x")
+		}},
 		{"keyed in another zone", []int{2}, func(s *script) {
 			c := s.request(0, 900*ms, "transfer", "x")
 			s.launch(0, 901*ms, "a", "transfer", "bank-transfer", "x")(910*ms, link.Failed, ms)
