--- a/choice/choice.go
+++ b/choice/choice.go
@@ -409,7 +409,8 @@
 	if f.tenant != e.Tenant { // it serves many: a refusal says nothing of one of them
 		f.tenant = ""
 	}
-	f.typ, f.lanes, f.load, f.memory = t, max(1, e.Lanes), min(max(0, e.LoadTime), time.Hour), told(e.Memory, mostMemory)
+	f.typ, f.lanes, f.memory = t, max(1, e.Lanes), told(e.Memory, mostMemory)
+	f.load = min(max(0, e.LoadTime), time.Hour)
 	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
 	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
