--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -335,7 +336,10 @@
 func load(line *simwire.Line) choice.Load {
 	pairs := line.Pairs("load report")
 	waiting, told := pairs["pending"]
-	return choice.Load{Told: told, Waiting: waiting}
+	if !told || !(waiting >= 0 && waiting < math.MaxInt32) { // no number of events
+		return choice.Load{}
+	}
+	return choice.Load{Told: true, Waiting: waiting}
 }
 
 // outcome decodes a code; they stand in the order of choice's results.
