Reread of the module: ranks once a worker, sizes kept once, one guard for reports

target sorted by ranks that each comparison worked out anew, warm ranked standings that it did not need, and measure went over the list twice with look-ups by name at each answer; a kind off the list had its size divided again each time. The same comparisons are made, once. Absurd reports were refused in simhost, in gate and in the module: the module does it for both hosts now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,7 +38,7 @@
 	tickShare, overflowShare  = 0.2, 0.25 // a function's tick and its overflow wait, of the target time
 	averaged, typeAveraged    = 10, 100   // answers in a function's average and in an event type's
 	firstLatency, freshSpan   = 10 * time.Millisecond, 5 * time.Second
-	firstShare, stuckAfter    = 0.125, 4   // first mean answer time, of the target; stuck after so many means
+	firstShare, stuckAfter    = 0.125, 4   // first mean answer time, of the target; most that one answer counts
 	rowBar, barMost           = 4, 8       // failures in a row that bar; longest bar in longest target times
 	overdue, believed         = 18.0, 0.5  // silence that bars, in mean answer times; most that can be bad
 	firstLimit, leastLimit    = 16.0, 2.0  // in-flight limit of a worker for all front ends, the least for each
@@ -74,18 +74,6 @@
 		fresh: window.New(freshSpan), came: window.New(4 * freshSpan)}
 }
 
-// AddKind tells the memory of a worker of one kind, in the unit of the events' memory.
-func (c *Chooser) AddKind(name string, memory float64) {
-	c.kind(name).memory = told(memory, mostMemory)
-}
-
-func (c *Chooser) kind(name string) *kind {
-	if c.kinds[name] == nil {
-		c.kinds[name] = &kind{takes: 1}
-	}
-	return c.kinds[name]
-}
-
 func (c *Chooser) AddType(t EventType) {
 	t.Target = max(t.Target, time.Millisecond)
 	c.types[t.Name] = &evtType{EventType: t, seen: 1, mean: part(firstShare, t.Target)}
@@ -98,34 +86,19 @@
 	c.tenants[name] = &tenant{quota: quota, came: window.New(freshSpan), again: window.New(freshSpan)}
 }
 
-// Allowed tells what the front end may do; back is the longest time to come back that clients honour, or 0.
-func (c *Chooser) Allowed(launches int, cancel, probe bool, back time.Duration) {
-	c.mostLaunches, c.cancel, c.probing, c.mostBack = max(1, launches), cancel, probe, back
-}
-
-// Loading tells how functions come to workers, how long copies and orders last, and the ration of orders.
-func (c *Chooser) Loading(orders, onMiss bool, keep, limit, within time.Duration, free, share float64) {
-	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, limit
-	c.rationed, c.orderFree, c.orderShare = within > 0, free, share
-	c.ordered, c.taken = window.New(within), window.New(within)
-}
-
 // ColdStarts tells what a worker that has just started stands.
 func (c *Chooser) ColdStarts(from float64, warmAfter time.Duration, multiple float64, fall time.Duration) {
 	c.coldFrom, c.warmAfter, c.multiple, c.fall = from, warmAfter, multiple, max(fall, time.Millisecond)
 	c.work = window.New(8 * c.fall)
 }
 
-// Crossing says that launches to other zones than this one cost something.
-func (c *Chooser) Crossing(own string) { c.zone = own }
-
 // Asking says that the list of workers must be asked for, at least so often unless subscribed.
 func (c *Chooser) Asking(within time.Duration) {
 	c.askAt, c.askWait = 0, max(within/8, time.Millisecond)
 }
 
-// told is a value that may be believed; 0, as if not told, where it is absurd or no number.
-func told(v, most float64) float64 {
+// believable is a value told, or 0, as if not told, where it is absurd or no number.
+func believable(v, most float64) float64 {
 	if v > 0 && v < most {
 		return v
 	}
@@ -154,27 +127,15 @@
 
 // size is a worker's part of the work over that of a mean one: its kind's mean, as each one's is told
 // roughly, and by how long answers of that kind take over those of the same functions elsewhere.
-func (c *Chooser) size(w *worker) float64 {
-	return c.kinds[w.Kind].size
-}
+func (c *Chooser) size(w *worker) float64 { return w.kind.size() / c.meanSize }
+
+func (k *kind) size() float64 { return k.told / k.number / k.takes }
 
-// measure takes the sizes from the list.
+// measure takes the mean size after the list or an answer has changed one.
 func (c *Chooser) measure() {
-	all := 0.0
-	for _, k := range c.kinds {
-		k.told, k.number = 0, 0
-	}
+	c.meanSize = 0
 	for _, w := range c.list {
-		k := c.kind(w.Kind)
-		k.told, k.number = k.told+cmp.Or(w.Size, 1), k.number+1
-	}
-	for _, w := range c.list {
-		k := c.kind(w.Kind)
-		k.size = k.told / k.number / k.takes
-		all += k.size / float64(len(c.list))
-	}
-	for _, k := range c.kinds {
-		k.size = k.size / all
+		c.meanSize += w.kind.size() / float64(len(c.list))
 	}
 }
 
@@ -196,12 +157,19 @@
 				coldLast: now, coldPart: float64(c.chance.Below(1000)) / 1000}
 			c.workers[l.Worker] = w
 		}
-		l.Size = told(l.Size, mostSize)
+		l.Size = believable(l.Size, mostSize)
 		w.Listing, w.listed = l, l.Condition != Gone
 	}
 	maps.DeleteFunc(c.workers, func(_ string, w *worker) bool { return !w.listed && len(w.out) == 0 })
 	byName := func(a, b *worker) int { return strings.Compare(a.Worker, b.Worker) }
 	c.list = slices.SortedFunc(maps.Values(c.workers), byName)
+	for _, k := range c.kinds {
+		k.told, k.number = 0, 0
+	}
+	for _, w := range c.list {
+		w.kind = c.kindOf(w.Kind)
+		w.kind.told, w.kind.number = w.kind.told+cmp.Or(w.Size, 1), w.kind.number+1
+	}
 	c.measure()
 	if c.all.took == nil {
 		c.all = c.limits(firstLimit*float64(len(c.list)), leastAll)
@@ -321,7 +289,7 @@
 
 // pace moves a worker's in-flight limit by the ratio of the shortest answer time to the present one.
 func (c *Chooser) pace(w *worker, e *Event, took, now time.Duration) {
-	t, k := e.typ, c.kinds[w.Kind]
+	t, k := e.typ, w.kind
 	if e.ahead > 0 { // the time that each event ahead costs: little, until it is seen
 		c.ahead += e.ahead
 		c.delayed += float64(max(0, took-t.short))
@@ -364,15 +332,6 @@
 
 func (f *function) usualLoad() time.Duration { return cmp.Or(f.load, f.typ.Target) }
 
-func (f *function) at(w *worker) *standing {
-	i := slices.IndexFunc(f.stands, func(s *standing) bool { return s.w == w })
-	if i < 0 {
-		i = len(f.stands)
-		f.stands = append(f.stands, &standing{w: w})
-	}
-	return f.stands[i]
-}
-
 // refresh lets beliefs expire and forgets standings without any.
 func (c *Chooser) refresh(f *function, now time.Duration) {
 	f.stands = slices.DeleteFunc(f.stands, func(s *standing) bool {
@@ -409,7 +368,7 @@
 	if f.tenant != e.Tenant { // it serves many: a refusal says nothing of one of them
 		f.tenant = ""
 	}
-	f.typ, f.lanes, f.memory = t, max(1, e.Lanes), told(e.Memory, mostMemory)
+	f.typ, f.lanes, f.memory = t, max(1, e.Lanes), believable(e.Memory, mostMemory)
 	f.load = min(max(0, e.LoadTime), time.Hour)
 	t.patience = max(t.patience, e.Patience)
 	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
@@ -471,7 +430,7 @@
 		seen, need = seen+1, need+int64(f.memory)
 	}
 	for _, w := range c.list {
-		room += copyShare * c.kind(w.Kind).memory
+		room += copyShare * w.kind.memory
 	}
 	c.discount = (once + atFirst) / (once + 2*twice + 2*atFirst)
 	if c.spread = spread; room > 0 && need > 0 { // what memory holds beyond one copy of each
@@ -509,10 +468,8 @@
 func (c *Chooser) fits(s *standing, e *Event, now time.Duration) bool {
 	w := s.w
 	soon := max(e.due-now, part(enoughShare, e.typ.Target)) // who is late already does not wait long
-	if c.delay*w.waits(now) > float64(soon) {
-		return false
-	}
-	return s.copies > 0 && now >= max(s.shut, w.refuses[e.Tenant].until) && c.room(w, now) && !c.full() &&
+	return c.delay*w.waits(now) <= float64(soon) && s.copies > 0 &&
+		now >= max(s.shut, w.refuses[e.Tenant].until) && c.room(w, now) && !c.full() &&
 		c.mayGo(e, w, now) && c.coldRoom(w, e, now) &&
 		(!w.trial || e.typ.Effect != AtMostOnce || now >= w.barred+w.barFor)
 }
@@ -521,12 +478,15 @@
 func (c *Chooser) warm(f *function, e *Event, spill bool, now time.Duration) (best *standing) {
 	var first float64
 	for _, s := range f.stands {
-		r := last(c.rank(s.w, f.id, c.self+1), s.w.behind(now)) + s.w.waits(now)
-		free := s.busy < s.copies*f.lanes && s.w != e.avoid
+		var r float64
 		if spill {
 			r = (s.w.waits(now) + float64(len(s.w.out)+1)) / c.size(s.w)
+		} else if s.busy < s.copies*f.lanes && s.w != e.avoid {
+			r = last(c.rank(s.w, f.id, c.self+1), s.w.behind(now)) + s.w.waits(now)
+		} else {
+			continue
 		}
-		if (free || spill) && (best == nil || r < first) && c.fits(s, e, now) {
+		if (best == nil || r < first) && c.fits(s, e, now) {
 			best, first = s, r
 		}
 	}
@@ -570,7 +530,8 @@
 	}
 	w := s.w
 	c.survey(now)
-	if c.told(w, o.Load, now); o.Took >= e.typ.Target && len(w.out) == 1 {
+	told := c.told(w, o.Load, now)
+	if o.Took >= e.typ.Target && len(w.out) == 1 {
 		w.late = now + c.longest
 	}
 	e.out, s.busy = nil, s.busy-1
@@ -589,7 +550,7 @@
 		r := refusal{row: min(w.refuses[e.Tenant].row+1, refusedMost)}
 		s.shut = now + part(refusedShare, f.typ.Target)<<r.row
 		w.limit = max(leastLimit, w.limit*fullFall)
-		if f.tenant != "" && o.Load.Told && o.Load.Waiting < 1 { // it has room
+		if f.tenant != "" && told && o.Load.Waiting < 1 { // it has room
 			r.until = s.shut
 		}
 		w.refuses[e.Tenant] = r
@@ -642,7 +603,7 @@
 	if w := c.workers[name]; w != nil {
 		w.probed = false
 		if r == Handled {
-			l.Waiting, l.Told = l.Waiting+c.crowd(w, took), true
+			l.Waiting, l.Told = believable(l.Waiting, mostSize)+c.crowd(w, took), true
 		}
 		c.told(w, l, now)
 		switch w.deaf = r != Handled && r != Full; r {
@@ -654,22 +615,17 @@
 	}
 }
 
-// told takes a load report. Where more events wait than ours, others take the lanes; ours obey the limit.
-func (c *Chooser) told(w *worker, l Load, now time.Duration) {
-	if l.Told {
-		w.toldAt, w.backed, w.waiting = now, 0, told(l.Waiting, mostSize)
-		if w.waiting > float64(len(w.out)) {
-			w.backed = now + part(backedShare, c.longest)
-		}
+// told takes a load report that can be believed, and says whether it was one. Where more events wait than
+// ours, others take the lanes; ours obey the limit.
+func (c *Chooser) told(w *worker, l Load, now time.Duration) bool {
+	if !l.Told || !(l.Waiting >= 0 && l.Waiting < mostSize) {
+		return false
 	}
-}
-
-// waits is how many events wait there, as far as is known.
-func (w *worker) waits(now time.Duration) float64 {
-	if now < w.backed {
-		return w.waiting
+	w.toldAt, w.backed, w.waiting = now, 0, l.Waiting
+	if w.waiting > float64(len(w.out)) {
+		w.backed = now + part(backedShare, c.longest)
 	}
-	return 0
+	return true
 }
 
 // crowd is how crowded a worker is by a probe's time, in events that wait there: what it took over the
@@ -694,8 +650,6 @@
 	return max(2*c.quantum, min(2*c.expected(e.fn), e.Patience/2))
 }
 
-func (c *Chooser) Left(e *Event) { e.ended = true }
-
 // Loaded takes the answer to a load order.
 func (c *Chooser) Loaded(now time.Duration, o Order, r Result, took time.Duration) {
 	w, f := c.workers[o.Worker], c.fns[o.Function]
@@ -883,13 +837,18 @@
 	} else if !first {
 		return fit[c.chance.Below(len(fit))]
 	}
-	order := func(w *worker) float64 { // those that hold many events last
-		return last(c.rank(w, f.id, 0), w.behind(now) || float64(len(w.out)) >= manyShare*w.limit)
+	nearest := func(a, b place) int { return cmp.Compare(a.rank, b.rank) }
+	places := make([]place, len(fit))
+	for i, w := range fit { // those that hold many events last
+		behind := w.behind(now) || float64(len(w.out)) >= manyShare*w.limit
+		places[i] = place{w, last(c.rank(w, f.id, 0), behind)}
 	}
-	slices.SortFunc(fit, func(v, w *worker) int { return cmp.Compare(order(v), order(w)) })
-	return slices.MinFunc(fit[:min(len(fit), c.homes(f, now))], func(v, w *worker) int {
-		return cmp.Compare(c.rank(v, f.id, c.self+1), c.rank(w, f.id, c.self+1))
-	})
+	slices.SortFunc(places, nearest)
+	places = places[:min(len(fit), c.homes(f, now))]
+	for i, p := range places {
+		places[i].rank = c.rank(p.w, f.id, c.self+1)
+	}
+	return slices.MinFunc(places, nearest).w
 }
 
 // homes is the number of workers for first copies of a function, by its part of the traffic: each front end
--- a/choice/types.go
+++ b/choice/types.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"slices"
 	"time"
 
 	"lupinpond/internal/chance"
@@ -182,7 +183,6 @@
 // kind is what is known of the workers of one kind.
 type kind struct {
 	told, number float64 // sum of the sizes told, workers
-	size         float64 // of one of them, over a mean worker
 	memory       float64 // of one of them; 0: not told
 	seen, takes  float64 // answers; their time over the mean of its function
 }
@@ -206,9 +206,16 @@
 	took, may *window.Window
 }
 
+// place is a worker in an order.
+type place struct {
+	w    *worker
+	rank float64
+}
+
 type worker struct {
 	Listing
 	limited
+	kind     *kind
 	hash     uint64
 	listed   bool
 	out      []*Event // launches outstanding, oldest first
@@ -269,17 +276,18 @@
 	quantum     time.Duration
 	longest     time.Duration // longest target time
 
-	types   map[string]*evtType
-	tenants map[string]*tenant
-	workers map[string]*worker
-	kinds   map[string]*kind
-	echoes  map[string]*echoes // by zone
-	zone    string             // its own, where crossing costs
-	list    []*worker          // those listed or with launches outstanding, by name
-	fns     map[uint64]*function
-	active  []*function // with held events
-	grown   []*function // whose first copy may belong elsewhere
-	recall  []*Event    // outstanding at workers just barred
+	types    map[string]*evtType
+	tenants  map[string]*tenant
+	workers  map[string]*worker
+	kinds    map[string]*kind   // those of the list or told of
+	meanSize float64            // of the workers of the list
+	echoes   map[string]*echoes // by zone
+	zone     string             // its own, where crossing costs
+	list     []*worker          // those listed or with launches outstanding, by name
+	fns      map[uint64]*function
+	active   []*function // with held events
+	grown    []*function // whose first copy may belong elsewhere
+	recall   []*Event    // outstanding at workers just barred
 
 	loadsOut   int     // orders not answered yet
 	loads      limited // of them
@@ -319,3 +327,52 @@
 	discount float64 // of the events of a function, what may be luck
 	countAt  time.Duration
 }
+
+// AddKind tells the memory of a worker of one kind, in the unit of the events' memory.
+func (c *Chooser) AddKind(name string, memory float64) {
+	c.kindOf(name).memory = believable(memory, mostMemory)
+}
+
+// Allowed tells what the front end may do; back is the longest time to come back that clients honour, or 0.
+func (c *Chooser) Allowed(launches int, cancel, probe bool, back time.Duration) {
+	c.mostLaunches, c.cancel, c.probing, c.mostBack = max(1, launches), cancel, probe, back
+}
+
+// Loading tells how functions come to workers, how long copies and orders last, and the ration of orders.
+func (c *Chooser) Loading(orders, onMiss bool, keep, limit, within time.Duration, free, share float64) {
+	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, limit
+	c.rationed, c.orderFree, c.orderShare = within > 0, free, share
+	c.ordered, c.taken = window.New(within), window.New(within)
+}
+
+// Crossing says that launches to other zones than this one cost something.
+func (c *Chooser) Crossing(own string) { c.zone = own }
+
+// Left says that the client of an event is gone.
+func (c *Chooser) Left(e *Event) { e.ended = true }
+
+// kindOf is what is known of a kind, from now on if not before.
+func (c *Chooser) kindOf(name string) *kind {
+	if c.kinds[name] == nil {
+		c.kinds[name] = &kind{takes: 1}
+	}
+	return c.kinds[name]
+}
+
+// at is what is believed of the function at a worker, from now on if not before.
+func (f *function) at(w *worker) *standing {
+	i := slices.IndexFunc(f.stands, func(s *standing) bool { return s.w == w })
+	if i < 0 {
+		i = len(f.stands)
+		f.stands = append(f.stands, &standing{w: w})
+	}
+	return f.stands[i]
+}
+
+// waits is how many events wait there, as far as is known.
+func (w *worker) waits(now time.Duration) float64 {
+	if now < w.backed {
+		return w.waiting
+	}
+	return 0
+}
--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -81,7 +81,7 @@
 
 // load tells of a report what the settings say that reports carry.
 func (g *Gate) load(r *link.Report) choice.Load {
-	if r == nil || r.Waiting < 0 || g.o.File.Fleet.Workers.Reports == "none" {
+	if r == nil || g.o.File.Fleet.Workers.Reports == "none" {
 		return choice.Load{}
 	}
 	return choice.Load{Told: true, Waiting: float64(r.Waiting)}
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -196,10 +195,8 @@
 	}
 	kinds, memory := strings.Split(set["kinds"], ","), strings.Split(set["family_info.machine_mb"], ",")
 	for i := range min(len(kinds), len(memory)) {
-		mb, err := strconv.ParseFloat(memory[i], 64)
-		if err == nil && mb > 0 {
-			f.Kinds = append(f.Kinds, core.Kind{Name: kinds[i], Memory: mb})
-		}
+		mb, _ := strconv.ParseFloat(memory[i], 64) // what is no number is not believed
+		f.Kinds = append(f.Kinds, core.Kind{Name: kinds[i], Memory: mb})
 	}
 	if set.Flag("policy_limits.retry_after", false) {
 		f.MostBack = set.Time("policy_limits.max_retry_after", 0)
@@ -336,10 +333,7 @@
 func load(line *simwire.Line) choice.Load {
 	pairs := line.Pairs("load report")
 	waiting, told := pairs["pending"]
-	if !told || !(waiting >= 0 && waiting < math.MaxInt32) { // no number of events
-		return choice.Load{}
-	}
-	return choice.Load{Told: true, Waiting: waiting}
+	return choice.Load{Told: told, Waiting: waiting}
 }
 
 // outcome decodes a code; they stand in the order of choice's results.
