--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -400,11 +400,7 @@
 			b.Place(b.now, e)
 			st := b.Wait(b.now)
 			b.loaded(st)
-			for _, a := range append(st.Answers, append(b.Wait(b.now).Answers, choice.Answer{Event: e})...) {
-				if a.Event.Outstanding() {
-					b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: took, Final: true})
-				}
-			}
+			b.handled(append(append(st.Answers, b.Wait(b.now).Answers...), choice.Answer{Event: e}), took)
 			b.now += 20 * ms
 		}
 		out := 0
@@ -470,15 +466,10 @@
 	b.Listed(b.now, true, []choice.Listing{{Worker: "big", Kind: "b", Size: 3}, {Worker: "small", Kind: "s", Size: 1}})
 	orders := map[string]int{}
 	for fn := range uint64(200) {
-		b.quiet(fn)
-		st := b.Wait(b.now)
-		b.loaded(st)
-		for _, o := range st.Orders {
+		e := &choice.Event{Type: "redeliverable", Function: fn, Patience: 3000 * ms, Lanes: 1, LoadTime: 400 * ms}
+		for _, o := range b.serve(e, 10*ms) {
 			orders[o.Worker]++
 		}
-		for _, a := range b.Wait(b.now).Answers {
-			b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 10 * ms, Final: true})
-		}
 	}
 	fmt.Println(orders["big"]/10*10, orders["small"]/10*10)
 	// Output:
@@ -640,16 +631,11 @@
 		b.Listed(b.now, true, []choice.Listing{{Worker: "a", Kind: "k", Size: v}, {Worker: "b", Kind: "l", Size: 1}})
 		orders := map[string]int{}
 		for fn := range uint64(100) {
-			b.Place(b.now, &choice.Event{Type: "redeliverable", Function: fn, Patience: 3000 * ms, Lanes: 1, Memory: v})
 			b.Probed(b.now, "a", choice.Handled, choice.Load{Told: true, Waiting: v}, ms)
-			st := b.Wait(b.now)
-			b.loaded(st)
-			for _, o := range st.Orders {
+			e := &choice.Event{Type: "redeliverable", Function: fn, Patience: 3000 * ms, Lanes: 1, Memory: v}
+			for _, o := range b.serve(e, 10*ms) {
 				orders[o.Worker]++
 			}
-			for _, a := range b.Wait(b.now).Answers {
-				b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 10 * ms, Final: true})
-			}
 		}
 		fmt.Println(v, "both are used", orders["a"] > 20 && orders["b"] > 20)
 	}
--- a/choice/help_test.go
+++ b/choice/help_test.go
@@ -79,6 +79,25 @@
 	}
 }
 
+// handled ends launches among answers well, after so long.
+func (b *bench) handled(answers []choice.Answer, took time.Duration) {
+	for _, a := range answers {
+		if a.Event.Outstanding() {
+			b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: took, Final: true})
+		}
+	}
+}
+
+// serve does what is due for a new event: loads are answered, and what they let go is handled after so long. It gives
+// the orders.
+func (b *bench) serve(e *choice.Event, took time.Duration) []choice.Order {
+	b.Place(b.now, e)
+	st := b.Wait(b.now)
+	b.loaded(st)
+	b.handled(b.Wait(b.now).Answers, took)
+	return st.Orders
+}
+
 // fleet starts front end self of peers over so many workers; it prints nothing by itself.
 func fleet(self, peers, workers int) *bench {
 	b := &bench{Chooser: choice.New(uint64(self), self, peers, 2*ms), now: time.Hour}
@@ -101,17 +120,12 @@
 		b := fleet(self, 40, 20)
 		b.AddKind("", memory)
 		for i := range 50 {
-			b.Place(b.now, &choice.Event{Type: "redeliverable", Function: function(i), Patience: 3000 * ms, Lanes: 4, Memory: 1})
-			st := b.Wait(b.now)
-			b.loaded(st)
-			for _, o := range st.Orders {
+			e := &choice.Event{Type: "redeliverable", Function: function(i), Patience: 3000 * ms, Lanes: 4, Memory: 1}
+			for _, o := range b.serve(e, 100*ms) {
 				if o.Function == 9 {
 					found[o.Worker] = true
 				}
 			}
-			for _, a := range b.Wait(b.now).Answers {
-				b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 100 * ms, Final: true})
-			}
 			b.now += 200 * ms
 		}
 	}
--- a/cmd/lpworker/main.go
+++ b/cmd/lpworker/main.go
@@ -230,18 +230,10 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve.Until(ctx, server, listener, 10*time.Second) })
 	g.Go(func() error {
-		tick := time.NewTicker(time.Second)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-tick.C:
-				if _, err := r.Sweep(); err != nil {
-					return err
-				}
-			}
-		}
+		return serve.Every(ctx, time.Second, func() error {
+			_, err := r.Sweep()
+			return err
+		})
 	})
 	log.Info("register listens", "address", listener.Addr().String())
 	return g.Wait()
--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -38,6 +38,17 @@
 	Release(function string)
 }
 
+// OtherShape makes f the settings of a deployment of the other shape (docs/migration.md), whose front ends stand in zone.
+func OtherShape(f *config.File, zone string) {
+	f.Fleet.Tenants = nil
+	for i := range f.Functions {
+		f.Functions[i].Tenant = ""
+	}
+	f.Fleet.Loading.OnMiss, f.Fleet.Allowed.Launches = "miss", 3
+	f.Fleet.Workers = config.Workers{Sizes: "cores", Reports: "none"}
+	f.Fleet.Crossing, f.Front.Zone = true, zone
+}
+
 // Releases is the packages of a store: every function of a catalogue, as the example program payroll.
 type Releases struct {
 	store  *Store
--- a/internal/gate/shape_test.go
+++ b/internal/gate/shape_test.go
@@ -11,19 +11,15 @@
 	"lupinpond/internal/config"
 	"lupinpond/internal/core"
 	"lupinpond/internal/corelog"
+	"lupinpond/internal/crew"
 )
 
 // One build serves a deployment whose workers answer a miss, report no waiting events and are told by kind and zone, by
 // its settings alone; the load reports and the list reach the module as those settings say.
 func TestOtherShape(t *testing.T) {
 	r := start(t, func(f *config.File) {
-		f.Fleet.Loading.OnMiss = "miss"
-		f.Fleet.Allowed.Launches = 3
-		f.Fleet.Tenants, f.Fleet.Crossing, f.Front.Zone = nil, true, "z"
-		for i := range f.Functions {
-			f.Functions[i].Tenant = ""
-		}
-		f.Fleet.Workers = config.Workers{Sizes: "cores", Kinds: []config.Kind{{Name: "box", Memory: 1 << 30}}, Reports: "none"}
+		crew.OtherShape(f, "z")
+		f.Fleet.Workers.Kinds = []config.Kind{{Name: "box", Memory: 1 << 30}}
 		f.Front.List = "http://127.0.0.1:1"
 		b, err := yaml.Marshal(*f)
 		if err == nil {
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -36,15 +36,7 @@
 // Three days of a deployment of another shape, by settings alone: workers answer a miss, there are no tenants, reports tell
 // no waiting events, the list tells sizes, and crossing zones costs.
 func TestDaysOfAnotherShape(t *testing.T) {
-	play(t, "", func(f *config.File) {
-		f.Fleet.Tenants = nil
-		for i := range f.Functions {
-			f.Functions[i].Tenant = ""
-		}
-		f.Fleet.Loading.OnMiss, f.Fleet.Allowed.Launches = "miss", 3
-		f.Fleet.Workers = config.Workers{Sizes: "cores", Reports: "none"}
-		f.Fleet.Crossing, f.Front.Zone = true, "zone-0"
-	}, "drains", "hang", "quiet")
+	play(t, "", func(f *config.File) { crew.OtherShape(f, "zone-0") }, "drains", "hang", "quiet")
 }
 
 func play(t *testing.T, payroll string, change func(*config.File), only ...string) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -1,4 +1,4 @@
-// Package serve runs HTTP servers for as long as a context lasts.
+// Package serve runs HTTP servers, and what is done every so often, for as long as a context lasts.
 package serve
 
 import (
@@ -36,6 +36,22 @@
 	return g.Wait()
 }
 
+// Every does something every so often until ctx ends, or until it fails.
+func Every(ctx context.Context, period time.Duration, do func() error) error {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if err := do(); err != nil {
+			return err
+		}
+	}
+}
+
 // Local is a server on a loopback port inside this process.
 type Local struct {
 	Addr  string // HOST:PORT
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,7 @@
 
 	"lupinpond/internal/kept"
 	"lupinpond/internal/layer"
+	"lupinpond/internal/serve"
 )
 
 const format = 1
@@ -520,18 +521,12 @@
 
 // Run collects every so often until ctx ends.
 func (s *Store) Run(ctx context.Context, every time.Duration) error {
-	tick := time.NewTicker(every)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			if n, err := s.Collect(); err != nil {
-				s.o.Log.Error("nothing collected", "err", err)
-			} else if n > 0 {
-				s.o.Log.Info("collected", "chunks", n)
-			}
+	return serve.Every(ctx, every, func() error {
+		if n, err := s.Collect(); err != nil {
+			s.o.Log.Error("nothing collected", "err", err)
+		} else if n > 0 {
+			s.o.Log.Info("collected", "chunks", n)
 		}
-	}
+		return nil
+	})
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -24,6 +24,7 @@
 	"lupinpond/internal/link"
 	"lupinpond/internal/pack"
 	"lupinpond/internal/runner"
+	"lupinpond/internal/serve"
 	"lupinpond/internal/supply"
 )
 
@@ -222,18 +223,12 @@
 	if w.o.Refresh <= 0 {
 		return nil
 	}
-	tick := time.NewTicker(w.o.Refresh)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+	return serve.Every(ctx, w.o.Refresh, func() error {
 		if err := w.Refresh(ctx); err != nil && ctx.Err() == nil {
 			w.o.Log.Warn("no new releases are known", "err", err)
 		}
-	}
+		return nil
+	})
 }
 
 func (w *Worker) reserve(p pack.Manifest) int64 {
@@ -684,14 +679,7 @@
 
 // sample looks at the memory of every copy and ends one that holds more than its package may.
 func (w *Worker) sample(ctx context.Context) error {
-	tick := time.NewTicker(w.o.Sample)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+	return serve.Every(ctx, w.o.Sample, func() error {
 		w.mu.Lock()
 		var all []*runner.Copy
 		for _, l := range w.copies {
@@ -719,7 +707,8 @@
 		if err := w.bound(); err != nil {
 			w.o.Log.Error("the log of copies is not bounded", "err", err)
 		}
-	}
+		return nil
+	})
 }
 
 // bound moves a log of copies that is too long aside. Copies write into the file themselves, so it is copied and cut; a line
