A client's time goes on while the front end's owner stands still

Cause: gate.invoke told the core the whole patience when the owner got to it. What passed since it was read comes off; TestCameDuringPause fails without. Pause returns once the owner stands still.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -337,7 +337,12 @@
 		fact: &choice.Event{ID: id, Type: call.Type.Name, Tenant: call.Tenant, Function: call.Function.ID(),
 			Patience: call.Patience, Lanes: call.Function.Lanes, Memory: float64(call.Function.Memory),
 			LoadTime: call.Function.LoadTime.D(), Repeat: call.Repeat}}
-	g.box.put(func(now time.Duration) { g.came(now, e) })
+	read := g.now()
+	g.box.put(func(now time.Duration) {
+		// the client's time goes on while the owner stands still; else what came meanwhile is answered too late (rule 1)
+		e.fact.Patience -= min(e.fact.Patience, max(0, now-read))
+		g.came(now, e)
+	})
 	select {
 	case a := <-e.reply:
 		a.Event = id
@@ -414,9 +419,19 @@
 	listenFirst = 10 * time.Millisecond
 )
 
-// Pause stops the owner for a time, as a stopped process would: for tests and rehearsed days.
+// Pause stops the owner for a time, as a stopped process would, and returns when it stands still: for tests and
+// rehearsed days.
 func (g *Gate) Pause(d time.Duration) {
-	g.box.put(func(time.Duration) { time.Sleep(d) })
+	<-g.started
+	still := make(chan struct{})
+	g.box.put(func(time.Duration) {
+		close(still)
+		time.Sleep(d)
+	})
+	select {
+	case <-still:
+	case <-g.hard.Done():
+	}
 }
 
 // Counts asks the owner of a running Gate for the numbers; zero once it has ended.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -286,6 +286,18 @@
 	all.Wait()
 }
 
+// What a front end finds after a pause that outlasted the client's time is deferred; it is not launched for nobody.
+func TestCameDuringPause(t *testing.T) {
+	r := start(t, nil)
+	r.wants("preview", "1", 2*time.Second, 200, " released") // loaded
+	before := r.ran("pay-preview")
+	r.gate.Pause(2 * time.Second)
+	r.wants("preview", "2", 500*time.Millisecond, 503, invoke.ProblemDeferred)
+	if n := r.ran("pay-preview") - before; n != 0 {
+		t.Errorf("%d runs for a client whose time was up", n)
+	}
+}
+
 // On the signal to end: what is in hand is answered, nothing new is taken, and it ends.
 func TestDrain(t *testing.T) {
 	r := start(t, nil)
