--- a/cmd/lpgate/main.go
+++ b/cmd/lpgate/main.go
@@ -16,12 +16,14 @@
 	"lupinpond/internal/capture"
 	"lupinpond/internal/config"
 	"lupinpond/internal/gate"
+	"lupinpond/internal/platform"
 	"lupinpond/internal/roster"
 	"lupinpond/internal/telemetry"
 )
 
 type flags struct {
 	telemetry.Flags
+	Config   string `help:"The platform's configuration: the front end speaks its protocol; no other flag counts then." env:"GW_CONFIG" type:"path"`
 	Settings string `help:"File of settings; without it the built-in defaults." type:"path"`
 	Listen   string `help:"Where clients come, instead of front.listen."`
 	Name     string `help:"Name of this front end in logs and events' ids."`
@@ -44,6 +46,9 @@
 
 func run(f flags) (err error) {
 	log := telemetry.New(os.Stderr, f.Flags)
+	if f.Config != "" {
+		return platform.Run(f.Config, log)
+	}
 	file, err := config.Default()
 	if f.Settings != "" {
 		file, err = config.Read(f.Settings)
--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -10,45 +10,48 @@
 
 	"lupinpond/choice"
 	"lupinpond/internal/capture"
-	"lupinpond/internal/core"
-	"lupinpond/internal/invoke"
 	"lupinpond/internal/link"
 	"lupinpond/internal/roster"
 )
 
-// The methods of core.Actor, called by the owner only.
+// links is the way out over the worker protocol, with the list from lproster.
+type links struct{ *Gate }
+
+// peer finds a worker's link; nil: none.
+func (l links) peer(worker string) *peer {
+	l.peersMu.Lock()
+	defer l.peersMu.Unlock()
+	return l.peers[worker]
+}
+
+// recaller gives a call up as the settings allow.
+type recaller struct {
+	*link.Call
+	tell bool
+}
+
+// Recall gives the launch up.
+func (r recaller) Recall() { r.Call.Recall(r.tell) }
 
 // Launch sends a launch to a worker.
-func (g *Gate) Launch(fact *choice.Event, launch int, worker string) {
-	g.counts.Launches++
-	e := g.events[fact.ID]
-	e.sent++
-	sent := time.Now()
-	end := func(now time.Duration, o link.Outcome) {
-		delete(e.out, launch)
-		g.outcome(now, e, launch, worker, time.Since(sent), o)
-	}
-	g.peersMu.Lock()
-	p := g.peers[worker]
-	g.peersMu.Unlock()
+func (l links) Launch(e *Event, launch int, worker string, left time.Duration, done func(choice.Outcome, []byte)) Launched {
+	p := l.peer(worker)
 	if p == nil {
-		g.later = append(g.later, func(now time.Duration) { end(now, link.Outcome{Fate: link.Unsent}) })
-		return
+		done(choice.Outcome{Result: choice.Unreached}, nil)
+		return nil
 	}
-	c := e.call
+	c := e.Call
 	window := time.Duration(0)
 	if c.Key != "" {
 		window = c.Type.Window.D()
 	}
-	left := fact.Patience - (g.now() - e.came)
-	e.out[launch] = p.Launch(link.Launch{Event: fact.ID, Number: launch, Function: c.Function.Name, Type: c.Type.Name,
+	return recaller{p.Launch(link.Launch{Event: e.Fact.ID, Number: launch, Function: c.Function.Name, Type: c.Type.Name,
 		Tenant: c.Tenant, Key: c.Key, Window: window, Client: c.Source + "\n" + c.ID, Body: c.Body}, left,
-		func(o link.Outcome) { g.box.put(func(now time.Duration) { end(now, o) }) })
+		func(o link.Outcome) { done(l.outcome(o)) }), l.cancel}
 }
 
-// outcome tells the core how a launch ended.
-func (g *Gate) outcome(now time.Duration, e *event, launch int, worker string, took time.Duration, o link.Outcome) {
-	out := choice.Outcome{Worker: worker, Took: took}
+// outcome is how a launch ended, and its answer.
+func (l links) outcome(o link.Outcome) (out choice.Outcome, body []byte) {
 	switch o.Fate {
 	case link.Unsent:
 		out.Result = choice.Unreached
@@ -58,10 +61,10 @@
 		out.Result = choice.Withdrawn
 	case link.Answered:
 		a := o.Answer
-		out.Warmth, out.Load = choice.Warmth(a.Warmth), g.load(a.Report)
+		out.Warmth, out.Load = choice.Warmth(a.Warmth), l.load(a.Report)
 		switch a.Code {
 		case link.Done:
-			out.Result, e.body = choice.Handled, a.Body
+			out.Result, body = choice.Handled, a.Body
 		case link.Full:
 			out.Result = choice.Full
 		case link.Missing:
@@ -74,9 +77,7 @@
 			out.Result = choice.Failed
 		}
 	}
-	if !g.core.Outcome(now, e.fact.ID, launch, out) {
-		g.counts.LateAnswers++
-	}
+	return out, body
 }
 
 // load tells of a report what the settings say that reports carry.
@@ -87,58 +88,20 @@
 	return choice.Load{Told: true, Waiting: float64(r.Waiting)}
 }
 
-// Handle answers the client.
-func (g *Gate) Handle(fact *choice.Event, launch int) {
-	e := g.events[fact.ID]
-	g.counts.Handled++
-	e.reply <- invoke.Answer{Ending: invoke.Handled, Launches: launch + 1, Body: e.body}
-}
-
-// Defer answers the client that another try is harmless.
-func (g *Gate) Defer(fact *choice.Event, back time.Duration, _ bool) {
-	g.counts.Deferred++
-	e := g.events[fact.ID]
-	e.reply <- invoke.Answer{Ending: invoke.Deferred, Launches: e.sent, Back: back,
-		Reason: "not handled in time; trying again does no harm"}
-}
-
-// DeadLetter answers the client that no other try was possible.
-func (g *Gate) DeadLetter(fact *choice.Event, launches int, mayRun bool) {
-	g.counts.DeadLettered++
-	g.events[fact.ID].reply <- invoke.Answer{Ending: invoke.DeadLettered, Launches: launches, MayRun: mayRun,
-		Reason: "not handled; its type allows no other try"}
-}
-
-// Withdraw gives a launch up; its outcome is a fact of a moment to come.
-func (g *Gate) Withdraw(fact *choice.Event, launch int, _ string) {
-	if c := g.events[fact.ID].out[launch]; c != nil {
-		c.Recall(g.cancel)
-	}
-}
-
-// Ended forgets an event; launches whose outcome was not waited for are given up.
-func (g *Gate) Ended(fact *choice.Event, _ int, _ core.Ending) {
-	e := g.events[fact.ID]
-	for _, c := range e.out {
-		c.Recall(g.cancel)
-	}
-	delete(g.twins, e.twin())
-	delete(g.events, fact.ID)
-}
-
 // Order sends a load order.
-func (g *Gate) Order(o choice.Order) {
-	g.counts.Orders++
-	sent := time.Now()
-	end := func(now time.Duration, out link.Outcome) {
-		took := time.Since(sent)
+func (l links) Order(o choice.Order, done func(copies int, r choice.Result)) {
+	p := l.peer(o.Worker)
+	if p == nil {
+		done(o.Copies, choice.Unreached)
+		return
+	}
+	p.Order(link.Order{Function: l.names[o.Function], Copies: o.Copies}, func(out link.Outcome) {
 		switch {
 		case out.Fate == link.Unsent:
-			g.core.Loaded(now, o, choice.Unreached, took)
+			done(o.Copies, choice.Unreached)
 		case out.Ordered == nil:
-			g.core.Loaded(now, o, choice.Broken, took)
+			done(o.Copies, choice.Broken)
 		default:
-			o.Copies = out.Ordered.Copies
 			result := choice.Failed
 			switch out.Ordered.Code {
 			case link.Done:
@@ -146,86 +109,38 @@
 			case link.Full, link.NotStarted:
 				result = choice.Full
 			}
-			g.core.Loaded(now, o, result, took)
+			done(out.Ordered.Copies, result)
 		}
-	}
-	g.peersMu.Lock()
-	p := g.peers[o.Worker]
-	g.peersMu.Unlock()
-	if p == nil {
-		g.later = append(g.later, func(now time.Duration) { end(now, link.Outcome{Fate: link.Unsent}) })
-		return
-	}
-	answered := false // the owner's
-	p.Order(link.Order{Function: g.names[o.Function], Copies: o.Copies}, func(out link.Outcome) {
-		g.box.put(func(now time.Duration) {
-			if !answered {
-				answered = true
-				end(now, out)
-			}
-		})
-	})
-	limit := g.o.File.Fleet.Loading.OrderLimit.D()
-	time.AfterFunc(limit, func() {
-		g.box.put(func(now time.Duration) {
-			if !answered {
-				answered = true
-				g.core.Loaded(now, o, choice.TimedOut, limit)
-			}
-		})
 	})
 }
 
 // Probe asks a worker for a report.
-func (g *Gate) Probe(worker string) {
-	g.counts.Probes++
-	g.peersMu.Lock()
-	p := g.peers[worker]
-	g.peersMu.Unlock()
+func (l links) Probe(worker string, done func(r choice.Result, load choice.Load)) {
+	p := l.peer(worker)
 	if p == nil {
-		g.later = append(g.later, func(now time.Duration) {
-			g.core.Probed(now, worker, choice.Unreached, choice.Load{}, 0)
-		})
+		done(choice.Unreached, choice.Load{})
 		return
 	}
-	answered, sent := false, time.Now()
-	end := func(now time.Duration, r choice.Result, l choice.Load) {
-		if !answered {
-			answered = true
-			g.core.Probed(now, worker, r, l, time.Since(sent))
-		}
-	}
 	p.Probe(func(o link.Outcome) {
-		g.box.put(func(now time.Duration) {
-			switch {
-			case o.Echo != nil:
-				end(now, choice.Handled, g.load(o.Echo.Report))
-			case o.Fate == link.Unsent:
-				end(now, choice.Unreached, choice.Load{})
-			default:
-				end(now, choice.Broken, choice.Load{})
-			}
-		})
-	})
-	time.AfterFunc(g.o.File.Front.Link.Dial.D(), func() {
-		g.box.put(func(now time.Duration) { end(now, choice.TimedOut, choice.Load{}) })
+		switch {
+		case o.Echo != nil:
+			done(choice.Handled, l.load(o.Echo.Report))
+		case o.Fate == link.Unsent:
+			done(choice.Unreached, choice.Load{})
+		default:
+			done(choice.Broken, choice.Load{})
+		}
 	})
 }
 
 // Ask subscribes to the list.
-func (g *Gate) Ask() {
+func (l links) Ask() {
 	select {
-	case g.asked <- struct{}{}:
+	case l.asked <- struct{}{}:
 	default:
 	}
 }
 
-// Wake sets the timer; the core asks only for one that comes before those it has asked for.
-func (g *Gate) Wake(after time.Duration) {
-	g.wakes = append(g.wakes, time.Now().Add(after))
-	g.wake.Reset(after)
-}
-
 // list subscribes whenever the core asks, and tells what comes.
 func (g *Gate) list(ctx context.Context) error {
 	dial := &net.Dialer{Timeout: g.o.File.Front.Link.Dial.D()}
@@ -248,7 +163,7 @@
 			return nil
 		}
 		g.log.Warn("the list broke off", "err", err)
-		g.box.put(func(now time.Duration) { g.core.ListFailed(now) })
+		g.ListFailed()
 	}
 }
 
@@ -260,7 +175,7 @@
 	g.peersMu.Lock()
 	for _, e := range n.Entries {
 		named[e.Name] = true
-		l := choice.Listing{Worker: e.Name, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, Started: max(0, e.Started.Sub(g.base))}
+		l := choice.Listing{Worker: e.Name, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, Started: g.Since(e.Started)}
 		if g.o.File.Fleet.Workers.Sizes == "cores" {
 			l.Size = e.Cores
 		}
@@ -285,7 +200,7 @@
 	if g.o.Known != nil {
 		g.o.Known(whole)
 	}
-	g.box.put(func(now time.Duration) { g.core.Listed(now, n.Whole, listings) })
+	g.Listed(n.Whole, listings)
 }
 
 // keep follows the list and gives the whole of it.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,8 +21,6 @@
 	"lupinpond/choice"
 	"lupinpond/internal/capture"
 	"lupinpond/internal/config"
-	"lupinpond/internal/core"
-	"lupinpond/internal/corelog"
 	"lupinpond/internal/invoke"
 	"lupinpond/internal/link"
 	"lupinpond/internal/roster"
@@ -52,34 +50,22 @@
 	Connections                                  int // to workers
 }
 
-// Gate is one front end.
+// Gate is one front end whose clients come over HTTP and whose workers speak the link.
 type Gate struct {
+	*Owner
 	o         Options
 	catalogue *invoke.Catalogue
 	log       *slog.Logger
-	base      time.Time // the core's clock is an hour at the start
 	grace     time.Duration
 	cancel    bool
 
-	box      mailbox
 	number   atomic.Uint64
 	inHand   atomic.Int64
 	draining atomic.Bool
 	clients  atomic.Int64
 	notTaken atomic.Int64
 	refused  atomic.Int64
-	started  chan struct{}
-
-	// the owner's
-	core     *core.Core
-	recorder *corelog.Recorder
 	names    map[uint64]string // functions
-	events   map[string]*event
-	twins    map[string]bool
-	counts   Counts
-	wake     *time.Timer
-	wakes    []time.Time               // to come, the earliest last
-	later    []func(now time.Duration) // facts that an action gave rise to
 
 	peersMu sync.Mutex
 	peers   map[string]*peer
@@ -89,17 +75,6 @@
 	asked   chan struct{}
 }
 
-// event is one event in hand, as the gate knows it beside the core.
-type event struct {
-	call  invoke.Call
-	reply chan invoke.Answer // holds one
-	out   map[int]*link.Call // launches without an outcome
-	body  []byte             // of the answer
-	fact  *choice.Event
-	came  time.Duration
-	sent  int // launches
-}
-
 // peer is a worker's link and how to end it.
 type peer struct {
 	*link.Peer
@@ -122,53 +97,20 @@
 		o.Name = fmt.Sprintf("front-%d-%x", o.Self, time.Now().UnixNano())
 	}
 	g := &Gate{o: o, catalogue: invoke.NewCatalogue(o.File), log: o.Log.With("front", o.Name),
-		base: time.Now().Add(-time.Hour), grace: o.File.Fleet.StopSendingWithin.D() / 2,
-		cancel: o.File.Fleet.Allowed.Cancel, names: map[uint64]string{}, events: map[string]*event{}, twins: map[string]bool{},
-		peers: map[string]*peer{}, known: map[string]roster.Entry{}, asked: make(chan struct{}, 1), started: make(chan struct{})}
-	g.box.kick = make(chan struct{}, 1)
+		grace:  o.File.Fleet.StopSendingWithin.D() / 2,
+		cancel: o.File.Fleet.Allowed.Cancel, names: map[uint64]string{},
+		peers: map[string]*peer{}, known: map[string]roster.Entry{}, asked: make(chan struct{}, 1)}
 	for _, f := range o.File.Functions {
 		if other, twice := g.names[f.ID()]; twice {
 			return nil, fmt.Errorf("gate: functions %q and %q have the same number", f.Name, other)
 		}
 		g.names[f.ID()] = f.Name
 	}
-	front := o.File.Core(o.Seed, o.Self, max(1, o.Peers))
-	if o.Record != nil {
-		g.core, g.recorder = corelog.Start(front, g, o.Record)
-	} else {
-		g.core = core.New(front, g)
-	}
+	g.Owner = NewOwner(o.File.Core(o.Seed, o.Self, max(1, o.Peers)), links{g}, o.Record,
+		o.File.Fleet.Loading.OrderLimit.D(), o.File.Front.Link.Dial.D())
 	return g, nil
 }
 
-// now is the core's clock. It runs on while the process is paused.
-func (g *Gate) now() time.Duration { return time.Since(g.base) }
-
-// mailbox holds facts for the owner. What may be in it is bounded by the events in hand and the calls to workers.
-type mailbox struct {
-	mu    sync.Mutex
-	facts []func(now time.Duration)
-	kick  chan struct{}
-}
-
-func (m *mailbox) put(f func(now time.Duration)) {
-	m.mu.Lock()
-	m.facts = append(m.facts, f)
-	m.mu.Unlock()
-	select {
-	case m.kick <- struct{}{}:
-	default:
-	}
-}
-
-func (m *mailbox) take() []func(now time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	facts := m.facts
-	m.facts = nil
-	return facts
-}
-
 // Run serves until ctx ends; then it takes no new events, answers every event in hand, says goodbye to the workers and
 // returns, at the latest after the longest max age and the answer slack. kill, if it ends, ends all at once instead,
 // without a word to anybody.
@@ -197,11 +139,10 @@
 	if g.o.Stale != nil {
 		g.news(*g.o.Stale)
 	}
-	links.Go(func() error { return g.own(hardLinks) })
+	links.Go(func() error { return g.Owner.Run(hardLinks) })
 	links.Go(func() error { return g.list(hardLinks) })
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(limited) }()
-	close(g.started)
 	g.log.Info("front end listens", "address", g.o.Listener.Addr().String())
 
 	var err error
@@ -333,121 +274,37 @@
 	}
 	defer g.inHand.Add(-1)
 	id := fmt.Sprintf("%s-%d", g.o.Name, g.number.Add(1))
-	e := &event{call: call, reply: make(chan invoke.Answer, 1), out: map[int]*link.Call{},
-		fact: &choice.Event{ID: id, Type: call.Type.Name, Tenant: call.Tenant, Function: call.Function.ID(),
+	reply := make(chan invoke.Answer, 1)
+	e := &Event{Call: call, Twin: twin(call), Body: call.Body, Reply: func(a invoke.Answer) { reply <- a },
+		Fact: &choice.Event{ID: id, Type: call.Type.Name, Tenant: call.Tenant, Function: call.Function.ID(),
 			Patience: call.Patience, Lanes: call.Function.Lanes, Memory: float64(call.Function.Memory),
 			LoadTime: call.Function.LoadTime.D(), Repeat: call.Repeat}}
-	read := g.now()
-	g.box.put(func(now time.Duration) {
-		// the client's time goes on while the owner stands still; else what came meanwhile is answered too late (rule 1)
-		e.fact.Patience -= min(e.fact.Patience, max(0, now-read))
-		g.came(now, e)
-	})
+	g.Take(e)
 	select {
-	case a := <-e.reply:
+	case a := <-reply:
 		a.Event = id
 		g.bound(w)
 		invoke.Write(w, a)
 	case <-r.Context().Done():
-		g.box.put(func(now time.Duration) {
-			if g.core.Left(now, id) {
-				g.counts.Left++
-			}
-		})
+		g.Left(id)
 		panic(http.ErrAbortHandler) // returning would send an empty 200: a client that still reads would take it for handled
 	}
 }
 
 // twin is what must not be in hand twice; empty where a second one does no harm.
-func (e *event) twin() string {
-	if e.call.ID == "" || e.fact.Type == "" || e.call.Type.Effect == "redeliverable" {
+func twin(c invoke.Call) string {
+	if c.ID == "" || c.Type.Name == "" || c.Type.Effect == "redeliverable" {
 		return ""
 	}
-	return e.call.Tenant + "\n" + e.call.Source + "\n" + e.call.ID
-}
-
-// own is the goroutine that owns the core.
-func (g *Gate) own(ctx context.Context) error {
-	g.wake = time.NewTimer(0)
-	g.wakes = append(g.wakes, time.Now())
-	defer g.wake.Stop()
-	for {
-		var woke, late bool
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-g.box.kick:
-		case <-g.wake.C:
-			woke = true
-			late = time.Since(g.wakes[len(g.wakes)-1]) > pausedAfter
-			for n := len(g.wakes); n > 0 && time.Since(g.wakes[n-1]) >= 0; n-- {
-				g.wakes = g.wakes[:n-1]
-			}
-			if n := len(g.wakes); n > 0 {
-				g.wake.Reset(time.Until(g.wakes[n-1]))
-			}
-		}
-		if late { // the process was paused: what was said meanwhile is heard before anything is judged late
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-time.After(listenFirst):
-			}
-		}
-		now := g.now()
-		for _, fact := range g.box.take() {
-			fact(now)
-		}
-		if woke {
-			g.core.Woke(now)
-		}
-		g.core.Settle(now)
-		for len(g.later) > 0 { // what could not be done is a fact of the same moment
-			facts := g.later
-			g.later = nil
-			for _, fact := range facts {
-				fact(now)
-			}
-			g.core.Settle(now)
-		}
-	}
-}
-
-// A timer that comes so late tells of a pause of the process; then sockets are listened to for a moment first.
-const (
-	pausedAfter = 200 * time.Millisecond
-	listenFirst = 10 * time.Millisecond
-)
-
-// Pause stops the owner for a time, as a stopped process would, and returns when it stands still: for tests and
-// rehearsed days.
-func (g *Gate) Pause(d time.Duration) {
-	<-g.started
-	still := make(chan struct{})
-	g.box.put(func(time.Duration) {
-		close(still)
-		time.Sleep(d)
-	})
-	select {
-	case <-still:
-	case <-g.hard.Done():
-	}
+	return c.Tenant + "\n" + c.Source + "\n" + c.ID
 }
 
 // Counts asks the owner of a running Gate for the numbers; zero once it has ended.
-func (g *Gate) Counts(ctx context.Context) Counts {
-	<-g.started
-	got := make(chan Counts, 1)
-	g.box.put(func(time.Duration) {
-		got <- g.Last()
-	})
-	select {
-	case c := <-got:
-		return c
-	case <-ctx.Done():
-	case <-g.hard.Done():
+func (g *Gate) Counts(ctx context.Context) (c Counts) {
+	if !g.ask(ctx, func() { c = g.Last() }) {
+		return Counts{}
 	}
-	return Counts{}
+	return c
 }
 
 // Last is the numbers of a Gate whose Run has returned.
@@ -462,20 +319,3 @@
 	}
 	return c
 }
-
-func (g *Gate) came(now time.Duration, e *event) {
-	if twin := e.twin(); twin != "" { // the client's own name of it: two at once might both run
-		if g.twins[twin] {
-			e.reply <- invoke.Answer{Ending: invoke.InHand, Reason: "an event of this ce-source and ce-id is in hand"}
-			return
-		}
-		g.twins[twin] = true
-	}
-	e.came = now
-	g.events[e.fact.ID] = e // the core may act on it at once
-	g.counts.Taken++
-	if err := g.core.Came(now, e.fact); err != nil {
-		delete(g.events, e.fact.ID)
-		e.reply <- invoke.Answer{Ending: invoke.NotTaken, Reason: err.Error()}
-	}
-}
--- /dev/null
+++ b/internal/gate/owner.go
@@ -0,0 +1,345 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"lupinpond/choice"
+	"lupinpond/internal/core"
+	"lupinpond/internal/corelog"
+	"lupinpond/internal/invoke"
+)
+
+// Event is one event in hand, as the front end knows it beside the core.
+type Event struct {
+	Fact  *choice.Event
+	Twin  string                // what must not be in hand twice; empty where a second one does no harm
+	Reply func(a invoke.Answer) // told the final answer, by the owner; must not wait
+	Gone  func()                // called when nothing follows for the event; may be nil
+	Body  []byte                // as the client sent it
+	Call  invoke.Call           // of a client of the invoke API
+
+	came   time.Duration
+	sent   int              // launches
+	out    map[int]Launched // those without an outcome
+	answer []byte           // the body of the answer
+}
+
+// Launched is a launch under way at a worker.
+type Launched interface {
+	Recall() // gives it up; its outcome comes all the same, unless it was told before
+}
+
+// Workers is the way out of a front end: it carries launches, orders and probes to the workers, and brings the list. What
+// done functions tell may come at any time, also at once, from any goroutine; the first counts.
+type Workers interface {
+	Launch(e *Event, launch int, worker string, left time.Duration, done func(o choice.Outcome, body []byte)) Launched
+	Order(o choice.Order, done func(copies int, r choice.Result))
+	Probe(worker string, done func(r choice.Result, l choice.Load))
+	Ask() // for the list
+}
+
+// Owner owns the core of one front end: one goroutine takes facts from a mailbox, tells them to the core moment by
+// moment, and carries out what the core says. Ways in put events there, ways out what comes of them.
+type Owner struct {
+	base       time.Time // the core's clock is an hour at the start
+	box        mailbox
+	started    chan struct{}
+	gone       chan struct{}
+	core       *core.Core
+	recorder   *corelog.Recorder
+	workers    Workers
+	orderLimit time.Duration // an order that is not answered by then is lost
+	probeLimit time.Duration // and a probe
+
+	// the goroutine's
+	events map[string]*Event
+	twins  map[string]bool
+	counts Counts
+	wake   *time.Timer
+	wakes  []time.Time // to come, the earliest last
+}
+
+// NewOwner makes the owner of a core; record gets a recording of it where it is not nil. Run runs it.
+func NewOwner(front core.Front, workers Workers, record io.Writer, orderLimit, probeLimit time.Duration) *Owner {
+	o := &Owner{base: time.Now().Add(-time.Hour), workers: workers, orderLimit: orderLimit, probeLimit: probeLimit,
+		events: map[string]*Event{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{})}
+	o.box.kick = make(chan struct{}, 1)
+	if record != nil {
+		o.core, o.recorder = corelog.Start(front, o, record)
+	} else {
+		o.core = core.New(front, o)
+	}
+	return o
+}
+
+// Now is the core's clock. It runs on while the process is paused.
+func (o *Owner) Now() time.Duration { return time.Since(o.base) }
+
+// Since turns a time of the wall clock into one of the core's, which is 0 for all that is long ago.
+func (o *Owner) Since(t time.Time) time.Duration { return max(0, t.Sub(o.base)) }
+
+// mailbox holds facts for the owner. What may be in it is bounded by the events in hand and the calls to workers.
+type mailbox struct {
+	mu    sync.Mutex
+	facts []func(now time.Duration)
+	kick  chan struct{}
+}
+
+func (m *mailbox) put(f func(now time.Duration)) {
+	m.mu.Lock()
+	m.facts = append(m.facts, f)
+	m.mu.Unlock()
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (m *mailbox) take() []func(now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	facts := m.facts
+	m.facts = nil
+	return facts
+}
+
+// Take takes an event that was read just now. Just one final answer is given to its Reply, unless its client leaves.
+func (o *Owner) Take(e *Event) {
+	read := o.Now()
+	o.box.put(func(now time.Duration) {
+		// the client's time goes on while the owner stands still; else what came meanwhile is answered too late (rule 1)
+		e.Fact.Patience -= min(e.Fact.Patience, max(0, now-read))
+		o.came(now, e)
+	})
+}
+
+// Left tells that the client of an event is gone.
+func (o *Owner) Left(id string) {
+	o.box.put(func(now time.Duration) {
+		if o.core.Left(now, id) {
+			o.counts.Left++
+		}
+	})
+}
+
+// Listed tells news of the list of workers.
+func (o *Owner) Listed(whole bool, news []choice.Listing) {
+	o.box.put(func(now time.Duration) { o.core.Listed(now, whole, news) })
+}
+
+// ListFailed tells that the list broke off.
+func (o *Owner) ListFailed() {
+	o.box.put(func(now time.Duration) { o.core.ListFailed(now) })
+}
+
+// Run is the goroutine that owns the core.
+func (o *Owner) Run(ctx context.Context) error {
+	defer close(o.gone)
+	o.wake = time.NewTimer(0)
+	o.wakes = append(o.wakes, time.Now())
+	defer o.wake.Stop()
+	close(o.started)
+	for {
+		var woke, late bool
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-o.box.kick:
+		case <-o.wake.C:
+			woke = true
+			late = time.Since(o.wakes[len(o.wakes)-1]) > pausedAfter
+			for n := len(o.wakes); n > 0 && time.Since(o.wakes[n-1]) >= 0; n-- {
+				o.wakes = o.wakes[:n-1]
+			}
+			if n := len(o.wakes); n > 0 {
+				o.wake.Reset(time.Until(o.wakes[n-1]))
+			}
+		}
+		if late { // the process was paused: what was said meanwhile is heard before anything is judged late
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(listenFirst):
+			}
+		}
+		now := o.Now()
+		for _, fact := range o.box.take() {
+			fact(now)
+		}
+		if woke {
+			o.core.Woke(now)
+		}
+		o.core.Settle(now)
+	}
+}
+
+// A timer that comes so late tells of a pause of the process; then sockets are listened to for a moment first.
+const (
+	pausedAfter = 200 * time.Millisecond
+	listenFirst = 10 * time.Millisecond
+)
+
+// Pause stops the owner for a time, as a stopped process would, and returns when it stands still: for tests and
+// rehearsed days.
+func (o *Owner) Pause(d time.Duration) {
+	<-o.started
+	still := make(chan struct{})
+	o.box.put(func(time.Duration) {
+		close(still)
+		time.Sleep(d)
+	})
+	select {
+	case <-still:
+	case <-o.gone:
+	}
+}
+
+// ask has the goroutine call get; false once it has ended.
+func (o *Owner) ask(ctx context.Context, get func()) bool {
+	<-o.started
+	got := make(chan struct{})
+	o.box.put(func(time.Duration) {
+		get()
+		close(got)
+	})
+	select {
+	case <-got:
+		return true
+	case <-ctx.Done():
+	case <-o.gone:
+	}
+	return false
+}
+
+func (o *Owner) came(now time.Duration, e *Event) {
+	if e.Twin != "" { // the client's own name of it: two at once might both run
+		if o.twins[e.Twin] {
+			e.Reply(invoke.Answer{Ending: invoke.InHand, Reason: "an event of this id is in hand"})
+			return
+		}
+		o.twins[e.Twin] = true
+	}
+	e.came, e.out = now, map[int]Launched{}
+	if o.events[e.Fact.ID] != nil {
+		delete(o.twins, e.Twin)
+		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: core.ErrInHand.Error()})
+		return
+	}
+	o.events[e.Fact.ID] = e // the core may act on it at once
+	o.counts.Taken++
+	if err := o.core.Came(now, e.Fact); err != nil {
+		delete(o.events, e.Fact.ID)
+		delete(o.twins, e.Twin)
+		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: err.Error()})
+	}
+}
+
+// The methods of core.Actor, called by the goroutine only.
+
+// Launch sends a launch to a worker.
+func (o *Owner) Launch(fact *choice.Event, launch int, worker string) {
+	o.counts.Launches++
+	e := o.events[fact.ID]
+	e.sent++
+	sent := time.Now()
+	left := fact.Patience - (o.Now() - e.came)
+	e.out[launch] = o.workers.Launch(e, launch, worker, left, func(out choice.Outcome, body []byte) {
+		o.box.put(func(now time.Duration) {
+			delete(e.out, launch)
+			out.Worker, out.Took = worker, time.Since(sent)
+			if out.Result == choice.Handled {
+				e.answer = body
+			}
+			if !o.core.Outcome(now, fact.ID, launch, out) {
+				o.counts.LateAnswers++
+			}
+		})
+	})
+}
+
+// Handle answers the client.
+func (o *Owner) Handle(fact *choice.Event, launch int) {
+	o.counts.Handled++
+	e := o.events[fact.ID]
+	e.Reply(invoke.Answer{Ending: invoke.Handled, Launches: launch + 1, Body: e.answer})
+}
+
+// Defer answers the client that another try is harmless.
+func (o *Owner) Defer(fact *choice.Event, back time.Duration, _ bool) {
+	o.counts.Deferred++
+	e := o.events[fact.ID]
+	e.Reply(invoke.Answer{Ending: invoke.Deferred, Launches: e.sent, Back: back,
+		Reason: "not handled in time; trying again does no harm"})
+}
+
+// DeadLetter answers the client that no other try was possible.
+func (o *Owner) DeadLetter(fact *choice.Event, launches int, mayRun bool) {
+	o.counts.DeadLettered++
+	o.events[fact.ID].Reply(invoke.Answer{Ending: invoke.DeadLettered, Launches: launches, MayRun: mayRun,
+		Reason: "not handled; its type allows no other try"})
+}
+
+// Withdraw gives a launch up; its outcome is a fact of a moment to come.
+func (o *Owner) Withdraw(fact *choice.Event, launch int, _ string) {
+	if l := o.events[fact.ID].out[launch]; l != nil {
+		l.Recall()
+	}
+}
+
+// Ended forgets an event; launches whose outcome was not waited for are given up.
+func (o *Owner) Ended(fact *choice.Event, _ int, _ core.Ending) {
+	e := o.events[fact.ID]
+	for _, l := range e.out {
+		l.Recall()
+	}
+	delete(o.twins, e.Twin)
+	delete(o.events, fact.ID)
+	if e.Gone != nil {
+		e.Gone()
+	}
+}
+
+// Order sends a load order.
+func (o *Owner) Order(order choice.Order) {
+	o.counts.Orders++
+	sent, answered := time.Now(), false
+	end := func(copies int, r choice.Result) {
+		o.box.put(func(now time.Duration) {
+			if !answered {
+				answered = true
+				order.Copies = copies
+				o.core.Loaded(now, order, r, time.Since(sent))
+			}
+		})
+	}
+	o.workers.Order(order, end)
+	time.AfterFunc(o.orderLimit, func() { end(order.Copies, choice.TimedOut) })
+}
+
+// Probe asks a worker for a report.
+func (o *Owner) Probe(worker string) {
+	o.counts.Probes++
+	sent, answered := time.Now(), false
+	end := func(r choice.Result, l choice.Load) {
+		o.box.put(func(now time.Duration) {
+			if !answered {
+				answered = true
+				o.core.Probed(now, worker, r, l, time.Since(sent))
+			}
+		})
+	}
+	o.workers.Probe(worker, end)
+	time.AfterFunc(o.probeLimit, func() { end(choice.TimedOut, choice.Load{}) })
+}
+
+// Ask subscribes to the list.
+func (o *Owner) Ask() { o.workers.Ask() }
+
+// Wake sets the timer; the core asks only for one that comes before those it has asked for.
+func (o *Owner) Wake(after time.Duration) {
+	o.wakes = append(o.wakes, time.Now().Add(after))
+	o.wake.Reset(after)
+}
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,108 @@
+// Package platform is a front end on the operators' platform: its configuration, readiness and signals, and the ways in
+// and out that its protocol asks for, around the owner of the core that all front ends have. Clients speak Thrift,
+// workers RESP, and a journal service tells the list. It decides nothing about events, launches or loads.
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"lupinpond/internal/core"
+	"lupinpond/internal/feed"
+	"lupinpond/internal/settings"
+)
+
+// Config is what the platform tells a front end.
+type Config struct {
+	Name, Listen, Journal string
+	Cores                 float64
+	Memory                int64 // bytes
+	Sockets               int
+	Known                 feed.News
+	Settings              settings.Paths
+	Front                 core.Front
+}
+
+const mostConfig = 16 << 20
+
+// Read reads a configuration file.
+func Read(path string) (Config, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	if info.Size() > mostConfig {
+		return Config{}, fmt.Errorf("configuration %s: longer than %d bytes", path, mostConfig)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := Parse(b)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration.
+func Parse(b []byte) (Config, error) {
+	var file struct {
+		Name, Listen, Seed, Journal string
+		Limits                      struct {
+			Cores   float64 `json:"cores"`
+			Memory  float64 `json:"memory_mb"`
+			Sockets int     `json:"sockets"`
+		}
+		Known    json.RawMessage
+		Settings map[string]any
+	}
+	decode := json.NewDecoder(bytes.NewReader(b))
+	decode.UseNumber()
+	if err := decode.Decode(&file); err != nil {
+		return Config{}, err
+	}
+	c := Config{Name: file.Name, Listen: file.Listen, Journal: file.Journal, Cores: file.Limits.Cores,
+		Memory: int64(file.Limits.Memory * (1 << 20)), Sockets: file.Limits.Sockets}
+	for _, addr := range []string{c.Listen, c.Journal} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return Config{}, err
+		}
+	}
+	seed, err := strconv.ParseUint(file.Seed, 16, 64)
+	if err != nil {
+		return Config{}, fmt.Errorf("seed: %w", err)
+	}
+	if !(c.Cores > 0) || c.Memory <= 0 || c.Sockets < leastSockets {
+		return Config{}, fmt.Errorf("limits: cores and memory_mb above 0 and at least %d sockets are needed", leastSockets)
+	}
+	if len(file.Known) > 0 {
+		if c.Known, err = feed.Parse(file.Known); err != nil {
+			return Config{}, err
+		}
+	}
+	c.Settings = settings.Flat(file.Settings)
+	c.Front = c.Settings.Front(seed)
+	c.Front.Deadlines = true
+	if len(c.Front.Types) == 0 {
+		return Config{}, fmt.Errorf("settings: no class of events")
+	}
+	return c, nil
+}
+
+const leastSockets = 16
+
+// ages tells the max age of each event type, and the longest.
+func (c Config) ages() (ages map[string]time.Duration, longest time.Duration) {
+	ages = map[string]time.Duration{}
+	for i, t := range c.Front.Types {
+		ages[t.Name] = c.Settings.Time("request_classes."+strconv.Itoa(i)+".give_up", time.Minute)
+		longest = max(longest, ages[t.Name])
+	}
+	return ages, longest
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,240 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lupinpond/choice"
+	"lupinpond/internal/feed"
+	"lupinpond/internal/gate"
+	"lupinpond/internal/invoke"
+	"lupinpond/internal/resp"
+	"lupinpond/internal/thrift"
+)
+
+// Parts of what the platform allows that may be used for one purpose, and multiples of its times: protection, so that
+// what others do wrong can't bring the front end down.
+const (
+	clientSockets = 2 // one of so many descriptors for clients, who use a third at most if they keep to the protocol
+	workerSockets = 3 // and for workers; the rest is for the journal, the listener and what is being closed
+	bodyMemory    = 8 // and of the memory for bodies in hand
+	feedMemory    = 16
+	muteDials     = 5                      // a client's message is whole, or its answer read, within so many times for a connection
+	journalWaits  = 2                      // the journal is asked anew after so much of the drain grace
+	comeLate      = 700 * time.Millisecond // of the platform: requests go on coming so long after SIGTERM
+	killAfter     = 3 * time.Second        // of the platform: SIGKILL comes so long after that, or after the longest max age
+	mostAnswer    = 1 << 20                // bytes of one word of a worker's answer
+)
+
+// Front is one front end on the platform.
+type Front struct {
+	*gate.Owner
+	config   Config
+	log      *slog.Logger
+	reads    reads
+	longest  time.Duration
+	listener net.Listener
+	server   *thrift.Server
+	workers  *workers
+	feed     *feed.Feed
+	bytes    atomic.Int64 // of bodies in hand
+	stopBy   atomic.Int64 // Unix nanoseconds when a front end that was told to end is killed; 0: it goes on
+	recent   recent
+	stopped  context.CancelFunc
+	hard     context.Context
+}
+
+// New makes a front end that serves on a listener; record gets a recording of the core where it is not nil.
+func New(c Config, listener net.Listener, log *slog.Logger, record io.Writer) *Front {
+	f := &Front{config: c, log: log.With("front", c.Name), listener: listener, reads: reads{tenants: map[string]bool{}}}
+	f.hard, f.stopped = context.WithCancel(context.Background())
+	f.reads.ages, f.longest = c.ages()
+	for _, t := range c.Front.Tenants {
+		f.reads.tenants[t.Name] = true
+	}
+	dial := max(c.Settings.Time("policy_limits.dial_timeout", 250*time.Millisecond), time.Millisecond)
+	idle := c.Settings.Time("policy_limits.conn_idle", 15*time.Second)
+	streams := max(1, int(c.Settings.Number("policy_limits.max_streams", 32)))
+	f.workers = &workers{cancel: c.Front.Cancel, list: map[string]*backend{},
+		pool: resp.NewPool(f.hard, resp.Limits{Dial: dial, Idle: idle / 2, Streams: streams, Conns: c.Sockets / workerSockets,
+			Word: mostAnswer})}
+	if c.Settings["report.source"] != "off" {
+		f.workers.report = "pending"
+	}
+	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: streams,
+		Conns: c.Sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial}, f.handle)
+	f.Owner = gate.NewOwner(c.Front, f.workers, record, c.Front.Loading.Limit, dial)
+	f.recent.keep = f.longest
+	f.feed = feed.New(c.Journal, feed.Limits{Wait: journalWaits * c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond),
+		Answer: dial, Bytes: c.Memory / feedMemory}, f.log, f.news)
+	return f
+}
+
+// Reload takes what a new configuration changes while the front end runs: where the journal is.
+func (f *Front) Reload(c Config) {
+	f.log.Info("new configuration", "journal", c.Journal)
+	f.feed.Move(c.Journal)
+}
+
+// Run serves until ctx ends. Then it goes on taking requests for as long as the platform lets them come, answers all in
+// hand, and returns; it is not killed with one unanswered, as clients' time ends before.
+func (f *Front) Run(ctx context.Context) error {
+	defer f.stopped()
+	g, hard := errgroup.WithContext(f.hard)
+	f.feed.Tell(f.config.Known)
+	g.Go(func() error { return f.Owner.Run(hard) })
+	g.Go(func() error { return f.feed.Run(hard) })
+	g.Go(func() error { return f.server.Run(hard) })
+	f.log.Info("front end listens", "address", f.listener.Addr().String())
+	g.Go(func() error {
+		select {
+		case <-hard.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		f.drain(hard)
+		f.stopped()
+		return nil
+	})
+	err := g.Wait()
+	f.stopped()
+	f.workers.pool.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	return err
+}
+
+// drain waits until requests have stopped coming and every one is answered, or SIGKILL is near.
+func (f *Front) drain(hard context.Context) {
+	stop := min(f.longest, killAfter) + comeLate/2
+	f.stopBy.Store(time.Now().Add(stop).UnixNano())
+	f.log.Info("draining", "in hand", f.server.Open())
+	come, end := time.After(comeLate), time.After(min(f.longest, killAfter)+comeLate*3/4)
+	quiet := time.NewTicker(comeLate / 32)
+	defer quiet.Stop()
+	coming := true
+	for {
+		select {
+		case <-hard.Done():
+			return
+		case <-end:
+			return
+		case <-come:
+			coming = false
+		case <-quiet.C:
+			if !coming && f.server.Open() == 0 && f.server.Flushed() {
+				return
+			}
+		}
+	}
+}
+
+// news takes an event of the journal.
+func (f *Front) news(e feed.Event) {
+	if e.List == nil {
+		return
+	}
+	f.workers.news(e)
+	var listings []choice.Listing
+	for _, w := range e.List.Workers {
+		l := choice.Listing{Worker: w.Name, Zone: w.Zone, Kind: w.Kind, Cell: strconv.Itoa(w.Cell)}
+		if f.config.Settings.Sized() {
+			l.Size = w.Size
+		}
+		if w.Born > 0 {
+			l.Started = f.Since(time.UnixMilli(w.Born))
+		}
+		switch w.State {
+		case feed.Draining:
+			l.Condition = choice.Draining
+		case feed.Removed:
+			l.Condition = choice.Gone
+		}
+		listings = append(listings, l)
+	}
+	f.Listed(e.List.Whole, listings)
+}
+
+// handle takes one message of a client.
+func (f *Front) handle(c *thrift.Conn, m thrift.Message) {
+	args, err := thrift.ReadArgs(m.Args)
+	refuse := func(code int32, reason string) {
+		c.Send(thrift.Refusal(m.Name, m.Seq, code, reason))
+		c.Close()
+	}
+	switch {
+	case err != nil:
+		refuse(thrift.ProtocolError, err.Error())
+	case m.Name == methodDispatch && m.Kind == thrift.Call:
+		f.dispatch(c, m.Seq, args, refuse)
+	case m.Name == methodCancel && (m.Kind == thrift.Oneway || m.Kind == thrift.Call):
+		c.Cancel(args.Ints[1])
+	case m.Name == methodAlive && m.Kind == thrift.Call:
+		c.Send(answer(methodAlive, m.Seq, nil, f.stopBy.Load() == 0))
+	default:
+		refuse(thrift.UnknownMethod, fmt.Sprintf("no method %q", m.Name))
+	}
+}
+
+// dispatch takes an event.
+func (f *Front) dispatch(c *thrift.Conn, seq int32, args thrift.Args, refuse func(int32, string)) {
+	r, err := f.reads.read(args)
+	if err != nil {
+		r = request{fact: &choice.Event{}}
+	}
+	// the number is checked first: an answer under one that is open would be the answer to another request
+	if !c.Begin(seq, func() { f.Left(r.fact.ID) }) {
+		refuse(thrift.BadSequence, "a number that is not new, or too many requests at a time")
+		return
+	}
+	bad := func(reason string) {
+		c.Answer(seq, thrift.Refusal(methodDispatch, seq, thrift.InternalError, reason))
+	}
+	if err != nil {
+		bad(err.Error())
+		return
+	}
+	if !f.recent.add(r.fact.ID, time.Now()) { // every request has an id of its own, a repeat too
+		r.fact = &choice.Event{}
+		bad("an event of this id came before")
+		return
+	}
+	size := int64(len(r.body)) + 1
+	if f.bytes.Add(size) > f.config.Memory/bodyMemory {
+		f.bytes.Add(-size)
+		c.Answer(seq, thrown(seq, resultThrottled))
+		return
+	}
+	if by := f.stopBy.Load(); by > 0 { // who comes now has no more time than the front end
+		r.fact.Patience = max(1, min(r.fact.Patience, time.Until(time.Unix(0, by))))
+	}
+	f.Take(&gate.Event{Fact: r.fact, Body: r.body, Gone: func() { f.bytes.Add(-size) },
+		Reply: func(a invoke.Answer) { c.Answer(seq, spellAnswer(seq, a)) }})
+}
+
+// spellAnswer spells the final answer of an event.
+func spellAnswer(seq int32, a invoke.Answer) []byte {
+	switch a.Ending {
+	case invoke.Handled:
+		return answer(methodDispatch, seq, a.Body, true)
+	case invoke.Deferred:
+		if a.Back <= 0 {
+			return thrown(seq, resultThrottled)
+		}
+		ms := (a.Back + time.Millisecond - 1) / time.Millisecond
+		return thrown(seq, resultThrottled, "after", strconv.FormatInt(int64(ms), 10))
+	case invoke.DeadLettered:
+		return thrown(seq, resultBroken)
+	}
+	return thrift.Refusal(methodDispatch, seq, thrift.InternalError, a.Reason)
+}
--- /dev/null
+++ b/internal/settings/front.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"strconv"
+	"strings"
+
+	"lupinpond/choice"
+	"lupinpond/internal/core"
+)
+
+// Front is what a core is started with.
+func (p Paths) Front(seed uint64) core.Front {
+	f := core.Front{Seed: seed, Self: int(p.Number("index", 0)), Peers: int(p.Number("instances", 1)),
+		Quantum: p.Time("quantum", 0)}
+	for i := range int(p.Number("request_classes.count", 0)) {
+		at := "request_classes." + strconv.Itoa(i) + "."
+		age := p.Time(at+"give_up", 0)
+		f.Types = append(f.Types, choice.EventType{Name: p[at+"name"], Effect: effect(p[at+"effect"]),
+			Group: group(p[at+"dedup_scope"]), Window: p.Time(at+"window", 0),
+			Target: p.Time(at+"aim", age)})
+	}
+	for i := range int(p.Number("orgs.count", 0)) {
+		at := "orgs." + strconv.Itoa(i) + "."
+		f.Tenants = append(f.Tenants, core.Tenant{Name: p[at+"name"], Quota: p.Number(at+"quota_per_s", 0)})
+	}
+	if p.Number("prices.cross_zone", 0) > 0 {
+		f.Zone = p["locality"]
+	}
+	kinds, memory := strings.Split(p["kinds"], ","), strings.Split(p["family_info.machine_mb"], ",")
+	for i := range min(len(kinds), len(memory)) {
+		mb, _ := strconv.ParseFloat(memory[i], 64) // what is no number is not believed
+		f.Kinds = append(f.Kinds, core.Kind{Name: kinds[i], Memory: mb})
+	}
+	if p.Flag("policy_limits.retry_after", false) {
+		f.MostBack = p.Time("policy_limits.max_retry_after", 0)
+	}
+	f.Launches = int(p.Number("policy_limits.send_cap", 1))
+	f.Cancel, f.Probe = p.Flag("policy_limits.cancel", false), p.Flag("policy_limits.probing", false)
+	f.Loading = core.Loading{Orders: p.Flag("family_info.orders", false),
+		OnMiss: p["family_info.miss_mode"] != "miss", Keep: p.Time("family_info.keep", 0),
+		Limit: p.Time("family_info.order_limit", 0), Within: p.Time("family_info.loads_within", 0),
+		Free: p.Number("family_info.loads_anyway", 0), Share: p.Number("family_info.load_part", 0)}
+	f.ColdStarts = core.ColdStarts{From: p.Number("rules.cold_from", 0),
+		WarmAfter: p.Time("rules.warm_after", 0), Multiple: p.Number("rules.fall_multiple", 0),
+		Fall: p.Time("rules.fall", 0)}
+	if p["registry_mode"] == "ask" {
+		f.AskWithin = max(p.Time("rules.must_ask_in", 0), 1)
+	}
+	return f
+}
+
+// Sized tells whether the list of workers tells sizes that count.
+func (p Paths) Sized() bool { return p["weight_source"] == "nominal" || p["weight_source"] == "rough" }
+
+func effect(word string) choice.Effect {
+	switch word {
+	case "pure":
+		return choice.Redeliverable
+	case "token":
+		return choice.Keyed
+	}
+	return choice.AtMostOnce
+}
+
+func group(word string) choice.Group {
+	switch word {
+	case "all":
+		return choice.GroupAll
+	case "zone":
+		return choice.GroupZone
+	}
+	return choice.GroupCell
+}
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -8,7 +8,6 @@
 	"io"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"lupinpond/choice"
@@ -176,72 +175,15 @@
 
 func (h *Host) spawn(name string, line *simwire.Line) *instance {
 	seed := line.Whole("seed", false)
-	set := line.NewPaths("settings")
-	f := core.Front{Seed: seed, Self: int(set.Number("index", 0)), Peers: int(set.Number("instances", 1)),
-		Quantum: set.Time("quantum", 0)}
-	for i := range int(set.Number("request_classes.count", 0)) {
-		at := "request_classes." + strconv.Itoa(i) + "."
-		age := set.Time(at+"give_up", 0)
-		f.Types = append(f.Types, choice.EventType{Name: set[at+"name"], Effect: effect(set[at+"effect"]),
-			Group: group(set[at+"dedup_scope"]), Window: set.Time(at+"window", 0),
-			Target: set.Time(at+"aim", age)})
-	}
-	for i := range int(set.Number("orgs.count", 0)) {
-		at := "orgs." + strconv.Itoa(i) + "."
-		f.Tenants = append(f.Tenants, core.Tenant{Name: set[at+"name"], Quota: set.Number(at+"quota_per_s", 0)})
-	}
-	if set.Number("prices.cross_zone", 0) > 0 {
-		f.Zone = set["locality"]
-	}
-	kinds, memory := strings.Split(set["kinds"], ","), strings.Split(set["family_info.machine_mb"], ",")
-	for i := range min(len(kinds), len(memory)) {
-		mb, _ := strconv.ParseFloat(memory[i], 64) // what is no number is not believed
-		f.Kinds = append(f.Kinds, core.Kind{Name: kinds[i], Memory: mb})
-	}
-	if set.Flag("policy_limits.retry_after", false) {
-		f.MostBack = set.Time("policy_limits.max_retry_after", 0)
-	}
-	f.Launches = int(set.Number("policy_limits.send_cap", 1))
-	f.Cancel, f.Probe = set.Flag("policy_limits.cancel", false), set.Flag("policy_limits.probing", false)
-	f.Loading = core.Loading{Orders: set.Flag("family_info.orders", false),
-		OnMiss: set["family_info.miss_mode"] != "miss", Keep: set.Time("family_info.keep", 0),
-		Limit: set.Time("family_info.order_limit", 0), Within: set.Time("family_info.loads_within", 0),
-		Free: set.Number("family_info.loads_anyway", 0), Share: set.Number("family_info.load_part", 0)}
-	f.ColdStarts = core.ColdStarts{From: set.Number("rules.cold_from", 0),
-		WarmAfter: set.Time("rules.warm_after", 0), Multiple: set.Number("rules.fall_multiple", 0),
-		Fall: set.Time("rules.fall", 0)}
-	if set["registry_mode"] == "ask" {
-		f.AskWithin = max(set.Time("rules.must_ask_in", 0), 1)
-	}
-	in := &instance{name: name, out: h.out,
-		sized: set["weight_source"] == "nominal" || set["weight_source"] == "rough"}
-	in.Core = core.New(f, in)
+	set := line.Settings("settings")
+	in := &instance{name: name, out: h.out, sized: set.Sized()}
+	in.Core = core.New(set.Front(seed), in)
 	if line.Done() == nil {
 		h.instances[name] = in
 	}
 	return in
 }
 
-func effect(word string) choice.Effect {
-	switch word {
-	case "pure":
-		return choice.Redeliverable
-	case "token":
-		return choice.Keyed
-	}
-	return choice.AtMostOnce
-}
-
-func group(word string) choice.Group {
-	switch word {
-	case "all":
-		return choice.GroupAll
-	case "zone":
-		return choice.GroupZone
-	}
-	return choice.GroupCell
-}
-
 func (h *Host) membership(in *instance, line *simwire.Line) error {
 	line.Whole("list version", false)
 	kind := line.Word("kind of list")
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"lupinpond/internal/settings"
 )
 
 // Reader reads lines and counts them, so that a complaint can name the place.
@@ -129,7 +131,9 @@
 }
 
 // Time takes a time in seconds.
-func (l *Line) Time(name string, absent bool) time.Duration { return Seconds(l.Number(name, absent)) }
+func (l *Line) Time(name string, absent bool) time.Duration {
+	return settings.Seconds(l.Number(name, absent))
+}
 
 // Flag takes a truth value.
 func (l *Line) Flag(name string) bool {
@@ -159,21 +163,9 @@
 	return pairs
 }
 
-// Seconds turns seconds into a Duration, to the nearest microsecond.
-func Seconds(s float64) time.Duration {
-	us := math.Round(s * 1e6)
-	if us > math.MaxInt64/4000 {
-		us = math.MaxInt64 / 4000
-	}
-	return time.Duration(us) * time.Microsecond
-}
-
-// Paths holds settings by path.
-type Paths map[string]string
-
-// NewPaths reads path=value pairs.
-func (l *Line) NewPaths(name string) Paths {
-	paths := Paths{}
+// Settings takes all values that are left as path=value pairs.
+func (l *Line) Settings(name string) settings.Paths {
+	paths := settings.Paths{}
 	for _, part := range l.Rest() {
 		key, value, found := strings.Cut(part, "=")
 		if part == "" || part == "-" {
@@ -186,31 +178,3 @@
 	}
 	return paths
 }
-
-// Number returns the number at path, or absent.
-func (p Paths) Number(path string, absent float64) float64 {
-	n, err := strconv.ParseFloat(p[path], 64)
-	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
-		return absent
-	}
-	return n
-}
-
-// Time returns the time at path, or absent.
-func (p Paths) Time(path string, absent time.Duration) time.Duration {
-	if n := p.Number(path, -1); n >= 0 {
-		return Seconds(n)
-	}
-	return absent
-}
-
-// Flag returns the truth value at path, or absent.
-func (p Paths) Flag(path string, absent bool) bool {
-	switch p[path] {
-	case "true", "1":
-		return true
-	case "false", "0":
-		return false
-	}
-	return absent
-}
