--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,155 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"lupinpond/internal/feed"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func event(n int) string {
+	return fmt.Sprintf(`{"pos":%d,"hosts":{"seq":1,"whole":%v,"hosts":[{"host":"w%d","dial":"127.0.0.1:9","site":"z","class":"k",`+
+		`"block":2,"health":"up","share":4,"born_ms":0}]}}`, n, n == 1, n)
+}
+
+func news(events ...int) string {
+	s := ""
+	for i, n := range events {
+		if i > 0 {
+			s += ","
+		}
+		s += event(n)
+	}
+	return fmt.Sprintf(`{"pos":%d,"entries":[%s]}`, events[len(events)-1], s)
+}
+
+func TestParse(t *testing.T) {
+	n, err := feed.Parse([]byte(news(1, 2)))
+	if err != nil || n.Last != 2 || len(n.Events) != 2 || !n.Events[0].List.Whole || n.Events[1].List.Workers[0].Name != "w2" {
+		t.Error(n, err)
+	}
+	for _, bad := range []string{"", "{", news(1)[:80], `{"pos":1,"entries":[{"hosts":{"hosts":[]}}]}`,
+		`{"pos":1,"entries":[{"pos":1,"hosts":{"hosts":[{"host":"w","dial":"x","health":"up"}]}}]}`,
+		`{"pos":1,"entries":[{"pos":1,"hosts":{"hosts":[{"host":"w","dial":"127.0.0.1:1","health":"well"}]}}]}`} {
+		if n, err := feed.Parse([]byte(bad)); err == nil {
+			t.Errorf("%s is taken as %+v", bad, n)
+		}
+	}
+	if n, err := feed.Parse([]byte(`{"pos":3,"entries":[{"pos":3,"other":1}]}`)); err != nil || n.Events[0].List != nil {
+		t.Error("an event of another sort", n, err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(news(1, 2)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n, err := feed.Parse(b)
+		for _, e := range n.Events {
+			if err != nil || e.Number <= 0 {
+				t.Error(e, err)
+			}
+		}
+	})
+}
+
+var limits = feed.Limits{Wait: 20 * time.Millisecond, Answer: 200 * time.Millisecond, Bytes: 1 << 16}
+
+// An answer that breaks off is as none, a silent service is asked again, at another address the numbers go on, and each
+// event is told once.
+func TestFollow(t *testing.T) {
+	asked := make(chan string, 1000)
+	script := func(answers ...func(w http.ResponseWriter)) *httptest.Server {
+		n := make(chan int, 1)
+		n <- 0
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.Query().Get("tail")
+			i := <-n
+			n <- i + 1
+			if i < len(answers) {
+				answers[i](w)
+				return
+			}
+			<-r.Context().Done()
+		}))
+		t.Cleanup(s.Close)
+		return s
+	}
+	says := func(text string) func(w http.ResponseWriter) {
+		return func(w http.ResponseWriter) { fmt.Fprint(w, text) }
+	}
+	breaks := func(w http.ResponseWriter) {
+		w.Header().Set("Content-Length", "5000")
+		fmt.Fprint(w, news(2)[:60])
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			conn.Close()
+		}
+	}
+	first := script(says(news(1)), breaks, says(news(2)), says(`{"pos":2,"entries":[]}`), says("noise"))
+	second := script(says(news(2, 3)))
+	told := make(chan feed.Event, 10)
+	f := feed.New(first.Listener.Addr().String(), limits, slog.New(slog.DiscardHandler), func(e feed.Event) { told <- e })
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	for n := int64(1); n <= 2; n++ {
+		if e := <-told; e.Number != n {
+			t.Error(e.Number, "instead of", n)
+		}
+	}
+	for range 7 { // past the script it is silent, and is asked again after that
+		<-asked
+	}
+	f.Move(second.Listener.Addr().String())
+	if e := <-told; e.Number != 3 {
+		t.Error(e.Number, "instead of 3")
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	close(asked)
+	last := ""
+	for last = range asked {
+	}
+	if last != "2" && last != "3" {
+		t.Errorf("asked for what came after %q", last)
+	}
+}
+
+// A move ends a wait at the old address at once.
+func TestMoveEndsWait(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, news(1)) }))
+	defer service.Close()
+	l := limits
+	l.Wait = time.Hour
+	told := make(chan feed.Event, 1)
+	f := feed.New(mute.Addr().String(), l, slog.New(slog.DiscardHandler), func(e feed.Event) { told <- e })
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	conn, err := mute.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	f.Move(service.Listener.Addr().String())
+	<-told
+	stop()
+	<-ended
+}
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -116,11 +116,16 @@
 	})
 }
 
-// Left tells that the client of an event is gone.
+// Left tells that the client of an event is gone; nobody waits for what is out for it, which is given up.
 func (o *Owner) Left(id string) {
 	o.box.put(func(now time.Duration) {
-		if o.core.Left(now, id) {
-			o.counts.Left++
+		e := o.events[id]
+		if !o.core.Left(now, id) {
+			return
+		}
+		o.counts.Left++
+		for _, l := range e.out {
+			l.Recall()
 		}
 	})
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,40 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"lupinpond/choice"
+	"lupinpond/internal/settings"
+)
+
+// Nested JSON gives the paths that the simulator's first message has.
+func TestFlat(t *testing.T) {
+	decode := json.NewDecoder(strings.NewReader(`{"index":1,"instances":3,"quantum":0.001,"kinds":["fast","std"],
+		"family_info":{"machine_mb":[183936.0,187136.5],"orders":true,"miss_mode":"load","keep":4.75,"order_limit":4},
+		"policy_limits":{"send_cap":6,"retry_after":true,"max_retry_after":2.0},"weight_source":"nominal","none":null,"empty":[],
+		"request_classes":[{"name":"a","effect":"pure","aim":1.47,"give_up":3.5},{"name":"b","effect":"side_effect","give_up":2}],
+		"orgs":[{"name":"x","quota_per_s":188.0}],"rules":{"warm_after":17}}`))
+	decode.UseNumber()
+	var object map[string]any
+	if err := decode.Decode(&object); err != nil {
+		t.Fatal(err)
+	}
+	p := settings.Flat(object)
+	f := p.Front(9)
+	if f.Seed != 9 || f.Self != 1 || f.Peers != 3 || f.Quantum != time.Millisecond || f.Launches != 6 || !p.Sized() {
+		t.Errorf("%+v", f)
+	}
+	if len(f.Kinds) != 2 || f.Kinds[1].Name != "std" || f.Kinds[1].Memory != 187136.5 || f.Loading.Keep != 4750*time.Millisecond {
+		t.Errorf("%+v", f)
+	}
+	if len(f.Types) != 2 || f.Types[0].Effect != choice.Redeliverable || f.Types[0].Target != 1470*time.Millisecond ||
+		f.Types[1].Effect != choice.AtMostOnce || f.Types[1].Target != 2*time.Second {
+		t.Errorf("%+v", f.Types)
+	}
+	if len(f.Tenants) != 1 || f.Tenants[0].Quota != 188 || f.MostBack != 2*time.Second || p["empty.count"] != "0" {
+		t.Errorf("%+v", f)
+	}
+}
--- /dev/null
+++ b/internal/thrift/thrift_test.go
@@ -0,0 +1,262 @@
+package thrift_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"lupinpond/internal/thrift"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// call is the frame of a call with a map and a binary.
+func call(seq int32, id string) []byte {
+	w := thrift.NewWriter("ask", thrift.Call, seq)
+	w.Texts(1, "id", id)
+	w.Binary(2, []byte("body"))
+	return w.Frame()
+}
+
+func reply(seq int32, text string) []byte {
+	w := thrift.NewWriter("ask", thrift.Reply, seq)
+	w.Binary(0, []byte(text))
+	return w.Frame()
+}
+
+// What Writer writes, Parse and ReadArgs read.
+func TestRoundTrip(t *testing.T) {
+	frame := call(7, "e")
+	if n := binary.BigEndian.Uint32(frame); int(n) != len(frame)-4 {
+		t.Errorf("length %d of %d", n, len(frame)-4)
+	}
+	m, err := thrift.Parse(frame[4:])
+	if err != nil || m.Name != "ask" || m.Seq != 7 || m.Kind != thrift.Call {
+		t.Fatal(m, err)
+	}
+	a, err := thrift.ReadArgs(m.Args)
+	if err != nil || a.Maps[1]["id"] != "e" || string(a.Bins[2]) != "body" {
+		t.Error(a, err)
+	}
+}
+
+// Lengths and counts are not believed before the bytes are there; what is cut off anywhere is malformed.
+func TestMalformed(t *testing.T) {
+	frame := call(1, "e")[4:]
+	for n := range len(frame) {
+		m, err := thrift.Parse(frame[:n])
+		if err == nil {
+			_, err = thrift.ReadArgs(m.Args)
+		}
+		if err == nil {
+			t.Errorf("%d of %d bytes are taken", n, len(frame))
+		}
+	}
+	for name, args := range map[string]string{
+		"negative length":  "\x0b\x00\x02\xff\xff\xff\xff\x00",
+		"huge length":      "\x0b\x00\x02\x7f\xff\xff\xff\x00",
+		"huge map":         "\x0d\x00\x01\x0b\x0b\x7f\xff\xff\xff\x00",
+		"map of numbers":   "\x0d\x00\x01\x08\x08\x00\x00\x00\x01\x00\x00\x00\x01\x00\x00\x00\x01\x00",
+		"name twice":       "\x0d\x00\x01\x0b\x0b\x00\x00\x00\x02\x00\x00\x00\x01a\x00\x00\x00\x00\x00\x00\x00\x01a\x00\x00\x00\x00\x00",
+		"unknown type":     "\x63\x00\x01\x00",
+		"nested too deep":  strings.Repeat("\x0c\x00\x01", 64) + strings.Repeat("\x00", 65),
+		"huge list":        "\x0f\x00\x05\x02\x7f\xff\xff\xff\x00",
+		"more after it":    "\x00\x00",
+		"too many, no end": strings.Repeat("\x02\x00\x01\x01", 1000),
+	} {
+		if _, err := thrift.ReadArgs([]byte(args)); err == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+	a, err := thrift.ReadArgs([]byte("\x0f\x00\x09\x08\x00\x00\x00\x02\x00\x00\x00\x01\x00\x00\x00\x02\x08\x00\x01\x00\x00\x00\x05\x00"))
+	if err != nil || a.Ints[1] != 5 {
+		t.Error("an unknown field is not skipped", a, err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(call(1, "e")[4:])
+	f.Add(thrift.Refusal("ask", 2, thrift.ProtocolError, "why")[4:])
+	f.Add([]byte("\x80\x01\x00\x01\x00\x00\x00\x00\x00\x00\x00\x01\x0d\x00\x01\x0b\x0b\x00\x00\x00\x00\x00"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := thrift.Parse(b)
+		if err != nil {
+			return
+		}
+		a, err := thrift.ReadArgs(m.Args)
+		if err == nil && len(m.Args) == 0 {
+			t.Error("no end, and taken", a)
+		}
+	})
+}
+
+var limits = thrift.Limits{Frame: 256, Open: 2, Conns: 3, Mute: time.Minute, Idle: time.Minute, Write: time.Minute}
+
+// serve runs a server whose messages and calls taken back come to the test.
+func serve(t *testing.T, l thrift.Limits) (addr string, came chan func() (*thrift.Conn, thrift.Message), left chan int32, s *thrift.Server) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	came, left = make(chan func() (*thrift.Conn, thrift.Message), 100), make(chan int32, 100)
+	s = thrift.NewServer(listener, l, func(c *thrift.Conn, m thrift.Message) {
+		if m.Kind == thrift.Oneway {
+			a, _ := thrift.ReadArgs(m.Args)
+			c.Cancel(a.Ints[1])
+			return
+		}
+		if !c.Begin(m.Seq, func() { left <- m.Seq }) {
+			c.Send(thrift.Refusal(m.Name, m.Seq, thrift.BadSequence, "no"))
+			c.Close()
+			return
+		}
+		came <- func() (*thrift.Conn, thrift.Message) { return c, m }
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String(), came, left, s
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(30 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func write(t *testing.T, conn net.Conn, b ...[]byte) {
+	t.Helper()
+	if _, err := conn.Write(bytes.Join(b, nil)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func next(t *testing.T, conn net.Conn) thrift.Message {
+	t.Helper()
+	var head [4]byte
+	_, err := io.ReadFull(conn, head[:])
+	frame := make([]byte, binary.BigEndian.Uint32(head[:]))
+	if err == nil {
+		_, err = io.ReadFull(conn, frame)
+	}
+	m, perr := thrift.Parse(frame)
+	if err != nil || perr != nil {
+		t.Fatal(err, perr)
+	}
+	return m
+}
+
+// closed reads to the end; a reset is an end too.
+func closed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_, err := io.Copy(io.Discard, conn)
+	if slow, is := err.(net.Error); is && slow.Timeout() {
+		t.Error("the connection stays open")
+	}
+}
+
+// Answers come in any order; of a call taken back, and a second time, none comes.
+func TestAnswers(t *testing.T) {
+	addr, came, left, s := serve(t, limits)
+	conn := dial(t, addr)
+	write(t, conn, call(1, "a"), call(2, "b"))
+	c, _ := (<-came)()
+	<-came
+	c.Answer(2, reply(2, "second"))
+	if m := next(t, conn); m.Seq != 2 {
+		t.Error("answer to", m.Seq)
+	}
+	w := thrift.NewWriter("cancel", thrift.Oneway, 0)
+	w.I32(1, 1)
+	write(t, conn, w.Frame(), call(3, "c"))
+	if seq := <-left; seq != 1 {
+		t.Error("taken back:", seq)
+	}
+	<-came
+	c.Answer(1, reply(1, "late"))
+	c.Answer(2, reply(2, "again"))
+	c.Answer(3, reply(3, "third"))
+	if m := next(t, conn); m.Seq != 3 || s.Open() != 0 {
+		t.Error("answer to", m.Seq, "open", s.Open())
+	}
+	write(t, conn, call(4, "d"))
+	<-came
+	conn.Close()
+	if seq := <-left; seq != 4 {
+		t.Error("left:", seq)
+	}
+}
+
+// What can't be read, too much at a time, a number that is not new, and silence end the connection.
+func TestBadClients(t *testing.T) {
+	l := limits
+	l.Mute = 50 * time.Millisecond
+	addr, came, left, _ := serve(t, l)
+	for name, send := range map[string][]byte{
+		"silence":         nil,
+		"half a request":  call(1, "a")[:9],
+		"60 MB":           {0x03, 0x93, 0x87, 0x00, 0x80},
+		"negative length": {0xff, 0xff, 0xff, 0xff},
+		"no length":       {0, 0, 0, 0},
+		"another version": {0, 0, 0, 4, 1, 2, 3, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := dial(t, addr)
+			write(t, conn, send)
+			closed(t, conn)
+		})
+	}
+	conn := dial(t, addr)
+	write(t, conn, call(1, "a"), call(1, "b"))
+	if m := next(t, conn); m.Kind != thrift.Exception {
+		t.Error("the second request of a number got", m)
+	}
+	closed(t, conn)
+	conn = dial(t, addr)
+	write(t, conn, call(1, "a"), call(2, "b"), call(3, "c"))
+	closed(t, conn)
+	for range 3 {
+		<-came
+		<-left
+	}
+}
+
+// Connections that never asked give way to new ones; one that is served does not.
+func TestCrowd(t *testing.T) {
+	addr, came, _, s := serve(t, limits)
+	busy := dial(t, addr)
+	write(t, busy, call(1, "a"))
+	c, _ := (<-came)()
+	var last net.Conn
+	for range 3 * limits.Conns {
+		last = dial(t, addr)
+	}
+	write(t, last, call(1, "b"))
+	<-came
+	if n := s.Connections(); n > limits.Conns {
+		t.Error(n, "connections")
+	}
+	c.Answer(1, reply(1, "served"))
+	if m := next(t, busy); m.Kind != thrift.Reply {
+		t.Error(m)
+	}
+}
