A worker that tells of no waiting events keeps its limit, slow though its answers are

A probe printed the module's view each half second: four of six workers stood at the least limit of 2 launches while each told of 0 waiting events; the jam that this makes deferred the rest. Real answer times at those workers, by worker: 110 to 180 ms against 70 ms at those with 10 out, all of them with free cores: slower boxes and slower functions, not crowds. Checked and ruled out: sockets (no connection failed or broke but one), late answers (25 of 2,847), the limit of all (63, in flight 20), the wait for a worker's connection (0.6 ms at the median). Cause: choice.pace, w.follow(now, took, may, ...): may is the shortest mean of the event type anywhere, so a worker that is always slower than that is cut to the least, and with two front ends that is four launches on five cores. Change: where its report with the answer tells that none waits, answers may take a fifth of the target time.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,6 +45,7 @@
 	leastAll                  = 0.5        // the least of all workers
 	tolerance, enoughShare    = 1.1, 0.5   // answers may take so many shortest ones, or so much of the target
 	growth, shortLasts        = 0.1, 20000 // least part for growth; answers that grow the shortest time e times
+	aloneShare                = 0.2        // of the target, where no event waits at the worker
 	loadPatience, slowLoad    = 4.0, 2.0   // usual loads after which an order is lost; that tell a crowded store
 	coldSafety, coldChance    = 0.9, 1.0   // part of the cold budget that is used, less so many errors of chance
 	manyShare, fullFall       = 0.75, 0.9  // of its limit in flight: the next; what a refusal leaves of it
@@ -97,16 +98,6 @@
 	c.askAt, c.askWait = 0, max(within/8, time.Millisecond)
 }
 
-// believable is a value told, or 0, as if not told, where it is absurd or no number.
-func believable(v, most float64) float64 {
-	if v > 0 && v < most {
-		return v
-	}
-	return 0
-}
-
-func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
-
 // rank orders the workers of a function by hash, one of twice the size first twice as often; salt 0 gives the
 // order that all front ends share.
 func (c *Chooser) rank(w *worker, fn uint64, salt int) float64 {
@@ -307,7 +298,11 @@
 		t.short = t.mean
 	}
 	may, portion := tolerance*float64(t.short), c.portion(now)
-	w.follow(now, took, may, len(w.out), portion)
+	alone := may
+	if w.toldAt == now && w.waiting < 1 { // none waits there: it is slow, or has slow functions, not crowded
+		alone = max(may, aloneShare*float64(t.Target))
+	}
+	w.follow(now, took, alone, len(w.out), portion)
 	c.all.follow(now, min(took, t.Target), enoughShare*float64(t.Target), c.inFlight, portion)
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -646,3 +646,38 @@
 	// 1e+300 both are used true
 	// 0 both are used true
 }
+
+// A worker that takes three times the shortest time is crowded where it tells of events that wait there; where none
+// waits it is slow or has slow functions, and less in flight would not make it faster.
+func Example_slowWorker() {
+	for _, waiting := range []float64{0, 3} {
+		b := fleet(0, 2, 1)
+		for i := range 400 {
+			took := 50 * ms
+			if i >= 100 {
+				took = 150 * ms
+			}
+			e := &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 64}
+			answers := []choice.Answer{b.Place(b.now, e)}
+			st := b.Wait(b.now)
+			b.loaded(st)
+			for _, a := range append(append(answers, st.Answers...), b.Wait(b.now).Answers...) {
+				if a.Event.Outstanding() {
+					b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: took, Final: true,
+						Load: choice.Load{Told: true, Waiting: waiting}})
+				}
+			}
+			b.now += 20 * ms
+		}
+		out := 0
+		for range 40 {
+			if b.Place(b.now, &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 64}).Verb == choice.Launch {
+				out++
+			}
+		}
+		fmt.Println("waiting", waiting, "in flight at once", out)
+	}
+	// Output:
+	// waiting 0 in flight at once 8
+	// waiting 3 in flight at once 0
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -376,3 +376,13 @@
 	}
 	return 0
 }
+
+// believable is a value told, or 0, as if not told, where it is absurd or no number.
+func believable(v, most float64) float64 {
+	if v > 0 && v < most {
+		return v
+	}
+	return 0
+}
+
+func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
