A worker that is silent is asked over a new connection, so that what it swallows never ran

Cause: resp.Worker.pick took the connection used last, however long nothing had come from that worker. Change: after one connection time without a byte from there, a new connection is made first; where it never comes up the launch is unsent and goes elsewhere (TestSilent).

--- /dev/null
+++ b/internal/resp/export_test.go
@@ -0,0 +1,10 @@
+package resp
+
+import "time"
+
+// Quiet has the worker last heard from so long ago.
+func (w *Worker) Quiet(ago time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard = time.Now().Add(-ago)
+}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -72,6 +72,7 @@
 	mu      sync.Mutex
 	conns   []*conn // the last used last
 	stopped bool
+	heard   time.Time // when something last came from there, a new connection too
 }
 
 // Worker makes the connections to one worker; none is made before it is needed.
@@ -137,6 +138,9 @@
 		return nil
 	}
 	var least *conn
+	// a machine that is gone leaves its connections open and swallows what is sent on them; a new one tells, and what
+	// waited for it never ran
+	silent := time.Since(w.heard) > w.pool.limits.Dial
 	for _, c := range slices.Backward(w.conns) {
 		if c.closing || c.gone || len(c.calls) >= w.pool.limits.Streams || c.calls[id] != nil || slices.Contains(c.past, id) {
 			continue
@@ -145,7 +149,7 @@
 			least = c
 		}
 	}
-	if least != nil && (len(least.calls) == 0 || !alone) {
+	if least != nil && (least.conn == nil || !silent) && (len(least.calls) == 0 || !alone) {
 		return least
 	}
 	if w.pool.open.Add(1) > int64(w.pool.limits.Conns) && len(w.conns) > 0 {
@@ -257,6 +261,7 @@
 	}
 	c.worker.mu.Lock()
 	c.conn, c.used = nc, time.Now()
+	c.worker.heard = c.used
 	c.worker.mu.Unlock()
 	stop := context.AfterFunc(p.ctx, func() { nc.Close() })
 	defer stop()
@@ -386,6 +391,11 @@
 	for {
 		n, err := nc.Read(part)
 		have = append(have, part[:n]...)
+		if n > 0 {
+			c.worker.mu.Lock()
+			c.worker.heard = time.Now()
+			c.worker.mu.Unlock()
+		}
 		for len(have) > 0 {
 			words, taken, bad := Parse(have, limits.Word)
 			if bad != nil {
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -241,6 +241,21 @@
 	wants(t, b, resp.Unsent, "")
 }
 
+// A worker from which nothing was heard for a while is asked over a new connection: where its machine is gone, what is
+// sent on the old one may have run, what waits for the new one never did.
+func TestSilent(t *testing.T) {
+	r := start(t, limits)
+	_, a := r.call("a", true)
+	s := r.accept()
+	s.next()
+	s.send(resp.Append(nil, "a", "ok", "-", ""))
+	wants(t, a, resp.Answered, "ok")
+	r.worker.Quiet(2 * limits.Dial)
+	r.listen.Close()
+	_, b := r.call("b", true)
+	wants(t, b, resp.Unsent, "")
+}
+
 // Past the limit of connections calls share them, up to the streams that one carries.
 func TestShare(t *testing.T) {
 	l := limits
