A draining front end ends only with every event answered; ids that came lately as numbers

Cause: Front.drain ended 0.5 s after three seconds, with what was unanswered lost, where SIGKILL alone would not lose what came before SIGTERM; ids were kept as text, up to 13 MB under a flood, of 32 that a front end may have.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -28,6 +28,7 @@
 	workerSockets = 3 // and for workers; the rest is for the journal, the listener and what is being closed
 	bodyMemory    = 8 // and of the memory for bodies in hand
 	feedMemory    = 16
+	recentMemory  = 1024                   // a generation of ids may have as many as the memory over this
 	muteDials     = 5                      // a client's message is whole, or its answer read, within so many times for a connection
 	journalWaits  = 2                      // the journal is asked anew after so much of the drain grace
 	comeLate      = 700 * time.Millisecond // of the platform: requests go on coming so long after SIGTERM
@@ -73,7 +74,7 @@
 	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: streams,
 		Conns: c.Sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial}, f.handle)
 	f.Owner = gate.NewOwner(c.Front, f.workers, record, c.Front.Loading.Limit, dial)
-	f.recent.keep = f.longest
+	f.recent.keep, f.recent.most = f.longest, int(c.Memory/recentMemory)
 	f.feed = feed.New(c.Journal, feed.Limits{Wait: journalWaits * c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond),
 		Answer: dial, Bytes: c.Memory / feedMemory}, f.log, f.news)
 	return f
@@ -114,12 +115,13 @@
 	return err
 }
 
-// drain waits until requests have stopped coming and every one is answered, or SIGKILL is near.
+// drain waits until requests have stopped coming and every one is answered. It does not end before because SIGKILL is
+// near: what a front end that ends by itself leaves unanswered is lost.
 func (f *Front) drain(hard context.Context) {
 	stop := min(f.longest, killAfter) + comeLate/2
 	f.stopBy.Store(time.Now().Add(stop).UnixNano())
 	f.log.Info("draining", "in hand", f.server.Open())
-	come, end := time.After(comeLate), time.After(min(f.longest, killAfter)+comeLate*3/4)
+	come, end := time.After(comeLate), time.After(f.longest+2*comeLate) // no event is in hand so long
 	quiet := time.NewTicker(comeLate / 32)
 	defer quiet.Stop()
 	coming := true
@@ -204,7 +206,7 @@
 		bad(err.Error())
 		return
 	}
-	if !f.recent.add(r.fact.ID, time.Now()) { // every request has an id of its own, a repeat too
+	if !f.recent.add(r.number, time.Now()) { // every request has an id of its own, a repeat too
 		r.fact = &choice.Event{}
 		bad("an event of this id came before")
 		return
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -39,7 +39,9 @@
 		t.Fatal(err)
 	}
 	w := &worker{Listener: l, saw: make(chan []string, 1000)}
-	w.say(func(_, _, body string) []string { return []string{"ok", "how=ready,stats=busy_reqs:1;pending:0", "done " + body} })
+	w.say(func(_, _, body string) []string {
+		return []string{"ok", "how=ready,stats=busy_reqs:1;pending:0", "done " + body}
+	})
 	w.done.Add(1)
 	go func() {
 		defer w.done.Done()
--- a/internal/platform/recent.go
+++ b/internal/platform/recent.go
@@ -9,20 +9,19 @@
 // twice that time, and by a number past which the older generation goes at once.
 type recent struct {
 	keep time.Duration
+	most int // ids of a generation
 
 	mu       sync.Mutex
-	now, old map[string]struct{}
+	now, old map[uint64]struct{}
 	turned   time.Time
 }
 
-const mostRecent = 1 << 16 // ids of a generation
-
 // add adds an id; false if it came lately.
-func (r *recent) add(id string, at time.Time) bool {
+func (r *recent) add(id uint64, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.now == nil || at.Sub(r.turned) > r.keep || len(r.now) >= mostRecent {
-		r.old, r.now, r.turned = r.now, map[string]struct{}{}, at
+	if r.now == nil || at.Sub(r.turned) > r.keep || len(r.now) >= r.most {
+		r.old, r.now, r.turned = r.now, map[uint64]struct{}{}, at
 	}
 	_, now := r.now[id]
 	_, old := r.old[id]
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -30,9 +30,9 @@
 
 // request is an event as a client sends it.
 type request struct {
-	fact *choice.Event
-	key  string // the function as it is spelled
-	body []byte
+	fact   *choice.Event
+	number uint64 // the id as a number
+	body   []byte
 }
 
 // reads knows what requests may hold.
@@ -53,7 +53,8 @@
 		return request{}, errBody
 	}
 	id, key, class, tenant := fields["id"], fields["key"], fields["class"], fields["tenant"]
-	if _, err := hex(id); err != nil {
+	number, err := hex(id)
+	if err != nil {
 		return request{}, fmt.Errorf("id: %w", err)
 	}
 	function, err := hex(key)
@@ -83,7 +84,7 @@
 	if err := facts(fact, fields["facts"]); err != nil {
 		return request{}, fmt.Errorf("facts: %w", err)
 	}
-	return request{fact: fact, key: key, body: body}, nil
+	return request{fact: fact, number: number, body: body}, nil
 }
 
 // hex reads 16 hex digits.
