A launch that found no worker is nothing to give up when its client leaves

Seen: rereading; TestLeftWithoutLaunch crashed the front end with a nil pointer in Owner.Left. Cause: Owner.Launch kept the nil that a way out gives where it has no connection to the worker, as for one just removed; Left and Ended called Recall on it. Only what was launched is kept now.

--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -35,6 +35,7 @@
 // Workers is the way out of a front end: it carries launches, orders and probes to the workers, and brings the list. What
 // done functions tell may come at any time, also at once, from any goroutine; the first counts.
 type Workers interface {
+	// Launch may give nil where nothing was sent
 	Launch(e *Event, launch int, worker string, left time.Duration, done func(o choice.Outcome, body []byte)) Launched
 	Order(o choice.Order, done func(copies int, r choice.Result))
 	Probe(worker string, done func(r choice.Result, l choice.Load))
@@ -251,7 +252,7 @@
 	e.sent++
 	sent := time.Now()
 	left := fact.Patience - (o.Now() - e.came)
-	e.out[launch] = o.workers.Launch(e, launch, worker, left, func(out choice.Outcome, body []byte) {
+	l := o.workers.Launch(e, launch, worker, left, func(out choice.Outcome, body []byte) {
 		o.box.put(func(now time.Duration) {
 			delete(e.out, launch)
 			out.Worker, out.Took = worker, time.Since(sent)
@@ -263,6 +264,9 @@
 			}
 		})
 	})
+	if l != nil { // none where no worker was found: there is nothing to give up
+		e.out[launch] = l
+	}
 }
 
 // Handle answers the client.
