A call that is being read while its connection gives way is not taken

Seen: rereading; Server.evict closed a connection between a message read and Conn.Begin, and the event was then in hand with no way to answer. TestGivesWayUnderACall took it before. The connection counts as gone in the same step now.

--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -128,6 +128,13 @@
 	if victim == nil {
 		return false
 	}
+	victim.mu.Lock()
+	idle := len(victim.calls) == 0
+	victim.gone = victim.gone || idle // a call that is just being read is not taken: its client sends it again
+	victim.mu.Unlock()
+	if !idle {
+		return false
+	}
 	delete(s.conns, victim)
 	victim.conn.Close()
 	return true
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -260,3 +260,37 @@
 		t.Error(m)
 	}
 }
+
+// A call that is being read while its connection gives way is not taken: no answer could reach its client.
+func TestGivesWayUnderACall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := limits
+	l.Conns = 1
+	came, closed, taken := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
+	s := thrift.NewServer(listener, l, func(c *thrift.Conn, m thrift.Message) {
+		close(came)
+		<-closed
+		taken <- c.Begin(m.Seq, func() {})
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	conn := dial(t, listener.Addr().String())
+	write(t, conn, call(1, "a"))
+	<-came
+	dial(t, listener.Addr().String())
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Log(err)
+	}
+	close(closed)
+	if <-taken {
+		t.Error("taken")
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
