A load order that is lost lets its connection go

Cause: Owner.Order told the core and forgot the call; Workers.Order gave nothing to give up. Now orders and probes give a Sent like launches, recalled at their limit (TestLostOrder, TestRecallQuietly).

--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -34,7 +34,7 @@
 func (r recaller) Recall() { r.Call.Recall(r.tell) }
 
 // Launch sends a launch to a worker.
-func (l links) Launch(e *Event, launch int, worker string, left time.Duration, done func(choice.Outcome, []byte)) Launched {
+func (l links) Launch(e *Event, launch int, worker string, left time.Duration, done func(choice.Outcome, []byte)) Sent {
 	p := l.peer(worker)
 	if p == nil {
 		done(choice.Outcome{Result: choice.Unreached}, nil)
@@ -89,11 +89,11 @@
 }
 
 // Order sends a load order.
-func (l links) Order(o choice.Order, done func(copies int, r choice.Result)) {
+func (l links) Order(o choice.Order, done func(copies int, r choice.Result)) Sent {
 	p := l.peer(o.Worker)
 	if p == nil {
 		done(o.Copies, choice.Unreached)
-		return
+		return nil
 	}
 	p.Order(link.Order{Function: l.names[o.Function], Copies: o.Copies}, func(out link.Outcome) {
 		switch {
@@ -112,14 +112,15 @@
 			done(out.Ordered.Copies, result)
 		}
 	})
+	return nil
 }
 
 // Probe asks a worker for a report.
-func (l links) Probe(worker string, done func(r choice.Result, load choice.Load)) {
+func (l links) Probe(worker string, done func(r choice.Result, load choice.Load)) Sent {
 	p := l.peer(worker)
 	if p == nil {
 		done(choice.Unreached, choice.Load{})
-		return
+		return nil
 	}
 	p.Probe(func(o link.Outcome) {
 		switch {
@@ -131,6 +132,7 @@
 			done(choice.Broken, choice.Load{})
 		}
 	})
+	return nil
 }
 
 // Ask subscribes to the list.
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -22,23 +22,23 @@
 	Call  invoke.Call           // of a client of the invoke API
 
 	came   time.Duration
-	sent   int              // launches
-	out    map[int]Launched // those without an outcome
-	answer []byte           // the body of the answer
+	sent   int          // launches
+	out    map[int]Sent // those without an outcome
+	answer []byte       // the body of the answer
 }
 
-// Launched is a launch under way at a worker.
-type Launched interface {
+// Sent is a launch, an order or a probe under way at a worker.
+type Sent interface {
 	Recall() // gives it up; its outcome comes all the same, unless it was told before
 }
 
 // Workers is the way out of a front end: it carries launches, orders and probes to the workers, and brings the list. What
 // done functions tell may come at any time, also at once, from any goroutine; the first counts.
 type Workers interface {
-	// Launch may give nil where nothing was sent
-	Launch(e *Event, launch int, worker string, left time.Duration, done func(o choice.Outcome, body []byte)) Launched
-	Order(o choice.Order, done func(copies int, r choice.Result))
-	Probe(worker string, done func(r choice.Result, l choice.Load))
+	// Each may give nil where nothing was sent, or nothing has to be given up
+	Launch(e *Event, launch int, worker string, left time.Duration, done func(o choice.Outcome, body []byte)) Sent
+	Order(o choice.Order, done func(copies int, r choice.Result)) Sent
+	Probe(worker string, done func(r choice.Result, l choice.Load)) Sent
 	Ask() // for the list
 }
 
@@ -228,7 +228,7 @@
 		}
 		o.twins[e.Twin] = true
 	}
-	e.came, e.out = now, map[int]Launched{}
+	e.came, e.out = now, map[int]Sent{}
 	if o.events[e.Fact.ID] != nil {
 		delete(o.twins, e.Twin)
 		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: core.ErrInHand.Error()})
@@ -324,8 +324,12 @@
 			}
 		})
 	}
-	o.workers.Order(order, end)
-	time.AfterFunc(o.orderLimit, func() { end(order.Copies, choice.TimedOut) })
+	asked := order.Copies
+	s := o.workers.Order(order, end)
+	time.AfterFunc(o.orderLimit, func() {
+		end(asked, choice.TimedOut)
+		recall(s)
+	})
 }
 
 // Probe asks a worker for a report.
@@ -340,8 +344,18 @@
 			}
 		})
 	}
-	o.workers.Probe(worker, end)
-	time.AfterFunc(o.probeLimit, func() { end(choice.TimedOut, choice.Load{}) })
+	s := o.workers.Probe(worker, end)
+	time.AfterFunc(o.probeLimit, func() {
+		end(choice.TimedOut, choice.Load{})
+		recall(s)
+	})
+}
+
+// recall gives up what may never be answered; else its connection would be held for good.
+func recall(s Sent) {
+	if s != nil {
+		s.Recall()
+	}
 }
 
 // Ask subscribes to the list.
--- a/internal/gate/owner_test.go
+++ b/internal/gate/owner_test.go
@@ -15,34 +15,53 @@
 type nowhere struct {
 	owner    *gate.Owner
 	launched chan struct{}
+	recalled chan struct{} // an order was given up
 }
 
-func (n *nowhere) Launch(e *gate.Event, _ int, _ string, _ time.Duration, _ func(choice.Outcome, []byte)) gate.Launched {
+func (n *nowhere) Launch(e *gate.Event, _ int, _ string, _ time.Duration, _ func(choice.Outcome, []byte)) gate.Sent {
 	n.owner.Left(e.Fact.ID)
 	n.launched <- struct{}{}
 	return nil
 }
 
-func (n *nowhere) Order(choice.Order, func(int, choice.Result))       {}
-func (n *nowhere) Probe(string, func(r choice.Result, l choice.Load)) {}
-func (n *nowhere) Ask()                                               {}
+func (n *nowhere) Order(choice.Order, func(int, choice.Result)) gate.Sent   { return n }
+func (n *nowhere) Probe(string, func(choice.Result, choice.Load)) gate.Sent { return nil }
+func (n *nowhere) Ask()                                                     {}
+func (n *nowhere) Recall()                                                  { n.recalled <- struct{}{} }
 
-// A client that leaves while its launch found no worker has nothing to give up.
-func TestLeftWithoutLaunch(t *testing.T) {
-	out := &nowhere{launched: make(chan struct{}, 1)}
-	front := core.Front{Seed: 1, Peers: 1, Quantum: time.Millisecond, Launches: 1, Loading: core.Loading{OnMiss: true, Keep: time.Minute},
-		Types: []choice.EventType{{Name: "call", Target: time.Second}}}
-	out.owner = gate.NewOwner(front, out, nil, time.Second, time.Second)
+// nowhereAt starts an owner whose workers are nowhere, with one worker listed.
+func nowhereAt(t *testing.T, orders bool) *nowhere {
+	out := &nowhere{launched: make(chan struct{}, 1), recalled: make(chan struct{}, 100)}
+	front := core.Front{Seed: 1, Peers: 1, Quantum: time.Millisecond, Launches: 1,
+		Loading: core.Loading{Orders: orders, OnMiss: true, Keep: time.Minute, Limit: time.Second},
+		Types:   []choice.EventType{{Name: "call", Target: 100 * time.Millisecond}}}
+	out.owner = gate.NewOwner(front, out, nil, time.Millisecond, time.Second)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- out.owner.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
 	out.owner.Listed(true, []choice.Listing{{Worker: "w"}})
+	return out
+}
+
+// A client that leaves while its launch found no worker has nothing to give up.
+func TestLeftWithoutLaunch(t *testing.T) {
+	out := nowhereAt(t, false)
 	out.owner.Take(&gate.Event{Fact: &choice.Event{ID: "e", Type: "call", Function: 9, Patience: 3 * time.Second, Lanes: 1},
 		Reply: func(a invoke.Answer) { t.Error("an answer to nobody:", a) }})
 	<-out.launched
 	out.owner.Pause(0) // once it stands still for that, it has heard that the client left
-	stop()
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+}
+
+// An order that is not answered in time is given up: it would hold its connection for good.
+func TestLostOrder(t *testing.T) {
+	out := nowhereAt(t, true)
+	out.owner.Take(&gate.Event{Fact: &choice.Event{ID: "e", Type: "call", Function: 9, Patience: time.Minute, Lanes: 1},
+		Reply: func(invoke.Answer) {}})
+	<-out.recalled
 }
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -71,17 +71,17 @@
 	return w.list[name]
 }
 
-// launched is a launch under way.
-type launched struct {
+// sent is what is under way at a worker, and the words that give it up there; none: an order stands, a probe is over.
+type sent struct {
 	*resp.Call
 	kill []byte
 }
 
-// Recall gives the launch up.
-func (l launched) Recall() { l.Call.Recall(l.kill) }
+// Recall gives it up.
+func (s sent) Recall() { s.Call.Recall(s.kill) }
 
 // Launch sends a launch to a worker.
-func (w *workers) Launch(e *gate.Event, _ int, worker string, left time.Duration, done func(choice.Outcome, []byte)) gate.Launched {
+func (w *workers) Launch(e *gate.Event, _ int, worker string, left time.Duration, done func(choice.Outcome, []byte)) gate.Sent {
 	b := w.find(worker)
 	if b == nil {
 		done(choice.Outcome{Result: choice.Unreached}, nil)
@@ -94,7 +94,7 @@
 		kill = resp.Append(nil, "KILL", id)
 	}
 	frame := resp.Append(make([]byte, 0, 160+len(e.Body)), "FN", id, fields, string(e.Body))
-	return launched{b.Call(id, frame, true, func(a resp.Answer) { done(w.outcome(a)) }), kill}
+	return sent{b.Call(id, frame, true, func(a resp.Answer) { done(w.outcome(a)) }), kill}
 }
 
 // outcome is how a launch ended, and its answer.
@@ -140,15 +140,15 @@
 }
 
 // Order sends a load order.
-func (w *workers) Order(o choice.Order, done func(copies int, r choice.Result)) {
+func (w *workers) Order(o choice.Order, done func(copies int, r choice.Result)) gate.Sent {
 	b := w.find(o.Worker)
 	if b == nil {
 		done(o.Copies, choice.Unreached)
-		return
+		return nil
 	}
 	tag := w.tag()
 	frame := resp.Append(nil, "SPAWN", tag, "key="+spell(o.Function)+",n="+strconv.Itoa(o.Copies))
-	b.Call(tag, frame, false, func(a resp.Answer) {
+	return sent{b.Call(tag, frame, false, func(a resp.Answer) {
 		switch {
 		case a.Fate == resp.Unsent:
 			done(o.Copies, choice.Unreached)
@@ -171,18 +171,18 @@
 			result = choice.Failed
 		}
 		done(max(0, copies), result)
-	})
+	}), nil}
 }
 
 // Probe asks a worker for a report.
-func (w *workers) Probe(worker string, done func(choice.Result, choice.Load)) {
+func (w *workers) Probe(worker string, done func(choice.Result, choice.Load)) gate.Sent {
 	b := w.find(worker)
 	if b == nil {
 		done(choice.Unreached, choice.Load{})
-		return
+		return nil
 	}
 	tag := w.tag()
-	b.Call(tag, resp.Append(nil, "TOP", tag), false, func(a resp.Answer) {
+	return sent{b.Call(tag, resp.Append(nil, "TOP", tag), false, func(a resp.Answer) {
 		switch {
 		case a.Fate == resp.Unsent:
 			done(choice.Unreached, choice.Load{})
@@ -199,7 +199,7 @@
 		default:
 			done(choice.Failed, choice.Load{})
 		}
-	})
+	}), nil}
 }
 
 // Ask is not needed: the journal is followed all the time.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -204,6 +204,19 @@
 	}
 }
 
+// What is given up without a word, as an order that was lost, lets its connection end.
+func TestRecallQuietly(t *testing.T) {
+	r := start(t, limits)
+	call, done := r.call("t1", false)
+	s := r.accept()
+	s.next()
+	call.Recall(nil)
+	wants(t, done, resp.GivenUp, "")
+	if _, err := s.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection goes on")
+	}
+}
+
 // What had not left when a worker was drained never came there; what is under way is still answered.
 func TestStop(t *testing.T) {
 	r := start(t, limits)
