A copy that answers with an error is still believed loaded

A probe of outcomes: 758 of 8,000 launches failed between 6 and 16 s, at five workers of six, over all functions alike, within 20 to 260 ms, with no word on warmth; nothing broke or was unreached. Cause: choice.After, case Failed, Missing: s.copies = 0. Every error took the copy from the belief, so the events behind it were held for a load of what stood there. Change: only what is missing, or failed to load, is no copy any more (Example_errorLeavesCopy).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -556,8 +556,10 @@
 			c.fail(w, now)
 		}
 	case Failed, Missing:
-		if s.copies = 0; o.Result == Failed && o.Warmth != LoadFailed {
+		if o.Result == Failed && o.Warmth != LoadFailed { // the copy that failed stands
 			c.fail(w, now)
+		} else {
+			s.copies = 0
 		}
 	}
 	if e.risk == nil && slices.Contains([]Result{Failed, TimedOut, Broken, Withdrawn}, o.Result) {
