Reread: one body of an event, no counters without a reader, ids spelled by fmt

Event.Body and Call.Body were both set and each read by one way out; links reads Event.Body now. Four counters of resp.Pool and two methods had no reader since the probes were taken out. Behaviour is the same; tests keep their assertions.

--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -46,7 +46,7 @@
 		window = c.Type.Window.D()
 	}
 	return recaller{p.Launch(link.Launch{Event: e.Fact.ID, Number: launch, Function: c.Function.Name, Type: c.Type.Name,
-		Tenant: c.Tenant, Key: c.Key, Window: window, Client: c.Source + "\n" + c.ID, Body: c.Body}, left,
+		Tenant: c.Tenant, Key: c.Key, Window: window, Client: c.Source + "\n" + c.ID, Body: e.Body}, left,
 		func(o link.Outcome) { done(l.outcome(o)) }), l.cancel}
 }
 
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -208,8 +209,7 @@
 func (w *workers) tag() string { return "t" + strconv.FormatUint(w.tags.Add(1), 10) }
 
 func spell(function uint64) string {
-	s := strconv.FormatUint(function, 16)
-	return "0000000000000000"[len(s):] + s
+	return fmt.Sprintf("%016x", function)
 }
 
 // load reads a load report.
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -35,19 +35,13 @@
 	Words [][]byte
 }
 
-// Counts are the numbers of a Pool since its start.
-type Counts struct {
-	Dialled, Failed, Broken, Malformed, Stray int64
-}
-
 // Pool has the connections to all workers.
 type Pool struct {
 	limits Limits
 	open   atomic.Int64 // connections
 	ctx    context.Context
 	done   sync.WaitGroup
-
-	dialled, failed, broken, malformed, stray atomic.Int64
+	stray  atomic.Int64 // answers that no call waited for
 }
 
 // NewPool makes a Pool whose connections end with ctx.
@@ -56,13 +50,8 @@
 // Wait returns when every connection has ended.
 func (p *Pool) Wait() { p.done.Wait() }
 
-// Open is the number of connections.
-func (p *Pool) Open() int64 { return p.open.Load() }
-
-// Counts tells the numbers.
-func (p *Pool) Counts() Counts {
-	return Counts{p.dialled.Load(), p.failed.Load(), p.broken.Load(), p.malformed.Load(), p.stray.Load()}
-}
+// Stray is the number of answers that no call waited for.
+func (p *Pool) Stray() int64 { return p.stray.Load() }
 
 // Worker is what stands at one address.
 type Worker struct {
@@ -252,10 +241,8 @@
 	p := c.worker.pool
 	defer p.done.Done()
 	dialer := net.Dialer{Timeout: p.limits.Dial}
-	p.dialled.Add(1)
 	nc, err := dialer.DialContext(p.ctx, "tcp", c.worker.addr)
 	if err != nil {
-		p.failed.Add(1)
 		c.fail()
 		return
 	}
@@ -294,7 +281,6 @@
 		case x.state == queued:
 			calls, fates = append(calls, x), append(fates, Unsent)
 		case x.state == sent:
-			w.pool.broken.Add(1)
 			calls, fates = append(calls, x), append(fates, Broken)
 		case x.state == given: // its kill was not written; the end of the connection gives it up
 			calls, fates = append(calls, x), append(fates, GivenUp)
@@ -399,7 +385,6 @@
 		for len(have) > 0 {
 			words, taken, bad := Parse(have, limits.Word)
 			if bad != nil {
-				c.worker.pool.malformed.Add(1)
 				return
 			}
 			if taken == 0 {
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -152,7 +152,7 @@
 	s.send(bytes.Join([][]byte{resp.Append(nil, "z", "ok", "-", "stray"), ok, ok, resp.Append(nil, "a", "error", "-", "")}, nil))
 	wants(t, b, resp.Answered, "ok")
 	wants(t, a, resp.Answered, "error")
-	if n := r.pool.Counts().Stray; n != 2 {
+	if n := r.pool.Stray(); n != 2 {
 		t.Error(n, "strays")
 	}
 	// the same id again goes over another connection: a late second answer would be taken for this request's
