A client that is gone gets no launch, and a core that is told to end answers all in time

Two crossings of the standing test, read in the lines and forced: - gate.Owner heard facts in their order, so an event and the news that its client has left, read while the owner was busy, were launched and given up a moment later (Owner.Left, Owner.Launch). A client that is gone counts from the moment it is read now; the launch ends as one that never left. TestLeftBeforeItIsHeard: 2 launches without the guard, 1 with it. - core.EndBy: events in hand and those that come yet end by a time (not used by the platform yet). choice only cuts the event's time; without a call of it nothing changes. TestEndBy draws events that wait, are out at silent workers, or whose client has left.

--- a/choice/types.go
+++ b/choice/types.go
@@ -351,6 +351,9 @@
 // Left says that the client of an event is gone.
 func (c *Chooser) Left(e *Event) { e.ended = true }
 
+// EndBy says that an event must have its final answer by a time before its client gives up.
+func (c *Chooser) EndBy(e *Event, by time.Duration) { e.ends = min(e.ends, by) }
+
 // kindOf is what is known of a kind, from now on if not before.
 func (c *Chooser) kindOf(name string) *kind {
 	if c.kinds[name] == nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"container/heap"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -111,6 +112,7 @@
 	hands   map[string]*hand
 	ends    deadlines
 	number  uint64
+	endBy   time.Duration   // every event has ended by then
 	wakes   []time.Duration // timers set and still to come, the earliest last
 	note    func(Entry)
 }
@@ -138,7 +140,7 @@
 	if f.AskWithin > 0 {
 		c.Asking(f.AskWithin)
 	}
-	return &Core{chooser: c, actor: actor, own: f.Deadlines, hands: map[string]*hand{}}
+	return &Core{chooser: c, actor: actor, own: f.Deadlines, hands: map[string]*hand{}, endBy: math.MaxInt64}
 }
 
 // InHand is the number of events without an ending or with a launch outstanding.
@@ -165,15 +167,29 @@
 		c.note(Entry{Op: OpCame, Now: now, Event: facts(e)})
 	}
 	c.number++
-	h := &hand{event: e, number: c.number, ends: now + e.Patience, at: -1}
+	h := &hand{event: e, number: c.number, ends: min(now+e.Patience, c.endBy), at: -1}
 	c.hands[e.ID] = h
 	if c.own {
 		heap.Push(&c.ends, h)
 	}
-	c.act(now, h, c.chooser.Place(now, e))
+	answer := c.chooser.Place(now, e)
+	c.chooser.EndBy(e, h.ends)
+	c.act(now, h, answer)
 	return nil
 }
 
+// EndBy tells that the front end is told to end: what is in hand, and what comes yet, has its final answer by then. What
+// is left unanswered when the process is killed would be lost (rule 1).
+func (c *Core) EndBy(now, by time.Duration) {
+	c.record(Entry{Op: OpEndBy, Now: now, By: by})
+	c.endBy = by
+	for _, h := range c.hands {
+		h.ends = min(h.ends, by)
+		c.chooser.EndBy(h.event, h.ends)
+	}
+	heap.Init(&c.ends)
+}
+
 // Outcome tells how a launch of an event ended. It is for the launch that is outstanding; any other, late or
 // doubled or of an event never in hand, is not told to the module, and false is returned.
 func (c *Core) Outcome(now time.Duration, id string, launch int, o choice.Outcome) bool {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -137,7 +137,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * ms
 			id := fmt.Sprint(rapid.IntRange(0, n).Draw(t, "which"))
-			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
 			case 0, 1:
 				kind := rapid.SampledFrom([]string{"free", "once", "zone", "unheard"}).Draw(t, "type")
 				e := &choice.Event{ID: fmt.Sprint(n), Type: kind, Function: uint64(n % 3), Lanes: 1,
@@ -161,6 +161,8 @@
 				l := workers[i]
 				l.Condition = choice.Condition(rapid.IntRange(0, 2).Draw(t, "condition"))
 				c.Listed(now, rapid.Bool().Draw(t, "whole"), []choice.Listing{l})
+			case 6:
+				c.EndBy(now, now+time.Duration(rapid.IntRange(0, 5000).Draw(t, "end"))*ms)
 			}
 			c.Settle(now)
 		}
@@ -193,6 +195,55 @@
 	})
 }
 
+// A front end that is told to end answers all that it has in hand by then, and what comes yet, whatever time their clients
+// still have: an event that waits for a copy, one out at a worker that says nothing, one whose client has left.
+func TestEndBy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := newTold(false)
+		c, now := core.New(front(), a), time.Hour
+		c.Listed(now, true, workers[:rapid.IntRange(0, 3).Draw(t, "workers")])
+		n := 0
+		came := func() {
+			e := &choice.Event{ID: fmt.Sprint(n), Type: rapid.SampledFrom([]string{"free", "once", "zone"}).Draw(t, "type"),
+				Function: uint64(n % 3), Lanes: 1, Patience: 100 * time.Second}
+			if err := c.Came(now, e); err != nil {
+				t.Fatal(err)
+			}
+			n++
+			if rapid.IntRange(0, 4).Draw(t, "leaves") == 0 {
+				c.Left(now, e.ID)
+				a.endings[e.ID]++
+			}
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "before") {
+			came()
+			c.Settle(now)
+			now += time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * ms
+		}
+		by := now + 3*time.Second
+		c.EndBy(now, by)
+		for range rapid.IntRange(0, 5).Draw(t, "after") {
+			came()
+			c.Settle(now)
+			now += 100 * ms
+		}
+		for ; now < by; now += 100 * ms {
+			c.Woke(now)
+			c.Settle(now)
+		}
+		c.Woke(by)
+		c.Settle(by)
+		for i := range n {
+			if a.endings[fmt.Sprint(i)] != 1 {
+				t.Errorf("event %d has %d final answers", i, a.endings[fmt.Sprint(i)])
+			}
+		}
+		if c.InHand() != 0 {
+			t.Error(c.InHand(), "in hand")
+		}
+	})
+}
+
 func FuzzReplay(f *testing.F) {
 	var tape bytes.Buffer
 	c, _ := corelog.Start(front(), newTold(false), &tape)
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -21,6 +21,7 @@
 	OpLoaded
 	OpWoke
 	OpSettle
+	OpEndBy
 )
 
 // Entry is one fact as it was told: what a recording holds. Fields that the fact does not have are zero.
@@ -35,6 +36,7 @@
 	Event   *choice.Event    `cbor:"8,keyasint,omitempty"`
 	Outcome choice.Outcome   `cbor:"9,keyasint,omitempty"`
 	Order   choice.Order     `cbor:"10,keyasint,omitempty"`
+	By      time.Duration    `cbor:"11,keyasint,omitempty"`
 }
 
 // Record has every fact from now on given to note before it takes effect; nil ends it.
@@ -79,6 +81,8 @@
 		c.Woke(e.Now)
 	case OpSettle:
 		c.Settle(e.Now)
+	case OpEndBy:
+		c.EndBy(e.Now, e.By)
 	default:
 		return fmt.Errorf("unknown fact %d at %v", e.Op, e.Now)
 	}
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -60,14 +61,16 @@
 	twins  map[string]bool
 	counts Counts
 	wake   *time.Timer
-	wakes  []time.Time // to come, the earliest last
+	wakes  []time.Time   // to come, the earliest last
+	endBy  time.Duration // every event has its answer by then
 }
 
 // NewOwner makes the owner of a core; record gets a recording of it where it is not nil. Run runs it.
 func NewOwner(front core.Front, workers Workers, record io.Writer, orderLimit, probeLimit time.Duration) *Owner {
 	o := &Owner{base: time.Now().Add(-time.Hour), workers: workers, orderLimit: orderLimit, probeLimit: probeLimit,
-		events: map[string]*Event{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{})}
-	o.box.kick = make(chan struct{}, 1)
+		events: map[string]*Event{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{}),
+		endBy: math.MaxInt64}
+	o.box.kick, o.box.left = make(chan struct{}, 1), map[string]bool{}
 	if record != nil {
 		o.core, o.recorder = corelog.Start(front, o, record)
 	} else {
@@ -86,12 +89,19 @@
 type mailbox struct {
 	mu    sync.Mutex
 	facts []func(now time.Duration)
+	left  map[string]bool // events whose client is gone, until the owner has heard of it
 	kick  chan struct{}
 }
 
-func (m *mailbox) put(f func(now time.Duration)) {
+func (m *mailbox) put(f func(now time.Duration)) { m.leave("", f) }
+
+// leave puts the fact that the client of an event is gone, which shows in left at once.
+func (m *mailbox) leave(id string, f func(now time.Duration)) {
 	m.mu.Lock()
 	m.facts = append(m.facts, f)
+	if id != "" {
+		m.left[id] = true
+	}
 	m.mu.Unlock()
 	select {
 	case m.kick <- struct{}{}:
@@ -99,6 +109,19 @@
 	}
 }
 
+// heard ends that.
+func (m *mailbox) heard(id string) {
+	m.mu.Lock()
+	delete(m.left, id)
+	m.mu.Unlock()
+}
+
+func (m *mailbox) gone(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.left[id]
+}
+
 func (m *mailbox) take() []func(now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -117,9 +140,11 @@
 	})
 }
 
-// Left tells that the client of an event is gone; nobody waits for what is out for it, which is given up.
+// Left tells that the client of an event is gone; nobody waits for what is out for it, which is given up. From now on no
+// launch of it leaves, however many facts the owner hears before this one.
 func (o *Owner) Left(id string) {
-	o.box.put(func(now time.Duration) {
+	o.box.leave(id, func(now time.Duration) {
+		o.box.heard(id)
 		e := o.events[id]
 		if !o.core.Left(now, id) {
 			return
@@ -131,6 +156,15 @@
 	})
 }
 
+// EndBy has every event in hand, and those that come yet, answered by a time.
+func (o *Owner) EndBy(t time.Time) {
+	by := t.Sub(o.base)
+	o.box.put(func(now time.Duration) {
+		o.endBy = by
+		o.core.EndBy(now, by)
+	})
+}
+
 // Listed tells news of the list of workers.
 func (o *Owner) Listed(whole bool, news []choice.Listing) {
 	o.box.put(func(now time.Duration) { o.core.Listed(now, whole, news) })
@@ -245,14 +279,20 @@
 
 // The methods of core.Actor, called by the goroutine only.
 
-// Launch sends a launch to a worker.
+// Launch sends a launch to a worker, unless the client is gone by now: an attempt that begins later is a break.
 func (o *Owner) Launch(fact *choice.Event, launch int, worker string) {
-	o.counts.Launches++
 	e := o.events[fact.ID]
+	if o.box.gone(fact.ID) {
+		o.box.put(func(now time.Duration) {
+			o.core.Outcome(now, fact.ID, launch, choice.Outcome{Worker: worker, Result: choice.TooLate})
+		})
+		return
+	}
+	o.counts.Launches++
 	e.sent++
 	sent := time.Now()
-	left := fact.Patience - (o.Now() - e.came)
-	l := o.workers.Launch(e, launch, worker, left, func(out choice.Outcome, body []byte) {
+	wait := min(e.came+fact.Patience, o.endBy) - o.Now()
+	l := o.workers.Launch(e, launch, worker, wait, func(out choice.Outcome, body []byte) {
 		o.box.put(func(now time.Duration) {
 			delete(e.out, launch)
 			out.Worker, out.Took = worker, time.Since(sent)
--- a/internal/gate/owner_test.go
+++ b/internal/gate/owner_test.go
@@ -32,21 +32,59 @@
 // nowhereAt starts an owner whose workers are nowhere, with one worker listed.
 func nowhereAt(t *testing.T, orders bool) *nowhere {
 	out := &nowhere{launched: make(chan struct{}, 1), recalled: make(chan struct{}, 100)}
-	front := core.Front{Seed: 1, Peers: 1, Quantum: time.Millisecond, Launches: 1,
+	out.owner = gate.NewOwner(front(orders), out, nil, time.Millisecond, time.Second)
+	run(t, out.owner)
+	out.owner.Listed(true, []choice.Listing{{Worker: "w"}})
+	return out
+}
+
+func front(orders bool) core.Front {
+	return core.Front{Seed: 1, Peers: 1, Quantum: time.Millisecond, Launches: 1,
 		Loading: core.Loading{Orders: orders, OnMiss: true, Keep: time.Minute, Limit: time.Second},
 		Types:   []choice.EventType{{Name: "call", Target: 100 * time.Millisecond}}}
-	out.owner = gate.NewOwner(front, out, nil, time.Millisecond, time.Second)
+}
+
+func run(t *testing.T, o *gate.Owner) {
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- out.owner.Run(ctx) }()
+	go func() { ended <- o.Run(ctx) }()
 	t.Cleanup(func() {
 		stop()
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
 	})
+}
+
+// ready is a way out to a worker that handles each event at once.
+type ready struct {
+	nowhere
+}
+
+func (r *ready) Launch(e *gate.Event, _ int, _ string, _ time.Duration, done func(choice.Outcome, []byte)) gate.Sent {
+	r.launched <- struct{}{}
+	done(choice.Outcome{Result: choice.Handled, Warmth: choice.FoundWarm}, nil)
+	return nil
+}
+
+// A client that leaves before the owner has heard of its event, which has a warm copy and could go at once: no attempt
+// begins, and the event ends.
+func TestLeftBeforeItIsHeard(t *testing.T) {
+	out, gone := &ready{nowhere{launched: make(chan struct{}, 2)}}, make(chan struct{})
+	out.owner = gate.NewOwner(front(false), out, nil, time.Millisecond, time.Second)
+	event := func(id string, reply func(invoke.Answer), gone func()) *gate.Event {
+		return &gate.Event{Fact: &choice.Event{ID: id, Type: "call", Function: 9, Patience: 3 * time.Second, Lanes: 1}, Reply: reply, Gone: gone}
+	}
 	out.owner.Listed(true, []choice.Listing{{Worker: "w"}})
-	return out
+	out.owner.Take(event("first", func(invoke.Answer) { // the owner is here: it hears both of these together
+		out.owner.Take(event("second", func(a invoke.Answer) { t.Error("an answer to nobody:", a) }, func() { close(gone) }))
+		out.owner.Left("second")
+	}, nil))
+	run(t, out.owner)
+	<-gone
+	if n := len(out.launched); n != 1 {
+		t.Error(n, "launches, one of them for nobody")
+	}
 }
 
 // A client that leaves while its launch found no worker has nothing to give up.
