Told to end, a front end answers all it has taken, and reads what has come

Also in the lines: drain asked for 'none open' and 'flushed' one after the other and closed all: what was read between, had come in part or stood in the listen queue was lost. thrift.Server.Drain accepts what has come and ends each connection once it rests; the same last look keeps a request that came before its connection is closed as idle, where the process stood still. A connection of which a message is being read gives way last. Errors of a configuration name their key; cores beyond the machine's are not taken for threads.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -69,9 +69,9 @@
 	}
 	c := Config{Name: file.Name, Listen: file.Listen, Journal: file.Journal, Cores: file.Limits.Cores,
 		Memory: int64(file.Limits.Memory * (1 << 20)), Sockets: file.Limits.Sockets}
-	for _, addr := range []string{c.Listen, c.Journal} {
+	for key, addr := range map[string]string{"listen": c.Listen, "journal": c.Journal} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return Config{}, err
+			return Config{}, fmt.Errorf("%s: %w", key, err)
 		}
 	}
 	seed, err := strconv.ParseUint(file.Seed, 16, 64)
@@ -83,14 +83,14 @@
 	}
 	if len(file.Known) > 0 {
 		if c.Known, err = feed.Parse(file.Known); err != nil {
-			return Config{}, err
+			return Config{}, fmt.Errorf("known: %w", err)
 		}
 	}
 	c.Settings = settings.Flat(file.Settings)
 	c.Front = c.Settings.Front(seed)
 	c.Front.Deadlines = true
 	if len(c.Front.Types) == 0 {
-		return Config{}, fmt.Errorf("settings: no class of events")
+		return Config{}, fmt.Errorf("settings: request_classes: there is none")
 	}
 	return c, nil
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -30,6 +30,7 @@
 	feedMemory    = 16
 	recentMemory  = 1024                   // a generation of ids may have as many as the memory over this
 	muteDials     = 5                      // a client's message is whole, or its answer read, within so many times for a connection
+	restDials     = 8                      // what has come is read within one of so many parts of the time for a connection
 	journalWaits  = 2                      // the journal is asked anew after so much of the drain grace
 	comeLate      = 700 * time.Millisecond // of the platform: requests go on coming so long after SIGTERM
 	killAfter     = 3 * time.Second        // of the platform: SIGKILL comes so long after that, or after the longest max age
@@ -48,7 +49,7 @@
 	workers  *workers
 	feed     *feed.Feed
 	bytes    atomic.Int64 // of bodies in hand
-	stopBy   atomic.Int64 // Unix nanoseconds when a front end that was told to end is killed; 0: it goes on
+	draining atomic.Bool
 	recent   recent
 	stopped  context.CancelFunc
 	hard     context.Context
@@ -72,7 +73,7 @@
 		f.workers.report = "pending"
 	}
 	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: streams,
-		Conns: c.Sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial}, f.handle)
+		Conns: c.Sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial, Rest: max(dial/restDials, 1)}, f.handle)
 	f.Owner = gate.NewOwner(c.Front, f.workers, record, c.Front.Loading.Limit, dial)
 	f.recent.keep, f.recent.most = f.longest, int(c.Memory/recentMemory)
 	f.feed = feed.New(c.Journal, feed.Limits{Wait: journalWaits * c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond),
@@ -87,23 +88,24 @@
 }
 
 // Run serves until ctx ends. Then it goes on taking requests for as long as the platform lets them come, answers all in
-// hand, and returns; it is not killed with one unanswered, as clients' time ends before.
+// hand before it would be killed, and returns.
 func (f *Front) Run(ctx context.Context) error {
 	defer f.stopped()
 	g, hard := errgroup.WithContext(f.hard)
 	f.feed.Tell(f.config.Known)
 	g.Go(func() error { return f.Owner.Run(hard) })
 	g.Go(func() error { return f.feed.Run(hard) })
-	g.Go(func() error { return f.server.Run(hard) })
+	g.Go(func() error {
+		defer f.stopped() // it is the last to have anything to do
+		return f.server.Run(hard)
+	})
 	f.log.Info("front end listens", "address", f.listener.Addr().String())
 	g.Go(func() error {
 		select {
 		case <-hard.Done():
-			return nil
 		case <-ctx.Done():
+			f.drain(hard)
 		}
-		f.drain(hard)
-		f.stopped()
 		return nil
 	})
 	err := g.Wait()
@@ -115,28 +117,22 @@
 	return err
 }
 
-// drain waits until requests have stopped coming and every one is answered. It does not end before because SIGKILL is
-// near: what a front end that ends by itself leaves unanswered is lost.
+// drain has every request answered that comes while the platform lets them come, and ends the front end then. Clients that
+// never stop sending, or never read, can't hold it for longer than that and one more such time.
 func (f *Front) drain(hard context.Context) {
-	stop := min(f.longest, killAfter) + comeLate/2
-	f.stopBy.Store(time.Now().Add(stop).UnixNano())
+	left := min(f.longest, killAfter) + comeLate/2
+	f.draining.Store(true)
+	f.EndBy(time.Now().Add(left))
 	f.log.Info("draining", "in hand", f.server.Open())
-	come, end := time.After(comeLate), time.After(f.longest+2*comeLate) // no event is in hand so long
-	quiet := time.NewTicker(comeLate / 32)
-	defer quiet.Stop()
-	coming := true
+	come, end := time.After(comeLate), time.After(left+comeLate)
 	for {
 		select {
 		case <-hard.Done():
 			return
-		case <-end:
-			return
 		case <-come:
-			coming = false
-		case <-quiet.C:
-			if !coming && f.server.Open() == 0 && f.server.Flushed() {
-				return
-			}
+			f.server.Drain()
+		case <-end:
+			f.stopped()
 		}
 	}
 }
@@ -182,7 +178,7 @@
 	case m.Name == methodCancel && (m.Kind == thrift.Oneway || m.Kind == thrift.Call):
 		c.Cancel(args.Ints[1])
 	case m.Name == methodAlive && m.Kind == thrift.Call:
-		c.Send(answer(methodAlive, m.Seq, nil, f.stopBy.Load() == 0))
+		c.Send(answer(methodAlive, m.Seq, nil, !f.draining.Load()))
 	default:
 		refuse(thrift.UnknownMethod, fmt.Sprintf("no method %q", m.Name))
 	}
@@ -217,9 +213,6 @@
 		c.Answer(seq, thrown(seq, resultThrottled))
 		return
 	}
-	if by := f.stopBy.Load(); by > 0 { // who comes now has no more time than the front end
-		r.fact.Patience = max(1, min(r.fact.Patience, time.Until(time.Unix(0, by))))
-	}
 	f.Take(&gate.Event{Fact: r.fact, Body: r.body, Gone: func() { f.bytes.Add(-size) },
 		Reply: func(a invoke.Answer) { c.Answer(seq, spellAnswer(seq, a)) }})
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -140,7 +140,8 @@
 	ended   chan error
 }
 
-func start(t *testing.T) *rig {
+// start starts a front end; changes are of its configuration, a text and what stands in its place.
+func start(t *testing.T, changes ...string) *rig {
 	r := &rig{t: t, worker: newWorker(t), journal: make(chan string, 10), ended: make(chan error, 1)}
 	journal := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		select {
@@ -165,6 +166,7 @@
 		"rules":{"stop_sending_within":0.5},"orgs":[{"name":"acme","quota_per_s":100}],
 		"request_classes":[{"name":"call","effect":"pure","aim":1,"give_up":3},{"name":"pay","effect":"side_effect","aim":1,"give_up":3}]}}`,
 		r.addr, journal.Listener.Addr(), listed(1, "up", r.worker.Addr().String()))
+	r.config = strings.NewReplacer(changes...).Replace(r.config)
 	c, err := platform.Parse([]byte(r.config))
 	if err != nil {
 		t.Fatal(err)
@@ -386,6 +388,30 @@
 	}
 }
 
+// Told to end, a front end answers what a worker would have answered too late for it: unanswered it would be killed. An
+// event that may be tried again is deferred, one that may not is dead-lettered.
+func TestDrainAnswersWhatIsOut(t *testing.T) {
+	r := start(t, `"give_up":3`, `"give_up":100`)
+	r.worker.say(func(string, string, string) []string { return nil })
+	c := r.dial()
+	c.dispatch("", fields(id(1), "wait", "90000")...)
+	c.dispatch("", fields(id(2), "wait", "90000", "class", "pay")...)
+	r.worker.next(t, "FN")
+	r.worker.next(t, "FN")
+	r.stop()
+	got := map[int32]string{}
+	for range 2 {
+		seq, what, _ := c.answer()
+		got[seq] = what
+	}
+	if got[1] != "throttled" || got[2] != "broken" {
+		t.Error(got)
+	}
+	if _, err := io.Copy(io.Discard, c); err != nil {
+		t.Error("not ended:", err)
+	}
+}
+
 // A drained worker gets nothing new; news of a moved journal is heard.
 func TestJournal(t *testing.T) {
 	r := start(t)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"net"
@@ -23,11 +24,11 @@
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
+	runtime.GOMAXPROCS(int(math.Ceil(min(c.Cores, float64(runtime.NumCPU())))))
 	debug.SetMemoryLimit(c.Memory / 2) // the rest is for the program itself, stacks and what the system counts beside
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
 	}
 	f := New(c, listener, log, nil)
 	ended := make(chan error, 1)
--- /dev/null
+++ b/internal/platform/run_test.go
@@ -0,0 +1,131 @@
+package platform_test
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"lupinpond/internal/platform"
+)
+
+// logs tells a test the messages that are logged.
+type logs struct {
+	mu   sync.Mutex
+	have string
+	kick chan struct{}
+}
+
+func (l *logs) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.have += string(b)
+	close(l.kick)
+	l.kick = make(chan struct{})
+	return len(b), nil
+}
+
+// wait waits until a text has been logged so often.
+func (l *logs) wait(text string, times int) {
+	for {
+		l.mu.Lock()
+		n, kick := strings.Count(l.have, text), l.kick
+		l.mu.Unlock()
+		if n >= times {
+			return
+		}
+		<-kick
+	}
+}
+
+// program runs the program of a front end by a configuration file.
+func program(t *testing.T, r *rig, config string) (path string, l *logs, ended chan error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr, path = listener.Addr().String(), filepath.Join(t.TempDir(), "config.json")
+	listener.Close()
+	var object = strings.Replace(config, `"listen":`, `"listen":"`+r.addr+`","was":`, 1)
+	if err := os.WriteFile(path, []byte(object), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l, ended = &logs{kick: make(chan struct{})}, make(chan error, 1)
+	go func() { ended <- platform.Run(path, slog.New(slog.NewTextHandler(l, nil))) }()
+	return path, l, ended
+}
+
+func signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := syscall.Kill(os.Getpid(), s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A file that can't be read leaves what is in force, also in the middle of a reload and while the front end drains; a second
+// SIGTERM changes nothing; all ends without an error.
+func TestSignals(t *testing.T) {
+	r := start(t)
+	path, l, ended := program(t, r, r.config)
+	l.wait("front end listens", 1)
+	c := r.dial()
+	c.dispatch("a", fields(id(1))...)
+	c.wants("handled", "done a")
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := 0
+	for _, text := range []string{"", string(good[:len(good)/2]), `{"name":"n0"}`, strings.Replace(string(good), `"sockets":256`, `"sockets":-1`, 1)} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		signal(t, syscall.SIGHUP)
+		bad++
+		l.wait("the new configuration is not taken", bad)
+		c.dispatch("b", fields(id(1+bad))...)
+		c.wants("handled", "done b")
+	}
+	if err := os.WriteFile(path, good, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	signal(t, syscall.SIGHUP)
+	l.wait("msg=\"new configuration\"", 1)
+	release := make(chan struct{})
+	r.worker.say(func(_, _, body string) []string {
+		<-release
+		return []string{"ok", "how=ready", body}
+	})
+	c.dispatch("c", fields(id(50))...)
+	r.worker.next(t, "FN")
+	signal(t, syscall.SIGTERM)
+	l.wait("draining", 1)
+	signal(t, syscall.SIGHUP) // in the middle of the drain
+	l.wait("msg=\"new configuration\"", 2)
+	signal(t, syscall.SIGTERM)
+	close(release)
+	c.wants("handled", "c")
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A configuration that can't be ends the start with an error that names what is wrong.
+func TestBadStart(t *testing.T) {
+	r := start(t)
+	for change, names := range map[string]string{`"seed":"8c1f`: "seed", `"cores":1.0`: "cores", `"sockets":256`: "sockets",
+		`"memory_mb":64`: "memory_mb", `"journal":"127`: "journal", `"request_classes":[`: "request_classes"} {
+		name, _, _ := strings.Cut(change, ":")
+		_, _, ended := program(t, r, strings.Replace(r.config, change, name+`:"x","was":`+strings.TrimPrefix(change, name+":"), 1))
+		if err := <-ended; err == nil || !strings.Contains(err.Error(), names) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("without %s: %v", names, err)
+		}
+	}
+	if err := platform.Run(filepath.Join(t.TempDir(), "none"), slog.New(slog.DiscardHandler)); err == nil {
+		t.Error("no file is taken")
+	}
+}
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	Mute  time.Duration // from the connection to its first whole message, and from a message's first byte to its last
 	Idle  time.Duration // without a call
 	Write time.Duration // for what is written; a client that does not read is cut off
+	Rest  time.Duration // what has come while the process stood still is read within that, before anything ends as idle
 }
 
 // Server serves the connections of one listener.
@@ -28,6 +30,7 @@
 	limits   Limits
 	handle   func(*Conn, Message)
 	open     atomic.Int64 // calls without an answer, on all connections
+	draining atomic.Bool
 
 	mu      sync.Mutex
 	conns   map[*Conn]bool
@@ -42,42 +45,60 @@
 // Open is the number of calls without an answer.
 func (s *Server) Open() int64 { return s.open.Load() }
 
-// Flushed tells whether all that was answered is written.
-func (s *Server) Flushed() bool {
+// Connections is the number of connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Drain has Run return by itself: the connections that have come are accepted, what has come on them is read and answered,
+// and each ends once it rests with no call open and all written. Nothing that was taken is left unanswered.
+func (s *Server) Drain() {
+	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		c.mu.Lock()
-		busy := len(c.out) > 0 || c.writing
+		c.hasten()
 		c.mu.Unlock()
-		if busy {
-			return false
-		}
 	}
-	return true
+	s.hasten()
 }
 
-// Connections is the number of connections.
-func (s *Server) Connections() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
+// hasten has Accept wait no longer than Rest for one more connection.
+func (s *Server) hasten() {
+	l, is := s.listener.(interface{ SetDeadline(time.Time) error })
+	if !is || l.SetDeadline(time.Now().Add(s.limits.Rest)) != nil {
+		s.listener.Close()
+	}
 }
 
-// Run serves until ctx ends; then it closes the listener and every connection.
+// Run serves until ctx ends; then it closes the listener and every connection. After Drain it ends when all is answered.
 func (s *Server) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		s.listener.Close()
+		s.end()
+	})
 	defer stop()
 	defer s.workers.Wait()
-	defer s.end()
+	defer s.listener.Close()
+	looked := false // as it drains, since the last connection
 	for {
 		conn, err := s.listener.Accept()
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+		none := s.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) || none && looked {
 			if err == nil {
 				conn.Close()
 			}
 			return nil
 		}
+		if looked = none; s.draining.Load() {
+			s.hasten()
+		}
+		if none { // the time was up before Accept was called, perhaps, and one has come
+			continue
+		}
 		if err != nil { // no descriptor is free: one that asks nothing gives way
 			s.evict()
 			time.Sleep(time.Millisecond)
@@ -94,6 +115,9 @@
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
+		if ctx.Err() != nil { // it came beside the end
+			conn.Close()
+		}
 		s.workers.Add(2)
 		go c.read()
 		go c.write()
@@ -108,7 +132,8 @@
 	}
 }
 
-// evict closes the connection that has been silent longest and has no call open; those that never asked go first.
+// evict closes the connection that has been silent longest and has no call open; those that never asked go first, and
+// those of which a message is being read last.
 func (s *Server) evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,6 +145,9 @@
 		if !c.asked {
 			at = at.Add(-s.limits.Idle)
 		}
+		if !c.rests { // a message is being read
+			at = at.Add(2 * s.limits.Idle)
+		}
 		if len(c.calls) == 0 && !c.gone && (victim == nil || at.Before(heard)) {
 			victim, heard = c, at
 		}
@@ -154,6 +182,7 @@
 	closing bool // nothing is written after out
 	gone    bool
 	asked   bool // a whole message came
+	rests   bool // the reader waits for a message
 	heard   time.Time
 }
 
@@ -187,6 +216,14 @@
 		delete(c.calls, seq)
 		c.server.open.Add(-1)
 		c.heard = time.Now()
+		c.hasten()
+	}
+}
+
+// hasten has a reader that rests with no call open look once more, and end, where the server drains.
+func (c *Conn) hasten() {
+	if c.rests && len(c.calls) == 0 && c.server.draining.Load() {
+		_ = c.conn.SetReadDeadline(time.Now()) // one that is closed has its error already
 	}
 }
 
@@ -275,34 +312,8 @@
 
 // next reads a frame. A length that no message has ends the connection before a byte of it is read.
 func (c *Conn) next(in *bufio.Reader) ([]byte, error) {
-	for {
-		c.mu.Lock()
-		wait := c.server.limits.Idle
-		if !c.asked {
-			wait = c.server.limits.Mute
-		}
-		until := c.heard.Add(wait)
-		if len(c.calls) > 0 {
-			until = time.Now().Add(wait)
-		}
-		c.mu.Unlock()
-		if err := c.conn.SetReadDeadline(until); err != nil {
-			return nil, err
-		}
-		_, err := in.Peek(1)
-		var slow net.Error
-		if err == nil {
-			break
-		}
-		if !errors.As(err, &slow) || !slow.Timeout() {
-			return nil, err
-		}
-		c.mu.Lock()
-		idle := len(c.calls) == 0 && time.Since(c.heard) >= wait
-		c.mu.Unlock()
-		if idle {
-			return nil, err
-		}
+	if err := c.rest(in); err != nil {
+		return nil, err
 	}
 	if err := c.conn.SetReadDeadline(time.Now().Add(c.server.limits.Mute)); err != nil {
 		return nil, err
@@ -320,6 +331,51 @@
 	return frame, err
 }
 
+// rest waits for the first byte of a message; an error ends the connection. A connection that may end for its silence, or
+// as the server drains, is looked at once more: what came while the process stood still is there, though its time is up.
+func (c *Conn) rest(in *bufio.Reader) error {
+	for {
+		until, last := c.restUntil()
+		if err := c.conn.SetReadDeadline(until); err != nil {
+			return err
+		}
+		if !last { // a call may have ended, or Drain been called, since
+			c.mu.Lock()
+			c.hasten()
+			c.mu.Unlock()
+		}
+		_, err := in.Peek(1)
+		if err == nil || last || !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.mu.Lock()
+			c.rests = false
+			c.mu.Unlock()
+			return err
+		}
+	}
+}
+
+// restUntil tells how long to wait for a message, and whether the connection ends if none comes by then.
+func (c *Conn) restUntil() (until time.Time, last bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wait := c.server.limits.Idle
+	if !c.asked {
+		wait = c.server.limits.Mute
+	}
+	now := time.Now()
+	switch idle := len(c.calls) == 0; {
+	case idle && (c.server.draining.Load() || now.Sub(c.heard) >= wait):
+		c.rests = false
+		return now.Add(c.server.limits.Rest), true
+	case idle:
+		until = c.heard.Add(wait)
+	default:
+		until = now.Add(wait)
+	}
+	c.rests = true
+	return until, false
+}
+
 func (c *Conn) write() {
 	defer c.server.workers.Done()
 	defer c.conn.Close()
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -97,7 +97,7 @@
 	})
 }
 
-var limits = thrift.Limits{Frame: 256, Open: 2, Conns: 3, Mute: time.Minute, Idle: time.Minute, Write: time.Minute}
+var limits = thrift.Limits{Frame: 256, Open: 2, Conns: 3, Mute: time.Minute, Idle: time.Minute, Write: time.Minute, Rest: 30 * time.Millisecond}
 
 // serve runs a server whose messages and calls taken back come to the test.
 func serve(t *testing.T, l thrift.Limits) (addr string, came chan func() (*thrift.Conn, thrift.Message), left chan int32, s *thrift.Server) {
