--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -38,13 +40,16 @@
 	Removed  = "removed"
 )
 
-// Event is one change of the list.
+// List is what an event tells of the list: all of it, or what has changed.
+type List struct {
+	Whole   bool     `json:"whole"`
+	Workers []Worker `json:"hosts"`
+}
+
+// Event is one event of the journal; those that do not change the list have none.
 type Event struct {
 	Number int64 `json:"pos"`
-	List   *struct {
-		Whole   bool     `json:"whole"`
-		Workers []Worker `json:"hosts"`
-	} `json:"hosts"`
+	List   *List `json:"hosts"`
 }
 
 // News is an answer of the service: events in their order, and the number of the last one there is.
@@ -78,6 +83,44 @@
 	return n, nil
 }
 
+// follows tells whether nothing is missing between the event last known and each of these. One with a whole list needs
+// nothing before it.
+func (n News) follows(last int64) bool {
+	for _, e := range n.Events {
+		if e.Number > last+1 && (e.List == nil || !e.List.Whole) {
+			return false
+		}
+		last = max(last, e.Number)
+	}
+	return true
+}
+
+// fold makes one event of all: the whole list as it stands after them. False where no whole list is among them.
+func (n News) fold() (Event, bool) {
+	all, whole, number := map[string]Worker{}, false, int64(0)
+	for _, e := range n.Events {
+		number = max(number, e.Number)
+		if e.List == nil {
+			continue
+		}
+		if e.List.Whole {
+			clear(all)
+			whole = true
+		}
+		for _, w := range e.List.Workers {
+			if all[w.Name] = w; w.State == Removed {
+				delete(all, w.Name)
+			}
+		}
+	}
+	names := slices.Sorted(maps.Keys(all))
+	list := &List{Whole: true}
+	for _, name := range names {
+		list.Workers = append(list.Workers, all[name])
+	}
+	return Event{Number: number, List: list}, whole
+}
+
 // Limits bound what is asked for.
 type Limits struct {
 	Wait   time.Duration // that the service may let pass without news; past that and Answer it is taken for silent
@@ -91,6 +134,7 @@
 	log    *slog.Logger
 	told   func(Event)
 	moved  chan struct{}
+	anew   bool // the whole list is to be asked for; Run's goroutine only
 
 	mu     sync.Mutex
 	addr   string
@@ -116,6 +160,30 @@
 	}
 }
 
+// follow takes an answer. Where events are missing in it none is told: what they changed would be lost for good. The whole
+// list is asked for then.
+func (f *Feed) follow(n News, last int64, took time.Duration) error {
+	switch {
+	case f.anew:
+		e, whole := n.fold()
+		if !whole || e.Number < f.last {
+			return fmt.Errorf("journal: asked for all events, it told no whole list as new as event %d", f.last)
+		}
+		f.anew = false
+		f.Tell(News{Events: []Event{e}})
+		return nil
+	case !n.follows(last):
+		f.anew = true
+		f.log.Warn("events of the journal are missing: the whole list is asked for", "after", last)
+		return nil
+	}
+	f.Tell(n)
+	if f.at().last == last && took < f.limits.Wait/2 { // else it would be asked without a pause
+		return errors.New("journal: nothing new, before the time that it was asked to wait")
+	}
+	return nil
+}
+
 // Move has the journal asked at another address from now on; the numbers go on.
 func (f *Feed) Move(addr string) {
 	f.mu.Lock()
@@ -159,11 +227,16 @@
 	ctx, cancel := context.WithTimeout(ctx, f.limits.Wait+f.limits.Answer)
 	defer cancel()
 	f.mu.Lock()
-	addr, last := f.addr, f.last
+	at := place{f.addr, f.last}
 	f.cancel = cancel
 	f.mu.Unlock()
-	url := "http://" + addr + "/journal?tail=" + strconv.FormatInt(last, 10) +
+	after := at.last
+	if f.anew {
+		after = 0
+	}
+	url := "http://" + at.addr + "/journal?tail=" + strconv.FormatInt(after, 10) +
 		"&max_wait=" + strconv.FormatInt(f.limits.Wait.Milliseconds(), 10)
+	asked := time.Now()
 	b, err := ask.Do(ctx, client, http.MethodGet, url, nil, f.limits.Bytes)
 	if err != nil {
 		return err
@@ -172,15 +245,20 @@
 	if err != nil {
 		return err
 	}
-	if f.at() != addr { // it was moved meanwhile
+	if f.at().addr != at.addr { // it was moved meanwhile
 		return errors.New("moved")
 	}
-	f.Tell(n)
-	return nil
+	return f.follow(n, at.last, time.Since(asked))
+}
+
+// place is where the journal is asked, and what for.
+type place struct {
+	addr string
+	last int64
 }
 
-func (f *Feed) at() string {
+func (f *Feed) at() place {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.addr
+	return place{f.addr, f.last}
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,3 +156,91 @@
 	stop()
 	<-ended
 }
+
+// follows runs a feed whose service answers one after the other, and then says nothing; it tells what was asked for.
+func follows(t *testing.T, answers ...string) (told chan feed.Event, asked chan string, stop func()) {
+	told, asked = make(chan feed.Event, 100), make(chan string, 100)
+	left := make(chan string, len(answers))
+	for _, a := range answers {
+		left <- a
+	}
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Query().Get("tail")
+		select {
+		case a := <-left:
+			fmt.Fprint(w, a)
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	l := limits
+	l.Wait = time.Minute
+	f := feed.New(service.Listener.Addr().String(), l, slog.New(slog.DiscardHandler), func(e feed.Event) { told <- e })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	return told, asked, func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		service.Close()
+	}
+}
+
+// Events that are missing may have drained a worker: none of the answer is told, and the whole list is asked for, in which
+// what is left out is gone and what goes in the same answer never came.
+func TestMissingEvents(t *testing.T) {
+	gone := strings.Replace(event(5), `"up"`, `"removed"`, 1)
+	anew := fmt.Sprintf(`{"pos":6,"entries":[%s,%s,%s,%s]}`, event(1), event(4), event(5), strings.Replace(gone, `"pos":5`, `"pos":6`, 1))
+	told, asked, stop := follows(t, news(1, 2), news(4), anew, news(7))
+	defer stop()
+	for n := int64(1); n <= 2; n++ {
+		if e := <-told; e.Number != n {
+			t.Error(e.Number, "instead of", n)
+		}
+	}
+	e := <-told
+	var names []string
+	for _, w := range e.List.Workers {
+		names = append(names, w.Name)
+	}
+	if e.Number != 6 || !e.List.Whole || fmt.Sprint(names) != "[w1 w4]" {
+		t.Errorf("event %d, whole %v, %v", e.Number, e.List.Whole, names)
+	}
+	if e := <-told; e.Number != 7 {
+		t.Error(e.Number, "instead of 7")
+	}
+	for _, want := range []string{"0", "2", "0", "6", "7"} {
+		if got := <-asked; got != want {
+			t.Errorf("asked for what came after %s instead of %s", got, want)
+		}
+	}
+}
+
+// A whole list out of turn needs nothing before it; an event that is known already is not told again, nor an older list.
+func TestWholeListOutOfTurn(t *testing.T) {
+	whole := strings.Replace(event(9), `"whole":false`, `"whole":true`, 1)
+	told, _, stop := follows(t, news(1), fmt.Sprintf(`{"pos":9,"entries":[%s]}`, whole), news(1, 2), news(9, 10))
+	defer stop()
+	for _, want := range []int64{1, 9, 10} {
+		if e := <-told; e.Number != want {
+			t.Error(e.Number, "instead of", want)
+		}
+	}
+}
+
+// A service that answers at once with nothing new, or with a number past its events, is not asked without a pause.
+func TestNothingNew(t *testing.T) {
+	empty := `{"pos":7,"entries":[]}`
+	_, asked, stop := follows(t, empty, empty, empty, empty, empty)
+	defer stop()
+	<-asked
+	first := time.Now()
+	for range 5 {
+		<-asked
+	}
+	if least := 5 * limits.Answer / 8 / 2; time.Since(first) < least { // a pause is drawn from half its length on
+		t.Errorf("asked five times within %v", time.Since(first))
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -32,6 +32,7 @@
 	muteDials     = 5                      // a client's message is whole, or its answer read, within so many times for a connection
 	restDials     = 8                      // what has come is read within one of so many parts of the time for a connection
 	journalWaits  = 2                      // the journal is asked anew after so much of the drain grace
+	mostWait      = 5 * time.Second        // of the platform: the journal waits no longer
 	comeLate      = 700 * time.Millisecond // of the platform: requests go on coming so long after SIGTERM
 	killAfter     = 3 * time.Second        // of the platform: SIGKILL comes so long after that, or after the longest max age
 	mostAnswer    = 1 << 20                // bytes of one word of a worker's answer
@@ -76,7 +77,7 @@
 		Conns: c.Sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial, Rest: max(dial/restDials, 1)}, f.handle)
 	f.Owner = gate.NewOwner(c.Front, f.workers, record, c.Front.Loading.Limit, dial)
 	f.recent.keep, f.recent.most = f.longest, int(c.Memory/recentMemory)
-	f.feed = feed.New(c.Journal, feed.Limits{Wait: journalWaits * c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond),
+	f.feed = feed.New(c.Journal, feed.Limits{Wait: min(max(dial, journalWaits*c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond)), mostWait),
 		Answer: dial, Bytes: c.Memory / feedMemory}, f.log, f.news)
 	return f
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -136,14 +136,16 @@
 	addr    string
 	front   *platform.Front
 	journal chan string // its answers
+	waits   chan string // how long it may wait, of each question
 	stop    context.CancelFunc
 	ended   chan error
 }
 
 // start starts a front end; changes are of its configuration, a text and what stands in its place.
 func start(t *testing.T, changes ...string) *rig {
-	r := &rig{t: t, worker: newWorker(t), journal: make(chan string, 10), ended: make(chan error, 1)}
+	r := &rig{t: t, worker: newWorker(t), journal: make(chan string, 10), waits: make(chan string, 1000), ended: make(chan error, 1)}
 	journal := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.waits <- q.URL.Query().Get("max_wait")
 		select {
 		case text := <-r.journal:
 			fmt.Fprint(w, text)
@@ -448,6 +450,17 @@
 	}
 }
 
+// A silent journal is noticed before its news counts as told, two seconds after the wait that was asked for, which is never
+// longer than the platform allows and follows the drain grace.
+func TestJournalWait(t *testing.T) {
+	for grace, want := range map[string]string{"0.5": "1000", "1": "2000", "0": "250", "10": "5000"} {
+		r := start(t, `"stop_sending_within":0.5`, `"stop_sending_within":`+grace)
+		if got := <-r.waits; got != want {
+			t.Errorf("with a grace of %s s the journal may wait %s ms instead of %s", grace, got, want)
+		}
+	}
+}
+
 func TestBadConfig(t *testing.T) {
 	r := start(t)
 	for _, change := range [][2]string{{`"seed":"8c1f`, `"seed":"xx1f`}, {`"sockets":256`, `"sockets":2`}, {`"cores":1.0`, `"cores":0`},
