A command cut off never ran, a kill follows its command, descriptors are bounded

Read in resp/pool.go, each forced over loopback: - write() took any byte that left for 'may have run': an at-most-once event was dead-lettered though the worker can't have read its command whole (TestCutOffInWriting: fate 2, broken). An idle connection gives way first, and a twelfth of the descriptors is the most beyond the third (TestDescriptors).

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -24,9 +24,10 @@
 // Parts of what the platform allows that may be used for one purpose, and multiples of its times: protection, so that
 // what others do wrong can't bring the front end down.
 const (
-	clientSockets = 2 // one of so many descriptors for clients, who use a third at most if they keep to the protocol
-	workerSockets = 3 // and for workers; the rest is for the journal, the listener and what is being closed
-	bodyMemory    = 8 // and of the memory for bodies in hand
+	clientSockets = 2  // one of so many descriptors for clients, who use a third at most if they keep to the protocol
+	workerSockets = 3  // and for workers
+	spareSockets  = 12 // and for workers that have none beyond that; the rest is the journal's, the listener's and what is closing
+	bodyMemory    = 8  // and of the memory for bodies in hand
 	feedMemory    = 16
 	recentMemory  = 1024                   // a generation of ids may have as many as the memory over this
 	muteDials     = 5                      // a client's message is whole, or its answer read, within so many times for a connection
@@ -69,7 +70,7 @@
 	streams := max(1, int(c.Settings.Number("policy_limits.max_streams", 32)))
 	f.workers = &workers{cancel: c.Front.Cancel, list: map[string]*backend{},
 		pool: resp.NewPool(f.hard, resp.Limits{Dial: dial, Idle: idle / 2, Streams: streams, Conns: c.Sockets / workerSockets,
-			Word: mostAnswer})}
+			Most: c.Sockets/workerSockets + c.Sockets/spareSockets, Word: mostAnswer})}
 	if c.Settings["report.source"] != "off" {
 		f.workers.report = "pending"
 	}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -15,13 +16,14 @@
 	Idle    time.Duration // a connection without a call is closed
 	Streams int           // calls at a time on a connection
 	Conns   int           // to all workers together; below that every call has one for itself
+	Most    int           // the same, where a worker without one needs one: past that its calls are not sent
 	Word    int           // bytes of one word of an answer
 }
 
 // Fate is how a call ended.
 type Fate int
 
-// The fates. Unsent: no byte of it left, it never came to the worker. Broken and GivenUp: it may have.
+// The fates. Unsent: its last byte never left, it never came whole to the worker. Broken and GivenUp: it may have.
 const (
 	Answered Fate = iota
 	Unsent
@@ -42,10 +44,43 @@
 	ctx    context.Context
 	done   sync.WaitGroup
 	stray  atomic.Int64 // answers that no call waited for
+
+	mu    sync.Mutex // taken after a worker's mu, never before
+	conns map[*conn]bool
 }
 
 // NewPool makes a Pool whose connections end with ctx.
-func NewPool(ctx context.Context, limits Limits) *Pool { return &Pool{limits: limits, ctx: ctx} }
+func NewPool(ctx context.Context, limits Limits) *Pool {
+	return &Pool{limits: limits, ctx: ctx, conns: map[*conn]bool{}}
+}
+
+// yield has the connection end that has been without a call longest: a worker that has none needs its descriptor.
+func (p *Pool) yield() {
+	p.mu.Lock()
+	conns := slices.Collect(maps.Keys(p.conns))
+	p.mu.Unlock()
+	var idlest *conn
+	var since time.Time
+	for _, c := range conns {
+		c.worker.mu.Lock()
+		if c.idle() && (idlest == nil || c.used.Before(since)) {
+			idlest, since = c, c.used
+		}
+		c.worker.mu.Unlock()
+	}
+	if idlest == nil {
+		return
+	}
+	idlest.worker.mu.Lock()
+	if idlest.idle() { // still
+		idlest.closing = true
+		idlest.wake()
+	}
+	idlest.worker.mu.Unlock()
+}
+
+// idle tells that a connection stands and has nothing on it.
+func (c *conn) idle() bool { return c.conn != nil && !c.closing && !c.gone && len(c.calls) == 0 }
 
 // Wait returns when every connection has ended.
 func (p *Pool) Wait() { p.done.Wait() }
@@ -103,6 +138,9 @@
 // Call sends a frame; what comes under id ends it, and done is told once, perhaps at once. alone asks for a connection
 // that carries nothing else meanwhile, as what breaks one breaks all on it.
 func (w *Worker) Call(id string, frame []byte, alone bool, done func(Answer)) *Call {
+	if w.pool.open.Load() >= int64(w.pool.limits.Conns) && w.bare() {
+		w.pool.yield()
+	}
 	w.mu.Lock()
 	c := &Call{worker: w, id: id, frame: frame, done: done}
 	on := w.pick(id, alone)
@@ -141,17 +179,27 @@
 	if least != nil && (least.conn == nil || !silent) && (len(least.calls) == 0 || !alone) {
 		return least
 	}
-	if w.pool.open.Add(1) > int64(w.pool.limits.Conns) && len(w.conns) > 0 {
+	if n := w.pool.open.Add(1); n > int64(w.pool.limits.Conns) && len(w.conns) > 0 || n > int64(w.pool.limits.Most) {
 		w.pool.open.Add(-1)
 		return least
 	}
 	c := &conn{worker: w, calls: map[string]*Call{}, kick: make(chan struct{}, 1)}
 	w.conns = append(w.conns, c)
+	w.pool.mu.Lock()
+	w.pool.conns[c] = true
+	w.pool.mu.Unlock()
 	w.pool.done.Add(1)
 	go c.run()
 	return c
 }
 
+// bare tells that a worker has no connection.
+func (w *Worker) bare() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.conns) == 0
+}
+
 func (c *conn) wake() {
 	select {
 	case c.kick <- struct{}{}:
@@ -274,6 +322,9 @@
 	c.gone = true
 	w.conns = slices.DeleteFunc(w.conns, func(x *conn) bool { return x == c })
 	w.pool.open.Add(-1)
+	w.pool.mu.Lock()
+	delete(w.pool.conns, c)
+	w.pool.mu.Unlock()
 	var calls []*Call
 	var fates []Fate
 	for _, x := range c.calls {
@@ -293,29 +344,29 @@
 	}
 }
 
-// next takes what is to be written; nil and false: the connection has done its work.
-func (c *conn) next() (x *Call, frame []byte, more bool) {
+// next takes what is to be written, a call or its kill; nil and false: the connection has done its work.
+func (c *conn) next() (x *Call, frame []byte, kill, more bool) {
 	c.worker.mu.Lock()
 	defer c.worker.mu.Unlock()
 	if c.gone || c.closing && len(c.calls) == 0 {
-		return nil, nil, false
+		return nil, nil, false, false
 	}
 	if len(c.queue) == 0 {
-		return nil, nil, true
+		return nil, nil, false, true
 	}
 	x, c.queue = c.queue[0], c.queue[1:]
 	if x.state == given {
-		return x, x.kill, true
+		return x, x.kill, true, true
 	}
 	x.state = sent
-	return x, x.frame, true
+	return x, x.frame, false, true
 }
 
 func (c *conn) write(nc net.Conn) {
 	idle := time.NewTicker(max(c.worker.pool.limits.Idle/4, time.Millisecond))
 	defer idle.Stop()
 	for {
-		x, frame, more := c.next()
+		x, frame, kill, more := c.next()
 		if !more {
 			return
 		}
@@ -337,16 +388,16 @@
 		}
 		n, err := nc.Write(frame)
 		if err != nil {
-			if n == 0 {
+			if n < len(frame) {
 				c.unwritten(x)
 			}
 			return
 		}
-		c.written(x)
+		c.written(x, kill)
 	}
 }
 
-// unwritten takes back that a request of which no byte left was sent.
+// unwritten takes back that a request was sent whose last byte never left: a worker can't have read it whole.
 func (c *conn) unwritten(x *Call) {
 	c.worker.mu.Lock()
 	if x.state == sent {
@@ -355,16 +406,15 @@
 	c.worker.mu.Unlock()
 }
 
-// written ends a call whose kill has left.
-func (c *conn) written(x *Call) {
+// written ends a call whose kill has left. One that is given up while it is being written itself has its kill still to come.
+func (c *conn) written(x *Call, kill bool) {
 	c.worker.mu.Lock()
-	over := x.state == given
-	if over {
+	if kill {
 		c.end(x)
 	}
 	x.frame = nil
 	c.worker.mu.Unlock()
-	if over {
+	if kill {
 		x.done(Answer{Fate: GivenUp})
 	}
 }
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -49,7 +49,7 @@
 	})
 }
 
-var limits = resp.Limits{Dial: 10 * time.Second, Idle: time.Minute, Streams: 4, Conns: 4, Word: 64}
+var limits = resp.Limits{Dial: 10 * time.Second, Idle: time.Minute, Streams: 4, Conns: 4, Most: 8, Word: 64}
 
 // script is a worker's end of one connection.
 type script struct {
@@ -62,7 +62,7 @@
 	s.t.Helper()
 	part := make([]byte, 512)
 	for {
-		words, taken, err := resp.Parse(s.have, 1<<20)
+		words, taken, err := resp.Parse(s.have, 1<<26)
 		if err != nil {
 			s.t.Fatal(err)
 		}
