--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -37,6 +37,7 @@
 	comeLate      = 700 * time.Millisecond // of the platform: requests go on coming so long after SIGTERM
 	killAfter     = 3 * time.Second        // of the platform: SIGKILL comes so long after that, or after the longest max age
 	mostAnswer    = 1 << 20                // bytes of one word of a worker's answer
+	mostOpen      = 32                     // of the platform: requests open on one connection of a client, whatever a worker takes on its own
 )
 
 // Front is one front end on the platform.
@@ -74,7 +75,7 @@
 	if c.Settings["report.source"] != "off" {
 		f.workers.report = "pending"
 	}
-	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: streams,
+	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: mostOpen,
 		Conns: c.Sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial, Rest: max(dial/restDials, 1)}, f.handle)
 	f.Owner = gate.NewOwner(c.Front, f.workers, record, c.Front.Loading.Limit, dial)
 	f.recent.keep, f.recent.most = f.longest, int(c.Memory/recentMemory)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -450,6 +450,26 @@
 	}
 }
 
+// A client has as many requests open as the platform allows, though a connection to a worker carries fewer.
+func TestOpenRequests(t *testing.T) {
+	r := start(t, `"max_streams":32`, `"max_streams":2`)
+	release := make(chan struct{})
+	r.worker.say(func(_, _, body string) []string {
+		<-release
+		return []string{"ok", "how=ready", body}
+	})
+	c := r.dial()
+	for n := range 32 {
+		c.dispatch("", fields(id(n))...)
+	}
+	close(release)
+	for range 32 {
+		if seq, what, _ := c.answer(); what != "handled" && what != "throttled" {
+			t.Error(seq, what)
+		}
+	}
+}
+
 // A silent journal is noticed before its news counts as told, two seconds after the wait that was asked for, which is never
 // longer than the platform allows and follows the drain grace.
 func TestJournalWait(t *testing.T) {
