The mark of a keyed event goes to the worker as its client sent it

Cause: reads.read dropped the field once, and Launch wrote class, key and wait alone; no deployment so far had a keyed class. The field is now passed on; a keyed event without one, or with one that would end the worker's field, is an exception and never sent. TestKeyed; -race -count=5 clean.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -60,9 +60,12 @@
 
 // New makes a front end that serves on a listener; record gets a recording of the core where it is not nil.
 func New(c Config, listener net.Listener, log *slog.Logger, record io.Writer) *Front {
-	f := &Front{config: c, log: log.With("front", c.Name), listener: listener, reads: reads{tenants: map[string]bool{}}}
+	f := &Front{config: c, log: log.With("front", c.Name), listener: listener, reads: reads{keyed: map[string]bool{}, tenants: map[string]bool{}}}
 	f.hard, f.stopped = context.WithCancel(context.Background())
 	f.reads.ages, f.longest = c.ages()
+	for _, t := range c.Front.Types {
+		f.reads.keyed[t.Name] = t.Effect == choice.Keyed
+	}
 	for _, t := range c.Front.Tenants {
 		f.reads.tenants[t.Name] = true
 	}
@@ -216,7 +219,7 @@
 		c.Answer(seq, thrown(seq, resultThrottled))
 		return
 	}
-	f.Take(&gate.Event{Fact: r.fact, Body: r.body, Gone: func() { f.bytes.Add(-size) },
+	f.Take(&gate.Event{Fact: r.fact, Body: r.body, Call: invoke.Call{Key: r.mark}, Gone: func() { f.bytes.Add(-size) },
 		Reply: func(a invoke.Answer) { c.Answer(seq, spellAnswer(seq, a)) }})
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -470,6 +470,36 @@
 	}
 }
 
+// The mark of a keyed event goes to the worker as it came, also with another launch; one that has none, or one that would
+// end the worker's field, is never sent.
+func TestKeyed(t *testing.T) {
+	r := start(t, `"effect":"side_effect"`, `"effect":"token","dedup_scope":"all","window":5`)
+	c := r.dial()
+	for i, bad := range []string{"", "a,b", "a=b", "a\r\nb", strings.Repeat("x", 1000)} {
+		c.dispatch("", fields(id(i), "class", "pay", "once", bad)...)
+		c.wants("exception", "")
+	}
+	launches := 0
+	r.worker.say(func(_, _, body string) []string {
+		if launches++; launches == 1 {
+			return []string{"error", "-", ""}
+		}
+		return []string{"ok", "-", body}
+	})
+	c.dispatch("a", fields(id(50), "class", "pay", "once", "7b2f00aa")...)
+	for range 2 {
+		if got := r.worker.next(t, "FN"); !strings.HasSuffix(got[2], ",once=7b2f00aa") {
+			t.Errorf("%q", got)
+		}
+	}
+	c.wants("handled", "a")
+	c.dispatch("b", fields(id(51), "once", "of no use")...) // of a type that may run again
+	if got := r.worker.next(t, "FN"); strings.Contains(got[2], "once") {
+		t.Errorf("%q", got)
+	}
+	c.wants("handled", "b")
+}
+
 // A silent journal is noticed before its news counts as told, two seconds after the wait that was asked for, which is never
 // longer than the platform allows and follows the drain grace.
 func TestJournalWait(t *testing.T) {
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"lupinpond/choice"
 	"lupinpond/internal/thrift"
@@ -24,6 +25,7 @@
 
 	mostBody = 16 << 10 // bytes of a body
 	mostHead = 4 << 10  // of all else in a message
+	mostMark = 128      // of a mark
 )
 
 var errBody = errors.New("body: missing or longer than 16 KiB")
@@ -32,12 +34,14 @@
 type request struct {
 	fact   *choice.Event
 	number uint64 // the id as a number
+	mark   string // of a keyed event, by which workers know a repeat
 	body   []byte
 }
 
 // reads knows what requests may hold.
 type reads struct {
 	ages    map[string]time.Duration // of event types
+	keyed   map[string]bool
 	tenants map[string]bool
 }
 
@@ -84,9 +88,19 @@
 	if err := facts(fact, fields["facts"]); err != nil {
 		return request{}, fmt.Errorf("facts: %w", err)
 	}
-	return request{fact: fact, number: number, body: body}, nil
+	mark := fields["once"]
+	if r.keyed[class] && (mark == "" || len(mark) > mostMark || strings.ContainsFunc(mark, splits)) {
+		return request{}, fmt.Errorf("once: %q is no mark of a keyed event", mark)
+	}
+	if !r.keyed[class] { // nobody would drop a repeat by it
+		mark = ""
+	}
+	return request{fact: fact, number: number, mark: mark, body: body}, nil
 }
 
+// splits tells what would end a value in the fields of a worker's command, or is no text.
+func splits(c rune) bool { return c == ',' || c == '=' || !unicode.IsPrint(c) }
+
 // hex reads 16 hex digits.
 func hex(s string) (uint64, error) {
 	n, err := strconv.ParseUint(s, 16, 64)
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -90,6 +90,9 @@
 	}
 	id := e.Fact.ID
 	fields := "class=" + e.Fact.Type + ",key=" + spell(e.Fact.Function) + ",wait=" + strconv.FormatInt(max(1, left.Milliseconds()), 10)
+	if e.Call.Key != "" {
+		fields += ",once=" + e.Call.Key
+	}
 	var kill []byte
 	if w.cancel {
 		kill = resp.Append(nil, "KILL", id)
