--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -95,7 +95,7 @@
 	return c, nil
 }
 
-const leastSockets = 16
+const leastSockets = 3 * ownSockets
 
 // ages tells the max age of each event type, and the longest.
 func (c Config) ages() (ages map[string]time.Duration, longest time.Duration) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -24,9 +24,10 @@
 // Parts of what the platform allows that may be used for one purpose, and multiples of its times: protection, so that
 // what others do wrong can't bring the front end down.
 const (
-	clientSockets = 2  // one of so many descriptors for clients, who use a third at most if they keep to the protocol
+	ownSockets    = 12 // what the process has beside: standard ones, the runtime's, the listener, the journal, one being accepted
+	clientSockets = 2  // one of so many of the other descriptors for clients, who use a third at most if they keep to the protocol
 	workerSockets = 3  // and for workers
-	spareSockets  = 12 // and for workers that have none beyond that; the rest is the journal's, the listener's and what is closing
+	spareSockets  = 12 // and for workers that have none beyond that; the rest is for what is being closed
 	bodyMemory    = 8  // and of the memory for bodies in hand
 	feedMemory    = 16
 	recentMemory  = 1024                   // a generation of ids may have as many as the memory over this
@@ -71,15 +72,16 @@
 	}
 	dial := max(c.Settings.Time("policy_limits.dial_timeout", 250*time.Millisecond), time.Millisecond)
 	idle := c.Settings.Time("policy_limits.conn_idle", 15*time.Second)
+	sockets := c.Sockets - ownSockets
 	streams := max(1, int(c.Settings.Number("policy_limits.max_streams", 32)))
 	f.workers = &workers{cancel: c.Front.Cancel, list: map[string]*backend{},
-		pool: resp.NewPool(f.hard, resp.Limits{Dial: dial, Idle: idle / 2, Streams: streams, Conns: c.Sockets / workerSockets,
-			Most: c.Sockets/workerSockets + c.Sockets/spareSockets, Word: mostAnswer})}
+		pool: resp.NewPool(f.hard, resp.Limits{Dial: dial, Idle: idle / 2, Streams: streams, Conns: sockets / workerSockets,
+			Most: sockets/workerSockets + sockets/spareSockets, Word: mostAnswer})}
 	if c.Settings["report.source"] != "off" {
 		f.workers.report = "pending"
 	}
 	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: mostOpen,
-		Conns: c.Sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial, Rest: max(dial/restDials, 1)}, f.handle)
+		Conns: sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial, Rest: max(dial/restDials, 1)}, f.handle)
 	f.Owner = gate.NewOwner(c.Front, f.workers, record, c.Front.Loading.Limit, dial)
 	f.recent.keep, f.recent.most = f.longest, int(c.Memory/recentMemory)
 	f.feed = feed.New(c.Journal, feed.Limits{Wait: min(max(dial, journalWaits*c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond)), mostWait),
