Crossings of the list and of late connections, forced; what has gone leaves nothing

Read and cleared, now held by tests: a worker drained, or a client gone, while its connection is coming up (a dial that the test holds back); a worker that drains and goes in one answer with another at its address, then a whole list without it; a hundred workers, functions and clients that come and go leave no goroutine behind. No fault found in these.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -500,6 +501,86 @@
 	c.wants("handled", "b")
 }
 
+// host is a line of the list.
+func host(name, addr, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","class":"k","block":0,"health":%q,"share":4,"born_ms":0}`, name, addr, health)
+}
+
+// changes is an answer of the journal with one event a list; the first has a number.
+func changes(first int, whole bool, lists ...string) string {
+	var events []string
+	for i, list := range lists {
+		events = append(events, fmt.Sprintf(`{"pos":%d,"hosts":{"whole":%v,"hosts":[%s]}}`, first+i, whole, list))
+	}
+	return fmt.Sprintf(`{"pos":%d,"entries":[%s]}`, first+len(lists)-1, strings.Join(events, ","))
+}
+
+// A worker that drains and goes in one answer, another one at its address, and then a whole list without that one: what is
+// out at each is still answered, and new events go where the list says.
+func TestListCrossings(t *testing.T) {
+	third := newWorker(t) // ends after the front end
+	r := start(t)
+	release := make(chan struct{})
+	r.worker.say(func(_, _, body string) []string {
+		if body == "out" {
+			<-release
+		}
+		return []string{"ok", "how=ready", body}
+	})
+	addr := r.worker.Addr().String()
+	c := r.dial()
+	c.dispatch("out", fields(id(1))...)
+	r.worker.next(t, "FN")
+	r.journal <- changes(2, false, host("w", addr, "draining"), host("w", addr, "removed"), host("again", addr, "up"))
+	n := 2
+	handled := func() { // until the news is heard
+		for ; ; n++ {
+			c.dispatch("new", fields(id(n), "wait", "300")...)
+			if _, what, text := c.answer(); what == "handled" {
+				n++
+				if text != "new" && text != "done new" {
+					t.Error(text)
+				}
+				return
+			}
+		}
+	}
+	handled()
+	r.journal <- changes(5, true, host("third", third.Addr().String(), "up"))
+	for len(third.saw) == 0 {
+		handled()
+	}
+	close(release)
+	c.wants("handled", "out")
+}
+
+// Whatever has come and gone, workers, clients and functions, leaves no goroutine and no connection behind.
+func TestComesBack(t *testing.T) {
+	r := start(t)
+	c := r.dial()
+	c.dispatch("a", fields(id(1<<20))...)
+	c.wants("handled", "")
+	before, name, addr := runtime.NumGoroutine(), "w", r.worker.Addr().String()
+	for n := range 100 {
+		next := fmt.Sprint("w", n)
+		r.journal <- changes(2+2*n, false, host(name, addr, "removed"), host(next, addr, "up"))
+		name = next
+		other := r.dial()
+		other.dispatch("a", fields(id(n), "key", id(n), "wait", "1000")...)
+		if n%3 > 0 { // others leave without an answer
+			other.answer()
+		}
+		other.Close()
+	}
+	end := time.Now().Add(20 * time.Second)
+	for runtime.NumGoroutine() > before+4 { // the last worker's connection, and a client's that is just ending
+		if time.Now().After(end) {
+			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // A silent journal is noticed before its news counts as told, two seconds after the wait that was asked for, which is never
 // longer than the platform allows and follows the drain grace.
 func TestJournalWait(t *testing.T) {
--- a/internal/resp/crossing_test.go
+++ b/internal/resp/crossing_test.go
@@ -104,15 +104,34 @@
 // A worker that is drained while a command waits for its connection to come up gets none of it.
 func TestDrainedWhileConnecting(t *testing.T) {
 	r := start(t, limits)
+	open := make(chan struct{})
+	r.pool.Hold(open)
 	_, done := r.call("a", true)
 	r.worker.Stop()
+	wants(t, done, resp.Unsent, "")
+	close(open)
+	if n, err := r.accept().Read(make([]byte, 1)); n > 0 || err == nil {
+		t.Error("the command came")
+	}
+}
+
+// A call that is given up while its connection is coming up, as its client left, is over at once and never sent; what comes
+// later goes over that connection.
+func TestRecallWhileConnecting(t *testing.T) {
+	r := start(t, limits)
+	open := make(chan struct{})
+	r.pool.Hold(open)
+	call, done := r.call("a", true)
+	call.Recall(resp.Append(nil, "KILL", "a"))
+	wants(t, done, resp.Unsent, "")
+	close(open)
+	_, other := r.call("b", true)
 	s := r.accept()
-	if n, _ := s.Read(make([]byte, 1)); n == 0 {
-		wants(t, done, resp.Unsent, "")
-		return
+	if got := s.next(); got[1] != "b" {
+		t.Error(got)
 	}
-	s.Close() // the connection was up before, and the command had left
-	wants(t, done, resp.Broken, "")
+	s.send(resp.Append(nil, "b", "ok", "-", ""))
+	wants(t, other, resp.Answered, "ok")
 }
 
 // The end of the pool gives every call its fate.
--- a/internal/resp/export_test.go
+++ b/internal/resp/export_test.go
@@ -1,6 +1,19 @@
 package resp
 
-import "time"
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Hold has connections come up only once open is closed.
+func (p *Pool) Hold(open chan struct{}) {
+	dial := p.dial
+	p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		<-open
+		return dial(ctx, network, addr)
+	}
+}
 
 // Quiet has the worker last heard from so long ago.
 func (w *Worker) Quiet(ago time.Duration) {
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -42,6 +42,7 @@
 	limits Limits
 	open   atomic.Int64 // connections
 	ctx    context.Context
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	done   sync.WaitGroup
 	stray  atomic.Int64 // answers that no call waited for
 
@@ -51,7 +52,8 @@
 
 // NewPool makes a Pool whose connections end with ctx.
 func NewPool(ctx context.Context, limits Limits) *Pool {
-	return &Pool{limits: limits, ctx: ctx, conns: map[*conn]bool{}}
+	dialer := &net.Dialer{Timeout: limits.Dial}
+	return &Pool{limits: limits, ctx: ctx, dial: dialer.DialContext, conns: map[*conn]bool{}}
 }
 
 // yield has the connection end that has been without a call longest: a worker that has none needs its descriptor.
@@ -288,8 +290,7 @@
 func (c *conn) run() {
 	p := c.worker.pool
 	defer p.done.Done()
-	dialer := net.Dialer{Timeout: p.limits.Dial}
-	nc, err := dialer.DialContext(p.ctx, "tcp", c.worker.addr)
+	nc, err := p.dial(p.ctx, "tcp", c.worker.addr)
 	if err != nil {
 		c.fail()
 		return
