The ramp of a cold worker is tested over the sum of 1 to 300 front ends

TestColdWorkerOfAFleet: a cold worker alone takes events, every seventh front end sees five times the others' traffic, two thirds are told of the start half a second or a second late. No fault found; the module is unchanged.

--- /dev/null
+++ b/choice/fleet_test.go
@@ -0,0 +1,96 @@
+package choice_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lupinpond/choice"
+)
+
+// What front ends send a worker that has just started, all together, stays under what pushes it over (rule 4): N that the
+// settings allow it in their time, and 2 x root of N + 2 that chance adds. Nothing else takes events then, some front ends
+// see several times the mean, and some are told of the start late: what is counted is what those send that were told.
+func TestColdWorkerOfAFleet(t *testing.T) {
+	const tick, warmUp, rate = 10 * ms, 12 * time.Second, 300.0 // events a second of all front ends
+	for _, peers := range []int{1, 4, 20, 30, 100, 300} {
+		for seed := range uint64(3) {
+			chance := rand.New(rand.NewPCG(seed, uint64(peers)))
+			fronts, weight, all := make([]*bench, peers), make([]float64, peers), 0.0
+			for i := range fronts {
+				fronts[i] = fleet(i, peers, 2)
+				weight[i] = 1
+				if i%7 == 3 {
+					weight[i] = 5
+				}
+				all += weight[i]
+			}
+			type running struct {
+				b    *bench
+				e    *choice.Event
+				ends time.Duration
+			}
+			var out []running
+			var sent []time.Duration // to the cold worker, by those that were told of its start
+			told := map[*bench]bool{}
+			served := 0
+			start := time.Hour + warmUp
+			act := func(b *bench, answers []choice.Answer) {
+				for _, a := range answers {
+					if a.Verb != choice.Launch {
+						continue
+					}
+					if out = append(out, running{b, a.Event, b.now + 100*ms}); told[b] && a.Worker == "w0" {
+						sent = append(sent, b.now-start)
+					}
+				}
+			}
+			for now := time.Hour; now < start+10*time.Second; now += tick {
+				left := out[:0]
+				for _, r := range out {
+					if r.ends > now {
+						left = append(left, r)
+						continue
+					}
+					if served++; now >= start {
+						served--
+					}
+					act(r.b, []choice.Answer{r.b.After(now, r.e, choice.Outcome{Result: choice.Handled, Took: 100 * ms, Final: true})})
+				}
+				out = left
+				for i, b := range fronts {
+					b.now = now
+					if late := time.Duration(i%3) * 500 * ms; now == start+late {
+						told[b] = true
+						b.Listed(now, false, []choice.Listing{{Worker: "w0", Started: start}, {Worker: "w1", Condition: choice.Draining}})
+					}
+					for mean := rate * tick.Seconds() * weight[i] / all; chance.Float64() < mean; mean-- {
+						e := &choice.Event{ID: fmt.Sprint(now, i, mean), Type: "redeliverable", Function: uint64(chance.IntN(5)),
+							Patience: 3000 * ms, Lanes: 4, LoadTime: 400 * ms}
+						act(b, []choice.Answer{b.Place(now, e)})
+					}
+					st := b.Wait(now)
+					act(b, st.Answers)
+					b.loaded(st)
+				}
+			}
+			mean := float64(served) / warmUp.Seconds() / 2 // of a worker, in a second
+			from, most := 0, 0.0
+			for to, at := range sent {
+				for sent[from] <= at-1000*ms {
+					from++
+				}
+				if now := sent[from]; now < 9*time.Second {
+					n := 2 * (0.2 + 0.8*now.Seconds()/10) * mean
+					most = max(most, float64(to-from+1)/(n+2*math.Sqrt(n)+2))
+				}
+			}
+			if len(sent) == 0 || most >= 1 {
+				t.Errorf("%d front ends, seed %d: %d events sent there, at the most %.2f of what pushes it over", peers, seed, len(sent), most)
+			}
+			t.Logf("%d front ends, seed %d: %d events, at the most %.2f", peers, seed, len(sent), most)
+		}
+	}
+}
