--- a/internal/thrift/drain_test.go
+++ b/internal/thrift/drain_test.go
@@ -206,3 +206,41 @@
 		t.Error(err)
 	}
 }
+
+// A connection of which a message is being read does not give way to a new one while another rests, though that one was
+// heard of later.
+func TestGivesWayWhileItRests(t *testing.T) {
+	l := limits
+	l.Conns = 2
+	d := newDrains(t, l, nil)
+	close(d.listener.opened)
+	reading := func(n int) {
+		for d.Reading() != n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	half := dial(t, d.listener.Addr().String())
+	write(t, half, call(1, "a"))
+	d.answers("a")
+	next(t, half)
+	frame := call(2, "b")
+	write(t, half, frame[:9])
+	reading(1)
+	rests := dial(t, d.listener.Addr().String())
+	write(t, rests, call(1, "c"))
+	d.answers("c")
+	next(t, rests)
+	reading(1)
+	last := dial(t, d.listener.Addr().String())
+	closed(t, rests)
+	write(t, half, frame[9:])
+	d.answers("b")
+	if m := next(t, half); m.Seq != 2 {
+		t.Error(m)
+	}
+	last.Close()
+	d.stop()
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/thrift/export_test.go
@@ -0,0 +1,15 @@
+package thrift
+
+// Reading is the number of connections of which a message is being read or handled.
+func (s *Server) Reading() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		if !c.rests {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
