--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -178,8 +178,7 @@
 	calls   map[int32]func() // open, with what to do when the client takes one back
 	last    int32            // the highest number that a call came under
 	out     []byte           // to be written
-	writing bool
-	closing bool // nothing is written after out
+	closing bool             // nothing is written after out
 	gone    bool
 	asked   bool // a whole message came
 	rests   bool // the reader waits for a message
@@ -383,7 +382,6 @@
 		c.mu.Lock()
 		out, last := c.out, c.closing
 		c.out = nil
-		c.writing = len(out) > 0
 		c.mu.Unlock()
 		if len(out) > 0 {
 			if err := c.conn.SetWriteDeadline(time.Now().Add(c.server.limits.Write)); err != nil {
