A late answer to an earlier launch is not taken for the next one's, tested

Taking the launch's number out of core.Outcome's check failed no test; TestOutcomeOfAnEarlierLaunch does fail without it.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -257,3 +257,35 @@
 		}
 	})
 }
+
+// The outcome of a launch that is over, come while the next one is out, is not taken for that one's.
+func TestOutcomeOfAnEarlierLaunch(t *testing.T) {
+	a := newTold(false)
+	c, now := core.New(front(), a), time.Hour
+	c.Listed(now, true, workers)
+	if err := c.Came(now, &choice.Event{ID: "e", Type: "free", Function: 1, Patience: 20 * time.Second, Lanes: 1}); err != nil {
+		t.Fatal(err)
+	}
+	until := func(launch int) {
+		for range 5000 { // past the time in which the first launch may have brought a copy
+			if n, is := a.out["e"]; is && n == launch {
+				return
+			}
+			now += 2 * ms
+			c.Woke(now)
+			c.Settle(now)
+		}
+		t.Fatal("launch", launch, "never left")
+	}
+	until(0)
+	if !c.Outcome(now, "e", 0, choice.Outcome{Result: choice.Broken, Took: ms}) {
+		t.Error("the outcome is not taken")
+	}
+	until(1)
+	if c.Outcome(now, "e", 0, choice.Outcome{Result: choice.Handled, Took: ms}) || a.endings["e"] != 0 {
+		t.Error("a late answer to the first launch is taken for one to the second")
+	}
+	if !c.Outcome(now, "e", 1, choice.Outcome{Result: choice.Handled, Took: ms}) || a.endings["e"] != 1 {
+		t.Error("the second's is not")
+	}
+}
