lpctl slopes measures what the decision core costs as the fleet grows

Change: internal/slope drives one core in simulated time, with workers that answer well, and counts the processor time of the calls to it alone (the process's own clock, so that other load on the machine does not lengthen it). Function draws: Zipf with exponent 1.7, offset 3: of 21,000 functions at 60,000 calls a second most are called less than once a minute.

--- a/cmd/lpctl/main.go
+++ b/cmd/lpctl/main.go
@@ -37,6 +37,7 @@
 	Rehearse rehearseCmd `cmd:"" help:"Play rehearsed days of trouble on loopback and judge the five rules."`
 	Rules    rulesCmd    `cmd:"" help:"Judge the five rules from a folder of captures."`
 	Replay   replayCmd   `cmd:"" help:"Replay a recording of a core and compare what it does."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure what the decision core costs as the fleet grows, and fit curves."`
 
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print how to install shell completion."`
 }
--- /dev/null
+++ b/internal/slope/core.go
@@ -0,0 +1,136 @@
+// Package slope measures what a front end's decision core costs as a fleet grows, and fits curves through the figures. A
+// core is driven in simulated time by workers that answer well; only the time spent in calls to the core is counted.
+package slope
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"sort"
+	"time"
+
+	"lupinpond/choice"
+)
+
+// Figures are what one core costs under one Load.
+type Figures struct {
+	Load            Load    `json:"load"`
+	RequestMicros   float64 `json:"request_us"`    // processor time a request, all calls to the core together
+	TickMicros      float64 `json:"tick_us"`       // of a moment in which nothing is due and nothing in hand
+	ChangeMicros    float64 `json:"change_us"`     // of one changed line of the list
+	WholeListMillis float64 `json:"whole_list_ms"` // of a whole list that changes nothing
+	WorkerBytes     float64 `json:"worker_bytes"`  // heap a worker on the list, never used
+	UsedBytes       float64 `json:"used_bytes"`    // heap after the traffic, a worker
+	HeapMiB         float64 `json:"heap_mib"`      // of the core with its model's traffic
+	CoreShare       float64 `json:"core_share"`    // of one processor core at the Load's rate
+	Counts          Counts  `json:"counts"`        // of the counted requests
+}
+
+// rareTicks, changes and wholeLists are how often the short calls are repeated for a mean.
+const (
+	rareTicks  = 200
+	changes    = 40
+	wholeLists = 3
+)
+
+// Core measures one core under a load.
+func Core(l Load) (Figures, error) {
+	if l.Workers < 1 || l.Functions < 1 || l.FrontEnds < 1 || l.Rate <= 0 || l.Requests < 1 {
+		return Figures{}, fmt.Errorf("a load needs workers, functions, front ends, a rate and requests above 0: %+v", l)
+	}
+	figures := Figures{Load: l}
+	f := newFleet(l)
+	lines := list(l.Workers)
+	before := heapBytes()
+	f.core.Listed(f.now, true, lines)
+	figures.WorkerBytes = (heapBytes() - before) / float64(l.Workers)
+	figures.TickMicros = f.idleTick()
+	figures.ChangeMicros = f.change(lines)
+	figures.WholeListMillis = f.wholeList(lines)
+
+	f.traffic(l, l.Requests/2)
+	f.spent, f.counts = 0, Counts{}
+	f.traffic(l, l.Requests)
+	figures.Counts = f.counts
+	figures.RequestMicros = micros(f.spent) / float64(l.Requests)
+	figures.CoreShare = figures.RequestMicros * l.Rate / 1e6
+	after := heapBytes()
+	figures.HeapMiB = after / (1 << 20)
+	figures.UsedBytes = (after - before) / float64(l.Workers)
+	runtime.KeepAlive(f)
+	return figures, nil
+}
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// idleTick is the mean time of a settled moment with nothing in hand.
+func (f *fleet) idleTick() float64 {
+	f.spent = 0
+	for range rareTicks {
+		f.now += 10 * time.Millisecond
+		f.timed(func() { f.core.Settle(f.now) })
+	}
+	return micros(f.spent) / rareTicks
+}
+
+// change is the mean time of one changed line: a worker drains and comes back.
+func (f *fleet) change(lines []choice.Listing) float64 {
+	f.spent = 0
+	for i := range changes {
+		line := lines[i%len(lines)]
+		f.now += 10 * time.Millisecond
+		for _, condition := range []choice.Condition{choice.Draining, choice.In} {
+			line.Condition = condition
+			f.timed(func() { f.core.Listed(f.now, false, []choice.Listing{line}) })
+		}
+	}
+	return micros(f.spent) / (2 * changes)
+}
+
+// wholeList is the mean time, in milliseconds, of a whole list that is the one known.
+func (f *fleet) wholeList(lines []choice.Listing) float64 {
+	f.spent = 0
+	for range wholeLists {
+		f.timed(func() { f.core.Listed(f.now, true, lines) })
+	}
+	return micros(f.spent) / wholeLists / 1000
+}
+
+// traffic sends so many requests, at random times of the load's rate.
+func (f *fleet) traffic(l Load, requests int) {
+	draw := newCatalog(l.Functions, f.random)
+	at := f.now
+	for range requests {
+		at += time.Duration(f.random.ExpFloat64() / l.Rate * float64(time.Second))
+		f.until(at)
+		f.counts.Requests++
+		e := &choice.Event{ID: fmt.Sprint(f.now, f.counts.Requests), Type: "call", Tenant: "tenant", Function: draw(),
+			Patience: maxAge, Lanes: 2, Memory: 1000, LoadTime: loadTime}
+		f.timed(func() {
+			if err := f.core.Came(f.now, e); err == nil {
+				f.core.Settle(f.now)
+			}
+		})
+	}
+}
+
+// newCatalog draws functions, few of them often and most of them rarely.
+func newCatalog(functions int, random *rand.Rand) func() uint64 {
+	sums := make([]float64, functions)
+	sum := 0.0
+	for i := range sums {
+		sum += math.Pow(float64(i)+zipfOffset, -zipfExponent)
+		sums[i] = sum
+	}
+	return func() uint64 {
+		return uint64(sort.SearchFloat64s(sums, random.Float64()*sum)) + 1
+	}
+}
--- /dev/null
+++ b/internal/slope/fleet.go
@@ -0,0 +1,215 @@
+package slope
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lupinpond/choice"
+	"lupinpond/internal/core"
+)
+
+// Load describes the fleet and the traffic that one front end is measured under.
+type Load struct {
+	Workers   int
+	Functions int
+	FrontEnds int
+	Rate      float64 // requests a second at this front end
+	Requests  int     // that are counted, after half as many that are not
+	Seed      uint64
+}
+
+// The model's workers and functions. They are those of a fleet that answers well.
+const (
+	answerTime   = 300 * time.Millisecond
+	loadTime     = 900 * time.Millisecond
+	roundTrip    = time.Millisecond
+	keepLoaded   = 12 * time.Second
+	zipfExponent = 1.7 // of 21,000 functions at 60,000 calls a second, most are called less than once a minute
+	zipfOffset   = 3.0
+	zones        = 6
+	target       = 1500 * time.Millisecond
+	maxAge       = 5 * time.Second
+)
+
+// settings is what the measured front end is started with.
+func (l Load) settings() core.Front {
+	return core.Front{Seed: l.Seed, Peers: l.FrontEnds, Quantum: 2 * time.Millisecond, Launches: 6, Cancel: true, Probe: true,
+		MostBack: 2 * time.Second, Deadlines: true,
+		Types:   []choice.EventType{{Name: "call", Target: target}},
+		Tenants: []core.Tenant{{Name: "tenant", Quota: 2 * l.Rate * float64(l.FrontEnds)}},
+		Loading: core.Loading{Orders: true, OnMiss: true, Keep: keepLoaded, Limit: 4 * time.Second},
+		ColdStarts: core.ColdStarts{From: 0.3, WarmAfter: 12 * time.Second, Multiple: 2.5,
+			Fall: time.Second}}
+}
+
+// listing is one line of the list of workers.
+func listing(number int) choice.Listing {
+	return choice.Listing{Worker: fmt.Sprintf("s-%08x", number*2654435761), Zone: fmt.Sprint("zone", number%zones),
+		Cell: fmt.Sprint(number / 8), Kind: []string{"fast", "std"}[number%2], Size: float64(4 + number%2)}
+}
+
+func list(workers int) []choice.Listing {
+	lines := make([]choice.Listing, workers)
+	for i := range lines {
+		lines[i] = listing(i)
+	}
+	return lines
+}
+
+// due is something that happens to the core at a time.
+type due struct {
+	at     time.Duration
+	number uint64
+	happen func(now time.Duration)
+}
+
+type agenda []due
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].number < a[j].number
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(due)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// placed names one function at one worker.
+type placed struct {
+	worker   string
+	function uint64
+}
+
+// fleet stands for the workers of one core under simulated time. It is the core's Actor.
+type fleet struct {
+	core   *core.Core
+	now    time.Duration
+	agenda agenda
+	number uint64
+	random *rand.Rand
+	loaded map[placed]time.Duration // until when a replica stays
+	spent  time.Duration            // in calls to the core
+	counts Counts
+}
+
+// Counts is what a core did during a measurement.
+type Counts struct {
+	Requests int `json:"requests"`
+	Attempts int `json:"attempts"`
+	Orders   int `json:"orders"`
+	Loads    int `json:"loads"` // orders that found no replica
+	Probes   int `json:"probes"`
+	Served   int `json:"served"`
+	Cold     int `json:"cold"` // attempts that found no replica
+	Refused  int `json:"refused"`
+}
+
+func newFleet(l Load) *fleet {
+	f := &fleet{now: time.Hour, random: rand.New(rand.NewPCG(l.Seed, 1)), loaded: map[placed]time.Duration{}}
+	f.core = core.New(l.settings(), f)
+	return f
+}
+
+func (f *fleet) after(d time.Duration, happen func(now time.Duration)) {
+	f.number++
+	heap.Push(&f.agenda, due{f.now + d, f.number, happen})
+}
+
+// timed calls the core and counts the processor time that it takes, the garbage collector's meanwhile included.
+func (f *fleet) timed(call func()) {
+	start := processorTime()
+	call()
+	f.spent += processorTime() - start
+}
+
+// processorTime is what this process has used. Other processes on the machine do not lengthen it, but for their use of caches.
+func processorTime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &now); err != nil {
+		panic(err) // the clock is one of Linux since 2.6.12
+	}
+	return time.Duration(now.Nano())
+}
+
+// step has the next thing happen, and the core settle after it.
+func (f *fleet) step() {
+	d := heap.Pop(&f.agenda).(due)
+	f.now = d.at
+	f.timed(func() {
+		d.happen(f.now)
+		f.core.Settle(f.now)
+	})
+}
+
+// until steps through all that is due before a time.
+func (f *fleet) until(end time.Duration) {
+	for len(f.agenda) > 0 && f.agenda[0].at < end {
+		f.step()
+	}
+	f.now = end
+}
+
+// Launch has a worker answer an attempt: after the load where no replica stands.
+func (f *fleet) Launch(e *choice.Event, launch int, worker string) {
+	f.counts.Attempts++
+	at := placed{worker, e.Function}
+	took := time.Duration((0.5 + f.random.ExpFloat64()/2) * float64(answerTime))
+	warmth := choice.FoundWarm
+	if f.loaded[at] < f.now {
+		f.counts.Cold++
+		warmth, took = choice.BeganLoad, took+loadTime
+	}
+	f.loaded[at] = f.now + took + keepLoaded
+	f.after(took, func(now time.Duration) {
+		f.core.Outcome(now, e.ID, launch, choice.Outcome{Worker: worker, Took: took, Result: choice.Handled, Warmth: warmth,
+			Load: choice.Load{Told: true}})
+	})
+}
+
+// Order has a worker load a replica.
+func (f *fleet) Order(o choice.Order) {
+	f.counts.Orders++
+	at, took := placed{o.Worker, o.Function}, roundTrip
+	if f.loaded[at] < f.now {
+		f.counts.Loads++
+		took = loadTime
+	}
+	f.loaded[at] = f.now + took + keepLoaded
+	f.after(took, func(now time.Duration) { f.core.Loaded(now, o, choice.Handled, took) })
+}
+
+// Probe has a worker answer a probe.
+func (f *fleet) Probe(worker string) {
+	f.counts.Probes++
+	f.after(roundTrip, func(now time.Duration) {
+		f.core.Probed(now, worker, choice.Handled, choice.Load{Told: true}, roundTrip)
+	})
+}
+
+// Wake has a timer come.
+func (f *fleet) Wake(after time.Duration) { f.after(after, f.core.Woke) }
+
+// Handle counts an answer.
+func (f *fleet) Handle(*choice.Event, int) { f.counts.Served++ }
+
+// Defer counts a rejection.
+func (f *fleet) Defer(*choice.Event, time.Duration, bool) { f.counts.Refused++ }
+
+// DeadLetter counts a failure.
+func (f *fleet) DeadLetter(*choice.Event, int, bool) { f.counts.Refused++ }
+
+// Withdraw does nothing: the answer comes and is dropped.
+func (f *fleet) Withdraw(*choice.Event, int, string) {}
+
+// Ask does nothing: the list comes unasked.
+func (f *fleet) Ask() {}
+
+// Ended does nothing.
+func (f *fleet) Ended(*choice.Event, int, core.Ending) {}
