--- a/internal/slope/core.go
+++ b/internal/slope/core.go
@@ -36,7 +36,7 @@
 
 // Core measures one core under a load.
 func Core(l Load) (Figures, error) {
-	if l.Workers < 1 || l.Functions < 1 || l.FrontEnds < 1 || l.Rate <= 0 || l.Requests < 1 {
+	if l.Workers < 1 || l.Functions < 1 || l.FrontEnds < 1 || l.Rate <= 0 || l.Skew < 0 || l.Requests < 1 {
 		return Figures{}, fmt.Errorf("a load needs workers, functions, front ends, a rate and requests above 0: %+v", l)
 	}
 	figures := Figures{Load: l}
@@ -106,7 +106,7 @@
 
 // traffic sends so many requests, at random times of the load's rate.
 func (f *fleet) traffic(l Load, requests int) {
-	draw := newCatalog(l.Functions, f.random)
+	draw := newCatalog(l, f.random)
 	at := f.now
 	for range requests {
 		at += time.Duration(f.random.ExpFloat64() / l.Rate * float64(time.Second))
@@ -123,11 +123,11 @@
 }
 
 // newCatalog draws functions, few of them often and most of them rarely.
-func newCatalog(functions int, random *rand.Rand) func() uint64 {
-	sums := make([]float64, functions)
+func newCatalog(l Load, random *rand.Rand) func() uint64 {
+	sums := make([]float64, l.Functions)
 	sum := 0.0
 	for i := range sums {
-		sum += math.Pow(float64(i)+zipfOffset, -zipfExponent)
+		sum += math.Pow(float64(i)+zipfOffset, -l.Skew)
 		sums[i] = sum
 	}
 	return func() uint64 {
--- a/internal/slope/fleet.go
+++ b/internal/slope/fleet.go
@@ -18,21 +18,21 @@
 	Functions int
 	FrontEnds int
 	Rate      float64 // requests a second at this front end
+	Skew      float64 // exponent of the Zipf law by which functions are called
 	Requests  int     // that are counted, after half as many that are not
 	Seed      uint64
 }
 
 // The model's workers and functions. They are those of a fleet that answers well.
 const (
-	answerTime   = 300 * time.Millisecond
-	loadTime     = 900 * time.Millisecond
-	roundTrip    = time.Millisecond
-	keepLoaded   = 12 * time.Second
-	zipfExponent = 1.7 // of 21,000 functions at 60,000 calls a second, most are called less than once a minute
-	zipfOffset   = 3.0
-	zones        = 6
-	target       = 1500 * time.Millisecond
-	maxAge       = 5 * time.Second
+	answerTime = 300 * time.Millisecond
+	loadTime   = 900 * time.Millisecond
+	roundTrip  = time.Millisecond
+	keepLoaded = 12 * time.Second
+	zipfOffset = 3.0
+	zones      = 6
+	target     = 1500 * time.Millisecond
+	maxAge     = 5 * time.Second
 )
 
 // settings is what the measured front end is started with.
--- a/internal/slope/slope_test.go
+++ b/internal/slope/slope_test.go
@@ -41,7 +41,7 @@
 
 // A measured core serves its traffic, and the same seed has it do the same.
 func TestCoreServesTheTraffic(t *testing.T) {
-	load := slope.Load{Workers: 60, Functions: 200, FrontEnds: 10, Rate: 50, Requests: 400, Seed: 3}
+	load := slope.Load{Workers: 60, Functions: 200, FrontEnds: 10, Rate: 50, Skew: 1.7, Requests: 400, Seed: 3}
 	first, err := slope.Core(load)
 	if err != nil {
 		t.Fatal(err)
