The view of the fleet is kept up as facts come; first copies without scoring all

Cause: choice.survey walked the list two to four times a request, target copied, scored and sorted all workers to take the first few, silent, measure and Wait walked it too, and one changed line rebuilt and sorted the list.

Change: - Counts of usable, ejected, free, reporting workers and of attempts in flight are brought up to date with each fact of a worker (touch, assess); what time alone changes has a deadline in a heap (expire). Only workers with attempts under way are looked at for silence. Sizes are summed by kind. A changed line costs its own size. - The order that all front ends share is multi-probe consistent hashing in place of rendezvous hashing over all: a worker is as far as its point lies after the nearest of the function's 64 points, over its size. A worker's place depends on itself alone. Random choice of further copies, the salted order among the preferred workers and the four-condition rule stay.

Proof: reference_test.go walks and scores all workers; rapid sequences of news, failures, loads, outcomes, reports and time compare both after each step, count for count and preferred worker for preferred worker. mutants_test.go builds 16 mutants by overlay: all are caught. The first draft left a replaced worker listed: TestColdWorkerOfAFleet and now the reference catch it.

Expected outputs of 9 examples of choice and 2 of core name other workers or a draw more or less, as the shared order is another one; what each shows is unchanged (three to one by size is 140 to 50 in place of 150 to 40).

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -56,24 +56,24 @@
 	}
 	// Output:
 	// 0s redeliverable hold
-	// 0s load 0 x1 on a
-	// 10ms redeliverable launch on a
+	// 0s load 0 x1 on c
+	// 10ms redeliverable launch on c
 	// 60ms redeliverable hold
 	// 60ms keyed hold
-	// 60ms load 1 x1 on b
-	// 70ms keyed launch on b
+	// 60ms load 1 x1 on c
+	// 70ms keyed launch on c
 	// 120ms keyed hold
 	// 120ms at-most-once hold
 	// 120ms load 2 x1 on c
 	// 130ms at-most-once launch on c
 	// 180ms at-most-once hold
 	// 0s redeliverable hold
-	// 0s load 0 x1 on a
-	// 10ms redeliverable launch on a
+	// 0s load 0 x1 on c
+	// 10ms redeliverable launch on c
 	// 60ms redeliverable hold
 	// 60ms keyed hold
-	// 60ms load 1 x1 on b
-	// 70ms keyed launch on b
+	// 60ms load 1 x1 on c
+	// 70ms keyed launch on c
 	// 120ms keyed hold
 	// 120ms at-most-once hold
 	// 120ms load 2 x1 on c
@@ -194,10 +194,10 @@
 	// 1.4s e0 hold
 	// 1.4s e1 hold
 	// 1.4s e2 hold
-	// 1.6s load 9 x1 on a
-	// 1.6s e0 launch on a
-	// 1.6s e1 launch on a
-	// 1.6s e2 launch on a
+	// 1.6s load 9 x1 on b
+	// 1.6s e0 launch on b
+	// 1.6s e1 launch on b
+	// 1.6s e2 launch on b
 }
 
 // A function that a worker refuses, quickly and again and again, is loaded and sent elsewhere (i94baea).
@@ -215,12 +215,12 @@
 	// 100ms load 9 x1 on c
 	// 200ms e launch on c
 	// 200ms e hold
-	// 300ms load 9 x1 on a
-	// 400ms e launch on a
+	// 300ms load 9 x1 on b
+	// 400ms e launch on b
 	// 400ms e hold
 	// 500ms e launch on c
 	// 500ms e hold
-	// 600ms load 9 x1 on b
+	// 600ms load 9 x1 on a
 	// 700ms e launch on b
 	// 700ms e defer
 }
@@ -286,7 +286,7 @@
 	}
 	fmt.Println("in the first second", launched)
 	// Output:
-	// in the first second 2
+	// in the first second 1
 }
 
 // Clients that leave early and repeat at once: a few of a tenant's marked repeats are taken, the rest deferred.
@@ -320,7 +320,7 @@
 	// 0s e hold
 	// 0s load 9 x1 on c
 	// 0s e hold
-	// 0s load 9 x1 on a
+	// 0s load 9 x1 on b
 }
 
 // A first copy ordered at a worker that then leaves a probe unanswered does not stand in for one elsewhere.
@@ -339,8 +339,8 @@
 	// 0s e hold
 	// 0s load 9 x1 on c
 	// probe [c]
-	// 250ms load 9 x1 on a
-	// 250ms e launch on a
+	// 250ms load 9 x1 on b
+	// 250ms e launch on b
 }
 
 // A worker with room that is full for one tenant stays open to the others.
@@ -443,7 +443,7 @@
 	// 1s e hold
 	// 1s load 9 x1 on c
 	// 1s e hold
-	// 1s load 9 x1 on a
+	// 1s load 9 x1 on b
 }
 
 // A probe turned away as full is a sign of life: the load there counts, no other is ordered.
@@ -473,7 +473,7 @@
 	}
 	fmt.Println(orders["big"]/10*10, orders["small"]/10*10)
 	// Output:
-	// 150 40
+	// 140 50
 }
 
 // Where answers outlast a tick, one event that waits for a lane does not ask for two more; three that come together
@@ -618,7 +618,7 @@
 		fmt.Println("of", others, "others: workers with first copies", n)
 	}
 	// Output:
-	// of 20 others: workers with first copies 9
+	// of 20 others: workers with first copies 10
 	// of 1000 others: workers with first copies 5
 }
 
--- /dev/null
+++ b/choice/mutants_test.go
@@ -0,0 +1,68 @@
+package choice_test
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Each mutant is a text of a source file and what stands in its place: a mistake in keeping up the view of the fleet.
+var mutants = []struct{ name, file, text, instead string }{
+	{"the counts of a forgotten worker stay", "members.go", "c.tally.replace(w.tally, tally{})", ""},
+	{"a sum is not lowered by what a worker counted for", "members.go", "c.tally.replace(w.tally, t)", "c.tally.replace(tally{}, t)"},
+	{"a deadline is forgotten", "members.go", "c.deadlines.Set(&w.deadline, until)", ""},
+	{"expired deadlines are not looked at", "members.go", "w, found := c.deadlines.Expired(now)", "w, found := (*worker)(nil), false"},
+	{"a removed worker is kept", "members.go", "delete(c.workers, w.Worker)", ""},
+	{"a removed worker stays among the members", "members.go", "c.members.Remove(&w.member)", ""},
+	{"a worker off the list is never forgotten", "members.go", "c.leaving = append(c.leaving, w)", ""},
+	{"a worker that was replaced stays listed", "members.go", "\tw.listed = false\n\tdelete", "\tdelete"},
+	{"a drained worker stays in the shared order", "members.go", "w.kind.ring.Ring.Remove(w.node)", ""},
+	{"the size of a worker that left its kind still counts", "members.go", "w.kind.told-w.toldSize()", "w.kind.told"},
+	{"a worker without attempts is still looked at for silence", "members.go", "} else if !working {\n\t\tc.busy.Remove(&w.working)", "} else if !working {"},
+	{"an attempt is not counted", "choice.go", "\tc.touch(s.w, now)\n", ""},
+	{"the end of an attempt is not counted", "choice.go", "defer c.touch(w, now)", ""},
+	{"an ejection is not counted", "fleet.go", "c.recall = append(c.recall, w.out...)\n\t\tc.touch(w, now)", "c.recall = append(c.recall, w.out...)"},
+	{"a report is not counted", "fleet.go", "\t}\n\tc.touch(w, now)\n\treturn true", "\t}\n\treturn true"},
+	{"a longer target does not renew the reports", "settings.go", "c.stale = true", ""},
+}
+
+// Every mutant fails the comparison with the reference.
+func TestMutantsOfTheFleetViewAreCaught(t *testing.T) {
+	for _, m := range mutants {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			source, err := os.ReadFile(m.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if strings.Count(string(source), m.text) != 1 {
+				t.Fatalf("%s holds the mutant's text %d times, not once", m.file, strings.Count(string(source), m.text))
+			}
+			original, err := filepath.Abs(m.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			mutated, overlay := filepath.Join(t.TempDir(), m.file), filepath.Join(t.TempDir(), "overlay.json")
+			if err := os.WriteFile(mutated, []byte(strings.Replace(string(source), m.text, m.instead, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			replaced, err := json.Marshal(map[string]map[string]string{"Replace": {original: mutated}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(overlay, replaced, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			out, err := exec.CommandContext(t.Context(), "go", "test", "-vet=off", "-count=1", "-overlay", overlay,
+				"-run", "TestFleetViewIsWhatAWalkFinds", ".", "-rapid.nofailfile", "-rapid.checks=1000").CombinedOutput()
+			if err == nil {
+				t.Error("the mutant was not caught")
+			} else if !strings.Contains(string(out), "--- FAIL: TestFleetViewIsWhatAWalkFinds") && !strings.Contains(string(out), "panic: ") {
+				t.Errorf("it failed in another way: %v\n%s", err, out)
+			}
+		})
+	}
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -1,10 +1,12 @@
 package choice
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"lupinpond/internal/chance"
+	"lupinpond/internal/fleetindex"
 	"lupinpond/internal/window"
 )
 
@@ -182,9 +184,10 @@
 
 // kind is what is known of the workers of one kind.
 type kind struct {
-	told, number float64 // sum of the sizes told, workers
-	memory       float64 // of one of them; 0: not told
-	seen, takes  float64 // answers; their time over the mean of its function
+	told, number float64                    // sum of the sizes told, workers
+	memory       float64                    // of one of them; 0: not told
+	seen, takes  float64                    // answers; their time over the mean of its function
+	ring         fleetindex.Scaled[*worker] // those that may get something new, at their points on a circle
 }
 
 // echoes is what probes of a zone take.
@@ -206,10 +209,32 @@
 	took, may *window.Window
 }
 
-// place is a worker in an order.
-type place struct {
-	w    *worker
-	rank float64
+// tally is what one worker counts for, or all of them together.
+type tally [tallies]int32
+
+// What is counted of workers.
+const (
+	inUse     = iota // may get something new, by the list
+	ejected          // ejected, or half-open
+	free             // with room for an attempt
+	freeOfAny        // the same, with ejections not believed
+	reported         // a load report came lately
+	idle             // and told of no other requests that wait there
+	inFlight         // attempts under way
+	tallies
+)
+
+func (t *tally) count(what int, counts bool) {
+	if counts {
+		t[what] = 1
+	}
+}
+
+// replace takes one worker's part out of the sums and puts another in.
+func (t *tally) replace(old, now tally) {
+	for what := range t {
+		t[what] += now[what] - old[what]
+	}
 }
 
 type worker struct {
@@ -218,7 +243,13 @@
 	kind     *kind
 	hash     uint64
 	listed   bool
-	out      []*Event // launches outstanding, oldest first
+	update   int                          // the last update of the list that named it
+	tally    tally                        // its part of the fleet's
+	member   fleetindex.Slot              // among the members of the fleet
+	working  fleetindex.Slot              // among those with attempts under way
+	deadline fleetindex.Deadline[*worker] // when time alone changes its tally
+	node     *fleetindex.Node[*worker]    // in the order of its kind; nil: it gets nothing new
+	out      []*Event                     // launches outstanding, oldest first
 	lastGood time.Duration
 	row      int // failures in a row
 	barred   time.Duration
@@ -276,18 +307,28 @@
 	quantum     time.Duration
 	longest     time.Duration // longest target time
 
-	types    map[string]*evtType
-	tenants  map[string]*tenant
-	workers  map[string]*worker
-	kinds    map[string]*kind   // those of the list or told of
-	meanSize float64            // of the workers of the list
-	echoes   map[string]*echoes // by zone
-	zone     string             // its own, where crossing costs
-	list     []*worker          // those listed or with launches outstanding, by name
-	fns      map[uint64]*function
-	active   []*function // with held events
-	grown    []*function // whose first copy may belong elsewhere
-	recall   []*Event    // outstanding at workers just barred
+	types       map[string]*evtType
+	tenants     map[string]*tenant
+	workers     map[string]*worker
+	kinds       map[string]*kind         // those of the list or told of
+	kindList    []*kind                  // the same, in the order in which they became known
+	meanSize    float64                  // of the workers of the list
+	echoes      map[string]*echoes       // by zone
+	zone        string                   // its own, where crossing costs
+	members     fleetindex.List[*worker] // those listed or with attempts under way
+	busy        fleetindex.List[*worker] // those with attempts under way
+	leaving     []*worker                // members that are off the list
+	updates     int                      // of the list
+	tally       tally
+	deadlines   fleetindex.Deadlines[*worker] // of the members' tallies
+	stale       bool                          // every tally has to be taken anew
+	order       fleetindex.Order[*worker]     // that all front ends share
+	points      []uint64                      // of the function whose order is walked
+	first, last []*worker                     // room for the workers found on a walk
+	fns         map[uint64]*function
+	active      []*function // with held events
+	grown       []*function // whose first copy may belong elsewhere
+	recall      []*Event    // outstanding at workers just barred
 
 	loadsOut   int     // orders not answered yet
 	loads      limited // of them
@@ -328,26 +369,6 @@
 	countAt  time.Duration
 }
 
-// AddKind tells the memory of a worker of one kind, in the unit of the events' memory.
-func (c *Chooser) AddKind(name string, memory float64) {
-	c.kindOf(name).memory = believable(memory, mostMemory)
-}
-
-// Allowed tells what the front end may do; back is the longest time to come back that clients honour, or 0.
-func (c *Chooser) Allowed(launches int, cancel, probe bool, back time.Duration) {
-	c.mostLaunches, c.cancel, c.probing, c.mostBack = max(1, launches), cancel, probe, back
-}
-
-// Loading tells how functions come to workers, how long copies and orders last, and the ration of orders.
-func (c *Chooser) Loading(orders, onMiss bool, keep, limit, within time.Duration, free, share float64) {
-	c.orders, c.loadsOnMiss, c.keep, c.orderLimit = orders, onMiss, keep, limit
-	c.rationed, c.orderFree, c.orderShare = within > 0, free, share
-	c.ordered, c.taken = window.New(within), window.New(within)
-}
-
-// Crossing says that launches to other zones than this one cost something.
-func (c *Chooser) Crossing(own string) { c.zone = own }
-
 // Left says that the client of an event is gone.
 func (c *Chooser) Left(e *Event) { e.ended = true }
 
@@ -357,11 +378,27 @@
 // kindOf is what is known of a kind, from now on if not before.
 func (c *Chooser) kindOf(name string) *kind {
 	if c.kinds[name] == nil {
-		c.kinds[name] = &kind{takes: 1}
+		k := &kind{takes: 1}
+		k.ring.Scale = k.size
+		c.kinds[name], c.kindList = k, append(c.kindList, k)
+		c.order.Add(&k.ring)
 	}
 	return c.kinds[name]
 }
 
+// open tells whether the list lets a worker have anything new (rule 3).
+func (w *worker) open() bool { return w.listed && w.Condition == In }
+
+// toldSize is the size that the list tells, 1 where it tells none.
+func (w *worker) toldSize() float64 { return cmp.Or(w.Size, 1) }
+
+func (w *worker) refuse(tenant string, r refusal) {
+	if w.refuses == nil {
+		w.refuses = map[string]refusal{}
+	}
+	w.refuses[tenant] = r
+}
+
 // at is what is believed of the function at a worker, from now on if not before.
 func (f *function) at(w *worker) *standing {
 	i := slices.IndexFunc(f.stands, func(s *standing) bool { return s.w == w })
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -96,12 +96,12 @@
 	fmt.Println(c.InHand())
 	// Output:
 	// <nil> an event of this id is in hand
-	// launch e 0 at b
+	// launch e 0 at c
 	// handle e by launch 0
 	// ended e 0
 	// true
 	// <nil> an event of this id is in hand
-	// launch e 0 at b
+	// launch e 0 at c
 	// dead-letter e after 1 launches, may have run true
 	// ended e 2
 	// false
@@ -117,7 +117,7 @@
 	fmt.Println(c.InHand())
 	// Output:
 	// <nil> an event of this id is in hand
-	// launch e 0 at b
+	// launch e 0 at c
 	// true 1 false
 	// ended e 3
 	// 0
