A front end's engine stands apart from its clients' sockets, for scale runs

Need: a scale run wants hundreds of front ends with the real owner, core, connections to workers and list, and drawn requests in place of clients' sockets.

Change: platform.engine is what Front had beside its Thrift server; Front embeds it, and Hollow runs it alone. The owner tells when the core has taken an event of the list service (Do), and answers with the list that the core decides by (Members) and its numbers (Counted).

--- a/choice/members.go
+++ b/choice/members.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"lupinpond/internal/chance"
@@ -34,6 +35,18 @@
 	c.touch(w, now)
 }
 
+// Members gives the workers on the list, in the order of their names.
+func (c *Chooser) Members() []Listing {
+	var listed []Listing
+	for _, w := range c.members.All() {
+		if w.listed {
+			listed = append(listed, w.Listing)
+		}
+	}
+	slices.SortFunc(listed, func(a, b Listing) int { return strings.Compare(a.Worker, b.Worker) })
+	return listed
+}
+
 // join makes a worker a member of the fleet.
 func (c *Chooser) join(name string, now time.Duration) *worker {
 	w := &worker{hash: chance.Hash(name), limited: c.limits(firstLimit, leastLimit),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -146,6 +146,9 @@
 // InHand is the number of events without an ending or with a launch outstanding.
 func (c *Core) InHand() int { return len(c.hands) }
 
+// Members is the list of workers as the module knows it, in the order of their names.
+func (c *Core) Members() []choice.Listing { return c.chooser.Members() }
+
 // Listed tells news of the list; where it is whole, workers that it does not name are gone.
 func (c *Core) Listed(now time.Duration, whole bool, news []choice.Listing) {
 	c.record(Entry{Op: OpListed, Now: now, Flag: whole, News: news})
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -237,6 +237,23 @@
 	}
 }
 
+// Do has the goroutine that owns the core call f, after all that it was told before. f must not wait.
+func (o *Owner) Do(f func()) {
+	o.box.put(func(time.Duration) { f() })
+}
+
+// Members asks for the workers that the core has on its list, in the order of their names; false once it has ended.
+func (o *Owner) Members(ctx context.Context) (members []choice.Listing, running bool) {
+	running = o.ask(ctx, func() { members = o.core.Members() })
+	return members, running
+}
+
+// Counted asks for the numbers since the start; false once the owner has ended.
+func (o *Owner) Counted(ctx context.Context) (counts Counts, running bool) {
+	running = o.ask(ctx, func() { counts = o.counts })
+	return counts, running
+}
+
 // ask has the goroutine call get; false once it has ended.
 func (o *Owner) ask(ctx context.Context, get func()) bool {
 	<-o.started
--- /dev/null
+++ b/internal/platform/engine.go
@@ -0,0 +1,118 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lupinpond/choice"
+	"lupinpond/internal/feed"
+	"lupinpond/internal/gate"
+	"lupinpond/internal/resp"
+)
+
+// engine is a front end without its clients: the owner of its core, the connections to workers, and the list.
+type engine struct {
+	*gate.Owner
+	config  Config
+	log     *slog.Logger
+	workers *workers
+	feed    *feed.Feed
+	hard    context.Context // ends when nothing is left to do
+	stopped context.CancelFunc
+	applied func(number int64) // called by the owner when the core has taken an event of the list service; may be nil
+}
+
+func newEngine(c Config, log *slog.Logger, record io.Writer) *engine {
+	e := &engine{config: c, log: log.With("front", c.Name)}
+	e.hard, e.stopped = context.WithCancel(context.Background())
+	dial, sockets := c.dial(), c.peerSockets()
+	streams := max(1, int(c.Settings.Number("policy_limits.max_streams", 32)))
+	e.workers = &workers{cancel: c.Front.Cancel, list: map[string]*backend{},
+		pool: resp.NewPool(e.hard, resp.Limits{Dial: dial, Idle: c.idle() / 2, Streams: streams, Conns: sockets / workerSockets,
+			Most: sockets/workerSockets + sockets/spareSockets, Word: mostAnswer})}
+	if c.Settings["report.source"] != "off" {
+		e.workers.report = "pending"
+	}
+	e.Owner = gate.NewOwner(c.Front, e.workers, record, c.Front.Loading.Limit, dial)
+	grace := c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond)
+	e.feed = feed.New(c.Journal, feed.Limits{Wait: min(max(dial, journalWaits*grace), mostWait),
+		Answer: dial, Bytes: c.Memory / feedMemory}, e.log, e.news)
+	return e
+}
+
+// dial is how long a connection to a worker may take.
+func (c Config) dial() time.Duration {
+	return max(c.Settings.Time("policy_limits.dial_timeout", 250*time.Millisecond), time.Millisecond)
+}
+
+// idle is how long a connection may stand without a request.
+func (c Config) idle() time.Duration {
+	return c.Settings.Time("policy_limits.conn_idle", 15*time.Second)
+}
+
+// peerSockets is the number of descriptors for clients and workers.
+func (c Config) peerSockets() int { return c.Sockets - ownSockets }
+
+// run runs the engine, and what start adds to the group, until one of them ends it.
+func (e *engine) run(start func(g *errgroup.Group, hard context.Context)) error {
+	defer e.stopped()
+	g, hard := errgroup.WithContext(e.hard)
+	e.feed.Tell(e.config.Known)
+	g.Go(func() error { return e.Owner.Run(hard) })
+	g.Go(func() error { return e.feed.Run(hard) })
+	start(g, hard)
+	err := g.Wait()
+	e.stopped()
+	e.workers.pool.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	return err
+}
+
+// Reload takes what a new configuration changes while the front end runs: where the journal is.
+func (e *engine) Reload(c Config) {
+	e.log.Info("new configuration", "journal", c.Journal)
+	e.feed.Move(c.Journal)
+}
+
+// news takes an event of the journal.
+func (e *engine) news(event feed.Event) {
+	if event.List == nil {
+		e.told(event.Number)
+		return
+	}
+	e.workers.news(event)
+	var listings []choice.Listing
+	for _, w := range event.List.Workers {
+		l := choice.Listing{Worker: w.Name, Zone: w.Zone, Kind: w.Kind, Cell: strconv.Itoa(w.Cell)}
+		if e.config.Settings.Sized() {
+			l.Size = w.Size
+		}
+		if w.Born > 0 {
+			l.Started = e.Since(time.UnixMilli(w.Born))
+		}
+		switch w.State {
+		case feed.Draining:
+			l.Condition = choice.Draining
+		case feed.Removed:
+			l.Condition = choice.Gone
+		}
+		listings = append(listings, l)
+	}
+	e.Listed(event.List.Whole, listings)
+	e.told(event.Number)
+}
+
+// told has the owner tell that the core has taken an event.
+func (e *engine) told(number int64) {
+	if e.applied != nil {
+		e.Do(func() { e.applied(number) })
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,10 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"lupinpond/choice"
-	"lupinpond/internal/feed"
 	"lupinpond/internal/gate"
 	"lupinpond/internal/invoke"
-	"lupinpond/internal/resp"
 	"lupinpond/internal/thrift"
 )
 
@@ -43,26 +40,19 @@
 
 // Front is one front end on the platform.
 type Front struct {
-	*gate.Owner
-	config   Config
-	log      *slog.Logger
+	*engine
 	reads    reads
 	longest  time.Duration
 	listener net.Listener
 	server   *thrift.Server
-	workers  *workers
-	feed     *feed.Feed
 	bytes    atomic.Int64 // of bodies in hand
 	draining atomic.Bool
 	recent   recent
-	stopped  context.CancelFunc
-	hard     context.Context
 }
 
 // New makes a front end that serves on a listener; record gets a recording of the core where it is not nil.
 func New(c Config, listener net.Listener, log *slog.Logger, record io.Writer) *Front {
-	f := &Front{config: c, log: log.With("front", c.Name), listener: listener, reads: reads{keyed: map[string]bool{}, tenants: map[string]bool{}}}
-	f.hard, f.stopped = context.WithCancel(context.Background())
+	f := &Front{engine: newEngine(c, log, record), listener: listener, reads: reads{keyed: map[string]bool{}, tenants: map[string]bool{}}}
 	f.reads.ages, f.longest = c.ages()
 	for _, t := range c.Front.Types {
 		f.reads.keyed[t.Name] = t.Effect == choice.Keyed
@@ -70,59 +60,32 @@
 	for _, t := range c.Front.Tenants {
 		f.reads.tenants[t.Name] = true
 	}
-	dial := max(c.Settings.Time("policy_limits.dial_timeout", 250*time.Millisecond), time.Millisecond)
-	idle := c.Settings.Time("policy_limits.conn_idle", 15*time.Second)
-	sockets := c.Sockets - ownSockets
-	streams := max(1, int(c.Settings.Number("policy_limits.max_streams", 32)))
-	f.workers = &workers{cancel: c.Front.Cancel, list: map[string]*backend{},
-		pool: resp.NewPool(f.hard, resp.Limits{Dial: dial, Idle: idle / 2, Streams: streams, Conns: sockets / workerSockets,
-			Most: sockets/workerSockets + sockets/spareSockets, Word: mostAnswer})}
-	if c.Settings["report.source"] != "off" {
-		f.workers.report = "pending"
-	}
+	dial, idle := c.dial(), c.idle()
 	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: mostOpen,
-		Conns: sockets / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial, Rest: max(dial/restDials, 1)}, f.handle)
-	f.Owner = gate.NewOwner(c.Front, f.workers, record, c.Front.Loading.Limit, dial)
+		Conns: c.peerSockets() / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial,
+		Rest: max(dial/restDials, 1)}, f.handle)
 	f.recent.keep, f.recent.most = f.longest, int(c.Memory/recentMemory)
-	f.feed = feed.New(c.Journal, feed.Limits{Wait: min(max(dial, journalWaits*c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond)), mostWait),
-		Answer: dial, Bytes: c.Memory / feedMemory}, f.log, f.news)
 	return f
 }
 
-// Reload takes what a new configuration changes while the front end runs: where the journal is.
-func (f *Front) Reload(c Config) {
-	f.log.Info("new configuration", "journal", c.Journal)
-	f.feed.Move(c.Journal)
-}
-
 // Run serves until ctx ends. Then it goes on taking requests for as long as the platform lets them come, answers all in
 // hand before it would be killed, and returns.
 func (f *Front) Run(ctx context.Context) error {
-	defer f.stopped()
-	g, hard := errgroup.WithContext(f.hard)
-	f.feed.Tell(f.config.Known)
-	g.Go(func() error { return f.Owner.Run(hard) })
-	g.Go(func() error { return f.feed.Run(hard) })
-	g.Go(func() error {
-		defer f.stopped() // it is the last to have anything to do
-		return f.server.Run(hard)
-	})
-	f.log.Info("front end listens", "address", f.listener.Addr().String())
-	g.Go(func() error {
-		select {
-		case <-hard.Done():
-		case <-ctx.Done():
-			f.drain(hard)
-		}
-		return nil
+	return f.run(func(g *errgroup.Group, hard context.Context) {
+		g.Go(func() error {
+			defer f.stopped() // it is the last to have anything to do
+			return f.server.Run(hard)
+		})
+		f.log.Info("front end listens", "address", f.listener.Addr().String())
+		g.Go(func() error {
+			select {
+			case <-hard.Done():
+			case <-ctx.Done():
+				f.drain(hard)
+			}
+			return nil
+		})
 	})
-	err := g.Wait()
-	f.stopped()
-	f.workers.pool.Wait()
-	if errors.Is(err, context.Canceled) {
-		err = nil
-	}
-	return err
 }
 
 // drain has every request answered that comes while the platform lets them come, and ends the front end then. Clients that
@@ -145,32 +108,6 @@
 	}
 }
 
-// news takes an event of the journal.
-func (f *Front) news(e feed.Event) {
-	if e.List == nil {
-		return
-	}
-	f.workers.news(e)
-	var listings []choice.Listing
-	for _, w := range e.List.Workers {
-		l := choice.Listing{Worker: w.Name, Zone: w.Zone, Kind: w.Kind, Cell: strconv.Itoa(w.Cell)}
-		if f.config.Settings.Sized() {
-			l.Size = w.Size
-		}
-		if w.Born > 0 {
-			l.Started = f.Since(time.UnixMilli(w.Born))
-		}
-		switch w.State {
-		case feed.Draining:
-			l.Condition = choice.Draining
-		case feed.Removed:
-			l.Condition = choice.Gone
-		}
-		listings = append(listings, l)
-	}
-	f.Listed(e.List.Whole, listings)
-}
-
 // handle takes one message of a client.
 func (f *Front) handle(c *thrift.Conn, m thrift.Message) {
 	args, err := thrift.ReadArgs(m.Args)
--- /dev/null
+++ b/internal/platform/hollow.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lupinpond/choice"
+	"lupinpond/internal/gate"
+	"lupinpond/internal/invoke"
+)
+
+// Hollow is a front end with nothing in front of it: the same owner, core, connections to workers and list, and requests
+// that are drawn in the process in place of clients' sockets. Scale runs have many of them in a process.
+type Hollow struct{ *engine }
+
+// NewHollow makes one. applied is told, by the goroutine that owns the core, of each event of the list service that the core
+// has taken; it may be nil and must not wait.
+func NewHollow(c Config, log *slog.Logger, applied func(number int64)) *Hollow {
+	h := &Hollow{newEngine(c, log, nil)}
+	h.applied = applied
+	return h
+}
+
+// Run runs until ctx ends; what is in hand then is let go.
+func (h *Hollow) Run(ctx context.Context) error {
+	return h.run(func(g *errgroup.Group, hard context.Context) {
+		g.Go(func() error {
+			defer h.stopped()
+			select {
+			case <-ctx.Done():
+			case <-hard.Done():
+			}
+			return nil
+		})
+	})
+}
+
+// Request is a drawn request.
+type Request struct {
+	ID       string // 16 hex digits, new each time
+	Class    string
+	Tenant   string
+	Function uint64
+	Lanes    int
+	Memory   float64 // of a replica, in the unit of the settings
+	LoadTime time.Duration
+	Wait     time.Duration // the client's
+}
+
+// Submit takes a request; reply is told its final answer, by the goroutine that owns the core, and must not wait.
+func (h *Hollow) Submit(r Request, reply func(invoke.Answer)) {
+	h.Take(&gate.Event{Fact: &choice.Event{ID: r.ID, Type: r.Class, Tenant: r.Tenant, Function: r.Function, Patience: r.Wait,
+		Lanes: r.Lanes, Memory: r.Memory, LoadTime: r.LoadTime}, Reply: reply})
+}
