--- a/cmd/lpctl/main.go
+++ b/cmd/lpctl/main.go
@@ -38,6 +38,9 @@
 	Rules    rulesCmd    `cmd:"" help:"Judge the five rules from a folder of captures."`
 	Replay   replayCmd   `cmd:"" help:"Replay a recording of a core and compare what it does."`
 	Slopes   slopesCmd   `cmd:"" help:"Measure what the decision core costs as the fleet grows, and fit curves."`
+	Scale    scaleCmd    `cmd:"" help:"Run real and hollow front ends, emulated workers and a list service at a fleet's size on loopback."`
+
+	ScaleChild scaleChildCmd `cmd:"" hidden:"" help:"A process of a scale run."`
 
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print how to install shell completion."`
 }
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -25,7 +25,7 @@
 	feed    *feed.Feed
 	hard    context.Context // ends when nothing is left to do
 	stopped context.CancelFunc
-	applied func(number int64) // called by the owner when the core has taken an event of the list service; may be nil
+	applied func(number int64, whole bool) // called by the owner when the core has taken an event of the list service; may be nil
 }
 
 func newEngine(c Config, log *slog.Logger, record io.Writer) *engine {
@@ -85,7 +85,7 @@
 // news takes an event of the journal.
 func (e *engine) news(event feed.Event) {
 	if event.List == nil {
-		e.told(event.Number)
+		e.told(event)
 		return
 	}
 	e.workers.news(event)
@@ -107,12 +107,12 @@
 		listings = append(listings, l)
 	}
 	e.Listed(event.List.Whole, listings)
-	e.told(event.Number)
+	e.told(event)
 }
 
 // told has the owner tell that the core has taken an event.
-func (e *engine) told(number int64) {
+func (e *engine) told(event feed.Event) {
 	if e.applied != nil {
-		e.Do(func() { e.applied(number) })
+		e.Do(func() { e.applied(event.Number, event.List != nil && event.List.Whole) })
 	}
 }
--- a/internal/platform/hollow.go
+++ b/internal/platform/hollow.go
@@ -17,8 +17,8 @@
 type Hollow struct{ *engine }
 
 // NewHollow makes one. applied is told, by the goroutine that owns the core, of each event of the list service that the core
-// has taken; it may be nil and must not wait.
-func NewHollow(c Config, log *slog.Logger, applied func(number int64)) *Hollow {
+// has taken, and whether it was a whole list; it may be nil and must not wait.
+func NewHollow(c Config, log *slog.Logger, applied func(number int64, whole bool)) *Hollow {
 	h := &Hollow{newEngine(c, log, nil)}
 	h.applied = applied
 	return h
--- /dev/null
+++ b/internal/scale/child.go
@@ -0,0 +1,88 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/prometheus/procfs"
+	"golang.org/x/sys/unix"
+)
+
+// Child plays a role for the process that started this one, until in ends: what the parent says comes by in, and what it is
+// answered goes to out.
+func Child(ctx context.Context, role Role, in io.Reader, out io.Writer) error {
+	p := newPipe(in, out)
+	switch role {
+	case RoleList:
+		return runList(p)
+	case RoleWorkers:
+		return runWorkers(ctx, p)
+	case RoleFrontEnds:
+		return runFrontEnds(ctx, p)
+	}
+	return fmt.Errorf("there is no role %q", role)
+}
+
+// runList plays the role of the list service.
+func runList(p *pipe) error {
+	var s *listService
+	defer func() {
+		if s != nil {
+			_ = s.close() // the process ends
+		}
+	}()
+	return p.answer(func(c command) (r reply, err error) {
+		switch {
+		case c.Setup != nil:
+			if s, err = newListService(c.Setup.List); err == nil {
+				r.Addr = s.addr
+			}
+		case len(c.Publish) > 0:
+			position, at := s.publish(c.Publish)
+			r.Position, r.At = position, at.UnixNano()
+		case c.Away != nil:
+			err = s.away(*c.Away)
+		case c.Report:
+			if r.Report, err = ownReport(); err == nil {
+				r.Report.List = s.counts()
+			}
+		}
+		return r, err
+	})
+}
+
+// ownReport tells what this process takes.
+func ownReport() (*childReport, error) {
+	var spent unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &spent); err != nil {
+		return nil, err
+	}
+	resident, descriptors, err := processState(os.Getpid())
+	return &childReport{ProcessorNanos: spent.Nano(), ResidentBytes: resident, Descriptors: descriptors}, err
+}
+
+// processState tells the memory and the descriptors of a process.
+func processState(pid int) (resident int64, descriptors int, err error) {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return 0, 0, err
+	}
+	stat, err := p.Stat()
+	if err != nil {
+		return 0, 0, err
+	}
+	descriptors, err = p.FileDescriptorsLen()
+	return int64(stat.ResidentMemory()), descriptors, err
+}
+
+// processorOf tells the processor time that another process has used, to the tick of the system's clock.
+func processorOf(pid int) (nanos int64, err error) {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return 0, err
+	}
+	stat, err := p.Stat()
+	return int64(stat.CPUTime() * 1e9), err
+}
--- /dev/null
+++ b/internal/scale/faults.go
@@ -0,0 +1,255 @@
+package scale
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lupinpond/internal/feed"
+)
+
+// act carries out one row of the timeline and returns when it is over.
+func (r *run) act(ctx context.Context, row TimelineRow) error {
+	switch row.What {
+	case Drain:
+		return r.spread(ctx, row, func(worker int) error { return r.drain(ctx, row.For.D(), worker) })
+	case Replace:
+		return r.spread(ctx, row, func(worker int) error { return r.replace([]int{worker}) })
+	case StopWorkers:
+		first := r.draw(r.plan.Workers.Count - row.Count + 1)
+		return r.stopWorkers(ctx, row.For.D(), upTo(first, row.Count, 1))
+	case SilenceZone:
+		zones := r.plan.Workers.Zones
+		return r.silence(ctx, row.For.D(), upTo(row.Zone, (r.plan.Workers.Count-row.Zone+zones-1)/zones, zones))
+	case StopList:
+		return r.stopList(ctx, row.For.D())
+	case RestartFronts:
+		return r.restartFronts(row.Count, false)
+	case RestartEmpty:
+		return r.restartFronts(row.Count, true)
+	default:
+		return r.changeRate(row.Rate)
+	}
+}
+
+// upTo is count numbers from first on, each step apart.
+func upTo(first, count, step int) []int {
+	numbers := make([]int, count)
+	for i := range numbers {
+		numbers[i] = first + i*step
+	}
+	return numbers
+}
+
+func (r *run) draw(below int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.IntN(below)
+}
+
+// wait waits, or until ctx ends.
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// spread does something to Count workers, drawn without one twice, over the row's time.
+func (r *run) spread(ctx context.Context, row TimelineRow, do func(worker int) error) error {
+	r.mu.Lock()
+	workers := r.random.Perm(r.plan.Workers.Count)[:row.Count]
+	r.mu.Unlock()
+	var g errgroup.Group
+	for i, worker := range workers {
+		if i > 0 && row.Over > 0 {
+			if err := wait(ctx, row.Over.D()/time.Duration(row.Count)); err != nil {
+				return err
+			}
+		}
+		g.Go(func() error { return do(worker) })
+	}
+	return g.Wait()
+}
+
+// publish tells one change of the list.
+func (r *run) publish(lines []feed.Worker) error {
+	reply, err := r.list.pipe.ask(command{Publish: lines})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.published[reply.Position] = published{time.Unix(0, reply.At), r.span}
+	return nil
+}
+
+// workersDo has the processes of some workers carry out a command, and tells the lines of those that started.
+func (r *run) workersDo(workers []int, make func(mine []int) command) (lines []feed.Worker, err error) {
+	perProcess := map[*process][]int{}
+	var order []*process
+	for _, worker := range workers {
+		p := r.processOf(worker)
+		if perProcess[p] == nil {
+			order = append(order, p)
+		}
+		perProcess[p] = append(perProcess[p], worker)
+	}
+	for _, p := range order {
+		reply, err := p.pipe.ask(make(perProcess[p]))
+		if err != nil {
+			return lines, err
+		}
+		lines = append(lines, reply.Workers...)
+	}
+	return lines, nil
+}
+
+// processOf finds the process of a worker; the first ones have one worker more where they can't share evenly.
+func (r *run) processOf(worker int) *process {
+	each, more := r.plan.Workers.Count/len(r.workers), r.plan.Workers.Count%len(r.workers)
+	if worker < more*(each+1) {
+		return r.workers[worker/(each+1)]
+	}
+	return r.workers[more+(worker-more*(each+1))/each]
+}
+
+// line is what was published of a worker last.
+func (r *run) line(worker int) feed.Worker {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lines[worker]
+}
+
+func (r *run) setLine(worker int, line feed.Worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines[worker] = line
+}
+
+func (r *run) drain(ctx context.Context, lasts time.Duration, worker int) error {
+	line := r.line(worker)
+	line.State = feed.Draining
+	if err := r.publish([]feed.Worker{line}); err != nil {
+		return err
+	}
+	if err := wait(ctx, lasts); err != nil {
+		return err
+	}
+	if r.line(worker).Name != line.Name { // another one has taken its place meanwhile
+		return nil
+	}
+	line.State = feed.Up
+	return r.publish([]feed.Worker{line})
+}
+
+// replace has other workers, empty and cold, take the places of some, in one change.
+func (r *run) replace(workers []int) error {
+	started, err := r.workersDo(workers, func(mine []int) command { return command{Start: mine} })
+	if err != nil {
+		return err
+	}
+	var change []feed.Worker
+	for _, worker := range workers {
+		gone := r.line(worker)
+		gone.State = feed.Removed
+		change = append(change, gone)
+	}
+	for _, line := range started {
+		change = append(change, line)
+	}
+	r.setLines(workers, started)
+	return r.publish(change)
+}
+
+// setLines notes the lines of workers that started; processes answer in the order of their first worker.
+func (r *run) setLines(workers []int, started []feed.Worker) {
+	byCell := map[int]feed.Worker{}
+	for _, line := range started {
+		byCell[workerNumber(line)] = line
+	}
+	for _, worker := range workers {
+		r.setLine(worker, byCell[worker])
+	}
+}
+
+// stopWorkers stops workers next to each other; the list tells it at once, and again when they are back.
+func (r *run) stopWorkers(ctx context.Context, lasts time.Duration, workers []int) error {
+	if _, err := r.workersDo(workers, func(mine []int) command { return command{Stop: mine} }); err != nil {
+		return err
+	}
+	var gone []feed.Worker
+	for _, worker := range workers {
+		line := r.line(worker)
+		line.State = feed.Removed
+		gone = append(gone, line)
+	}
+	if err := r.publish(gone); err != nil {
+		return err
+	}
+	if err := wait(ctx, lasts); err != nil {
+		return err
+	}
+	started, err := r.workersDo(workers, func(mine []int) command { return command{Start: mine} })
+	if err != nil {
+		return err
+	}
+	r.setLines(workers, started)
+	return r.publish(started)
+}
+
+// silence has workers answer nothing; the list tells nothing until they are back, empty and cold.
+func (r *run) silence(ctx context.Context, lasts time.Duration, workers []int) error {
+	if _, err := r.workersDo(workers, func(mine []int) command { return command{Silence: mine} }); err != nil {
+		return err
+	}
+	if err := wait(ctx, lasts); err != nil {
+		return err
+	}
+	return r.replace(workers)
+}
+
+func (r *run) stopList(ctx context.Context, lasts time.Duration) error {
+	away := true
+	if _, err := r.list.pipe.ask(command{Away: &away}); err != nil {
+		return err
+	}
+	if err := wait(ctx, lasts); err != nil {
+		return err
+	}
+	away = false
+	_, err := r.list.pipe.ask(command{Away: &away})
+	return err
+}
+
+// restartFronts restarts hollow front ends, in all processes alike.
+func (r *run) restartFronts(count int, empty bool) error {
+	var g errgroup.Group
+	for i, p := range r.fronts {
+		mine := count/len(r.fronts) + min(1, max(0, count%len(r.fronts)-i))
+		if mine > 0 {
+			g.Go(func() error {
+				_, err := p.pipe.ask(command{Restart: mine, Empty: empty})
+				return err
+			})
+		}
+	}
+	return g.Wait()
+}
+
+func (r *run) changeRate(rate float64) error {
+	r.rate.Store(rateBits(rate))
+	var g errgroup.Group
+	for _, p := range r.fronts {
+		g.Go(func() error {
+			_, err := p.pipe.ask(command{Rate: &rate})
+			return err
+		})
+	}
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/scale/fronts.go
@@ -0,0 +1,315 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lupinpond/choice"
+	"lupinpond/internal/feed"
+	"lupinpond/internal/invoke"
+	"lupinpond/internal/platform"
+)
+
+// The one class and tenant of a run.
+const (
+	className  = "call"
+	tenantName = "tenant"
+	replicaMB  = 256
+	zipfOffset = 3.0
+)
+
+// Latencies are kept from a microsecond to two minutes, to three digits.
+const (
+	leastMicros, mostMicros = 1, 120_000_000
+	digits                  = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(leastMicros, mostMicros, digits)
+}
+
+// drawer draws functions by their place in the catalogue, few of them often and most rarely.
+type drawer struct{ sums []float64 }
+
+func newDrawer(p FunctionPlan) *drawer {
+	d := &drawer{sums: make([]float64, p.Count)}
+	sum := 0.0
+	for i := range d.sums {
+		sum += math.Pow(float64(i)+zipfOffset, -p.Skew)
+		d.sums[i] = sum
+	}
+	return d
+}
+
+func (d *drawer) draw(random *rand.Rand) uint64 {
+	return uint64(sort.SearchFloat64s(d.sums, random.Float64()*d.sums[len(d.sums)-1])) + 1
+}
+
+// frontPool are the hollow front ends of one process.
+type frontPool struct {
+	plan   Plan
+	config platform.Config
+	draw   *drawer
+	ctx    context.Context
+	fronts []*hollowFront
+	rate   atomic.Uint64 // bits of the requests a second at each
+
+	submitted, served, coldServed, rejected, foundNone, failed, outOfOrder, restarted atomic.Int64
+
+	mu         sync.Mutex
+	applied    map[int64][]application
+	warm, cold *hdrhistogram.Histogram
+}
+
+// hollowFront is one of them.
+type hollowFront struct {
+	pool   *frontPool
+	number int
+	random *rand.Rand
+	life   int
+	last   int64 // change in force; the owner's goroutine only
+	since  int64 // when it was started, in Unix nanoseconds
+	front  *platform.Hollow
+	stop   context.CancelFunc
+	ended  sync.WaitGroup
+}
+
+func newFrontPool(ctx context.Context, s setup) (*frontPool, error) {
+	c, err := platform.Parse(s.Config)
+	if err != nil {
+		return nil, err
+	}
+	p := &frontPool{plan: s.Plan, config: c, draw: newDrawer(s.Plan.Functions), ctx: ctx, applied: map[int64][]application{},
+		warm: newHistogram(), cold: newHistogram()}
+	p.setRate(s.Plan.FrontEnds.Rate)
+	for i := range s.Count {
+		number := s.First + i
+		f := &hollowFront{pool: p, number: number, random: rand.New(rand.NewPCG(s.Plan.Seed, 1<<32+uint64(number)))}
+		f.start(false)
+		p.fronts = append(p.fronts, f)
+	}
+	return p, nil
+}
+
+func (p *frontPool) setRate(rate float64) { p.rate.Store(math.Float64bits(rate)) }
+
+func (p *frontPool) close() {
+	for _, f := range p.fronts {
+		f.stop()
+	}
+	for _, f := range p.fronts {
+		f.ended.Wait()
+	}
+}
+
+// start starts a front end, with the list of the start of the run or with none.
+func (f *hollowFront) start(empty bool) {
+	f.life++
+	f.last, f.since = 0, time.Now().UnixNano()
+	c := f.pool.config
+	if empty {
+		c.Known = feed.News{}
+	}
+	c.Name = fmt.Sprintf("h%d", f.number)
+	c.Front.Self, c.Front.Seed = f.number, f.random.Uint64()
+	f.front = platform.NewHollow(c, slog.New(slog.DiscardHandler), f.inForce)
+	ctx, stop := context.WithCancel(f.pool.ctx)
+	f.stop = stop
+	front := f.front
+	f.ended.Add(2)
+	go func() {
+		defer f.ended.Done()
+		if err := front.Run(ctx); err != nil {
+			f.pool.failed.Add(1)
+		}
+	}()
+	go func() {
+		defer f.ended.Done()
+		f.arrive(ctx, front)
+	}()
+}
+
+// restart stops it and starts it anew.
+func (f *hollowFront) restart(empty bool) {
+	f.stop()
+	f.ended.Wait()
+	f.pool.restarted.Add(1)
+	f.start(empty)
+}
+
+// inForce notes that a change is in force. Each has to come once and in its order; a whole list needs none before it.
+func (f *hollowFront) inForce(number int64, whole bool) {
+	now := time.Now().UnixNano()
+	if number <= f.last || number != f.last+1 && !whole {
+		f.pool.outOfOrder.Add(1)
+	}
+	f.last = number
+	f.pool.mu.Lock()
+	f.pool.applied[number] = append(f.pool.applied[number], application{At: now, Since: f.since})
+	f.pool.mu.Unlock()
+}
+
+// idleLook is how often a front end without requests looks whether it has some again.
+const idleLook = 100 * time.Millisecond
+
+// arrive submits requests at random times until ctx ends.
+func (f *hollowFront) arrive(ctx context.Context, front *platform.Hollow) {
+	next := time.Now()
+	for {
+		rate := rateOf(&f.pool.rate)
+		pause := idleLook
+		if rate > 0 {
+			pause = time.Duration(f.random.ExpFloat64() / rate * float64(time.Second))
+		}
+		next = next.Add(pause)
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		if rate > 0 {
+			f.submit(front)
+		}
+	}
+}
+
+func (f *hollowFront) submit(front *platform.Hollow) {
+	p := f.pool
+	p.submitted.Add(1)
+	came := time.Now()
+	front.Submit(platform.Request{ID: fmt.Sprintf("%016x", f.random.Uint64()), Class: className, Tenant: tenantName,
+		Function: p.draw.draw(f.random), Lanes: p.plan.Functions.Lanes, Memory: replicaMB, LoadTime: p.plan.Workers.Load.D(),
+		Wait: p.plan.FrontEnds.Wait.D()}, func(a invoke.Answer) { p.answered(came, a) })
+}
+
+// answered counts a final answer.
+func (p *frontPool) answered(came time.Time, a invoke.Answer) {
+	switch a.Ending {
+	case invoke.Handled:
+		p.served.Add(1)
+		ready, err := strconv.ParseInt(string(a.Body), 10, 64)
+		cold := err == nil && ready > came.UnixNano()
+		if cold {
+			p.coldServed.Add(1)
+		}
+		p.latency(cold, time.Since(came))
+	case invoke.Deferred:
+		p.rejected.Add(1)
+		if a.Launches == 0 {
+			p.foundNone.Add(1)
+		}
+	default:
+		p.failed.Add(1)
+	}
+}
+
+func (p *frontPool) latency(cold bool, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.warm
+	if cold {
+		h = p.cold
+	}
+	_ = h.RecordValue(min(max(took.Microseconds(), leastMicros), mostMicros)) // it is in the range
+}
+
+// report tells what was counted; with final the lists too.
+func (p *frontPool) report(final bool) (*childReport, error) {
+	r, err := ownReport()
+	if err != nil {
+		return nil, err
+	}
+	r.FrontEnds = &frontEndCounts{Submitted: p.submitted.Load(), Served: p.served.Load(), Cold: p.coldServed.Load(),
+		Rejected: p.rejected.Load(), FoundNone: p.foundNone.Load(), Failed: p.failed.Load(), OutOfOrder: p.outOfOrder.Load(),
+		Restarted: p.restarted.Load()}
+	p.mu.Lock()
+	r.Applied, p.applied = p.applied, map[int64][]application{}
+	warm, err := p.warm.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err == nil {
+		r.Warm = warm
+		r.Cold, err = p.cold.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	}
+	p.mu.Unlock()
+	if err != nil || !final {
+		return r, err
+	}
+	r.Digests = map[string]int{}
+	for _, f := range p.fronts {
+		r.Digests[f.digest(p.ctx)]++
+	}
+	return r, nil
+}
+
+// digest names the list that the front end's core decides by.
+func (f *hollowFront) digest(ctx context.Context) string {
+	members, running := f.front.Members(ctx)
+	if !running {
+		return "ended"
+	}
+	states := map[string]string{}
+	for _, m := range members {
+		states[m.Worker] = feed.Up
+		if m.Condition == choice.Draining {
+			states[m.Worker] = feed.Draining
+		}
+	}
+	return digest(states)
+}
+
+// runFrontEnds plays the role of hollow front ends.
+func runFrontEnds(ctx context.Context, p *pipe) error {
+	var pool *frontPool
+	defer func() {
+		if pool != nil {
+			pool.close()
+		}
+	}()
+	return p.answer(func(c command) (r reply, err error) {
+		switch {
+		case c.Setup != nil:
+			pool, err = newFrontPool(ctx, *c.Setup)
+		case c.Report:
+			r.Report, err = pool.report(c.Final)
+		case c.Rate != nil:
+			pool.setRate(*c.Rate)
+		case c.Restart > 0:
+			var restarts sync.WaitGroup
+			for _, f := range pool.fronts[:min(c.Restart, len(pool.fronts))] {
+				restarts.Go(func() { f.restart(c.Empty) })
+			}
+			restarts.Wait()
+		}
+		return r, err
+	})
+}
+
+// decode adds a histogram that a child has sent to another.
+func decode(into *hdrhistogram.Histogram, encoded []byte) error {
+	if len(encoded) == 0 {
+		return nil
+	}
+	h, err := hdrhistogram.Decode(bytes.Clone(encoded))
+	if err != nil {
+		return err
+	}
+	into.Merge(h)
+	return nil
+}
+
+// rateOf is a number of requests a second that is kept as its bits.
+func rateOf(bits *atomic.Uint64) float64 { return math.Float64frombits(bits.Load()) }
+
+func rateBits(rate float64) uint64 { return math.Float64bits(rate) }
--- /dev/null
+++ b/internal/scale/list.go
@@ -0,0 +1,230 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lupinpond/internal/feed"
+	"lupinpond/internal/serve"
+)
+
+// keptChanges are the changes that the list service answers one by one; who has missed more is told the whole list.
+const keptChanges = 1000
+
+// listService emulates the service that tells the list of workers, in its published form: numbered events, asked for by
+// GET /journal?tail=N&max_wait=MS.
+type listService struct {
+	mu      sync.Mutex
+	workers map[string]feed.Worker
+	changes []feed.Event // the last ones, without a gap up to the position
+	pos     int64
+	changed chan struct{} // closed at the next change
+	whole   []byte        // the answer that tells all, of the position; nil: not made yet
+
+	asked, wholes, bytes atomic.Int64
+
+	addr  string
+	stop  context.CancelFunc // nil: away
+	ended chan error
+}
+
+func newListService(workers []feed.Worker) (*listService, error) {
+	s := &listService{workers: map[string]feed.Worker{}, pos: 1, changed: make(chan struct{})}
+	for _, w := range workers {
+		s.workers[w.Name] = w
+	}
+	return s, s.listen("127.0.0.1:0")
+}
+
+func (s *listService) listen(addr string) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s.addr = listener.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop, s.ended = stop, make(chan error, 1)
+	go func() {
+		s.ended <- serve.Until(ctx, &http.Server{Handler: s, ReadHeaderTimeout: writeLimit}, counting{listener, &s.bytes}, 0)
+	}()
+	return nil
+}
+
+// close stops the service with all that is under way.
+func (s *listService) close() error {
+	if s.stop == nil {
+		return nil
+	}
+	s.stop()
+	s.stop = nil
+	return <-s.ended
+}
+
+// away stops the service, or has it come back at its address.
+func (s *listService) away(away bool) error {
+	if away {
+		return s.close()
+	}
+	return s.listen(s.addr)
+}
+
+// counting counts the bytes of all connections, both ways.
+type counting struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept gives a connection that counts.
+func (l counting) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{conn, l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what came.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what left.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// publish tells one change of some lines.
+func (s *listService) publish(lines []feed.Worker) (position int64, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range lines {
+		if s.workers[w.Name] = w; w.State == feed.Removed {
+			delete(s.workers, w.Name)
+		}
+	}
+	s.pos++
+	s.changes = append(s.changes, feed.Event{Number: s.pos, List: &feed.List{Workers: lines}})
+	if n := len(s.changes) - keptChanges; n > 0 {
+		s.changes = slices.Delete(s.changes, 0, n)
+	}
+	s.whole = nil
+	at = time.Now()
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.pos, at
+}
+
+// known is the list as a front end is started with.
+func (s *listService) known() (json.RawMessage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wholeAnswer()
+}
+
+func (s *listService) wholeAnswer() ([]byte, error) {
+	if s.whole != nil {
+		return s.whole, nil
+	}
+	list := &feed.List{Whole: true}
+	for _, name := range slices.Sorted(maps.Keys(s.workers)) {
+		list.Workers = append(list.Workers, s.workers[name])
+	}
+	b, err := json.Marshal(feed.News{Last: s.pos, Events: []feed.Event{{Number: s.pos, List: list}}})
+	if err != nil {
+		return nil, err
+	}
+	s.whole = b
+	return b, nil
+}
+
+// after is the answer to who knows the events up to tail; nil: there is nothing new.
+func (s *listService) after(tail int64) (answer []byte, changed chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := s.pos - int64(len(s.changes)) // the last event that need not be known
+	switch {
+	case tail > s.pos:
+		return nil, nil, fmt.Errorf("tail %d is after the last event %d", tail, s.pos)
+	case tail == s.pos:
+		return nil, s.changed, nil
+	case tail < oldest || tail == 0:
+		s.wholes.Add(1)
+		answer, err = s.wholeAnswer()
+		return answer, nil, err
+	}
+	answer, err = json.Marshal(feed.News{Last: s.pos, Events: s.changes[tail-oldest:]})
+	return answer, nil, err
+}
+
+// ServeHTTP answers a watcher.
+func (s *listService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.asked.Add(1)
+	tail, err := strconv.ParseInt(r.URL.Query().Get("tail"), 10, 64)
+	wait, werr := strconv.ParseInt(r.URL.Query().Get("max_wait"), 10, 64)
+	if err != nil || werr != nil || r.URL.Path != "/journal" || wait < 0 || tail < 0 {
+		http.Error(w, "GET /journal?tail=N&max_wait=MS", http.StatusBadRequest)
+		return
+	}
+	answer, changed, err := s.after(tail)
+	if err == nil && answer == nil {
+		timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-changed:
+			answer, _, err = s.after(tail)
+		case <-timer.C:
+			answer = fmt.Appendf(nil, `{"pos":%d,"entries":[]}`, tail)
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	_, _ = w.Write(answer) // who does not read it asks again
+}
+
+func (s *listService) counts() *listCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make(map[string]string, len(s.workers))
+	for name, w := range s.workers {
+		names[name] = w.State
+	}
+	return &listCounts{Asked: s.asked.Load(), Whole: s.wholes.Load(), Bytes: s.bytes.Load(), Position: s.pos, Digest: digest(names)}
+}
+
+// digest names a list by its workers and their states.
+func digest(states map[string]string) string {
+	h := xxhash.New()
+	for _, name := range slices.Sorted(maps.Keys(states)) {
+		_, _ = h.WriteString(name + "=" + states[name] + "\n") // it never fails
+	}
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+// loopback is an address of 127/8 by a number; each has its own ports.
+func loopback(net8, number int) string {
+	return net.IPv4(127, byte(net8), byte(number>>8), byte(number)).String()
+}
--- /dev/null
+++ b/internal/scale/parts_test.go
@@ -0,0 +1,172 @@
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lupinpond/internal/feed"
+	"lupinpond/internal/resp"
+)
+
+// A run whose processes hold more than they may, whatever the arithmetic said, is ended.
+func TestSampleOverTheBoundEndsTheRun(t *testing.T) {
+	r := &run{options: Options{MostBytes: 100 << 20, Log: slog.New(slog.DiscardHandler)}}
+	r.plan.Workers.Count, r.plan.FrontEnds.Hollow = 1, 1
+	from := totals{at: time.Unix(0, 0)}
+	within, over := totals{at: time.Unix(1, 0), allBytes: 100 << 20}, totals{at: time.Unix(1, 0), allBytes: 101 << 20}
+	if err := r.sample(from, within); err != nil {
+		t.Error(err)
+	}
+	if err := r.sample(from, over); !errors.Is(err, ErrTooLarge) {
+		t.Error(err)
+	}
+}
+
+// The list service answers what came after the event that is known; who knows none, or too old a one, gets the whole list.
+func TestListServiceAnswers(t *testing.T) {
+	s, err := newListService([]feed.Worker{{Name: "a", Addr: "127.0.0.1:1", State: feed.Up}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.close() })
+	ask := func(tail, wait int) feed.News {
+		t.Helper()
+		response, err := http.Get(fmt.Sprintf("http://%s/journal?tail=%d&max_wait=%d", s.addr, tail, wait))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		b, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := feed.Parse(b)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatal(response.Status, err)
+		}
+		return n
+	}
+	if n := ask(0, 0); n.Last != 1 || len(n.Events) != 1 || !n.Events[0].List.Whole || len(n.Events[0].List.Workers) != 1 {
+		t.Errorf("%+v", n)
+	}
+	if n := ask(1, 1); n.Last != 1 || len(n.Events) != 0 {
+		t.Errorf("%+v", n)
+	}
+	for i := range keptChanges + 5 {
+		s.publish([]feed.Worker{{Name: fmt.Sprint("b", i), Addr: "127.0.0.1:2", State: feed.Up}})
+	}
+	last := int64(1 + keptChanges + 5)
+	if n := ask(int(last-2), 0); n.Last != last || len(n.Events) != 2 || n.Events[0].Number != last-1 || n.Events[0].List.Whole {
+		t.Errorf("%+v", n)
+	}
+	if n := ask(3, 0); len(n.Events) != 1 || !n.Events[0].List.Whole || len(n.Events[0].List.Workers) != 1+keptChanges+5 {
+		t.Errorf("%d events", len(n.Events))
+	}
+	s.publish([]feed.Worker{{Name: "a", State: feed.Removed}})
+	if n := ask(0, 0); len(n.Events[0].List.Workers) != keptChanges+5 {
+		t.Errorf("%d workers", len(n.Events[0].List.Workers))
+	}
+	response, err := http.Get(fmt.Sprintf("http://%s/journal?tail=99999&max_wait=0", s.addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusBadRequest {
+		t.Error(response.Status)
+	}
+}
+
+// An emulated worker loads on a miss, finds its replica again, refuses beyond its queue, drops what is given up, and comes back
+// empty under another name.
+func TestEmulatedWorker(t *testing.T) {
+	plan := Plan{Seed: 1}
+	plan.Workers = WorkerPlan{Count: 1, Processes: 1, Zones: 1, Slots: 1, Queue: 1}
+	plan.Workers.Answer, plan.Workers.Load, plan.Workers.Keep = 1e6, 1e6, 60e9
+	pool, err := newWorkerPool(setup{Plan: plan, Count: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.close)
+	first := pool.lines()[0]
+	c := dialWorker(t, first.Addr)
+	c.send("SPAWN", "t1", "key=00000000000000aa,n=1")
+	c.wants("t1", "ok", "n=1")
+	c.send("FN", "1", "class=call,key=00000000000000aa,wait=1000", "body")
+	c.wants("1", "ok", "how=ready")
+	c.send("FN", "2", "class=call,key=00000000000000bb,wait=1000", "body")
+	c.wants("2", "ok", "how=loaded")
+	c.send("TOP", "t2")
+	c.wants("t2", "yes", "stats=inflight:0;pending:0")
+	if n := pool.counts(); n.Requests != 2 || n.Orders != 1 || n.Probes != 1 || n.Loads != 2 || n.Accepted != 1 || n.Open != 1 {
+		t.Errorf("%+v", n)
+	}
+	if _, err := pool.handle(command{Stop: []int{0}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(c.conn); err == nil {
+		t.Error("the connection ended without a reset")
+	}
+	r, err := pool.handle(command{Start: []int{0}})
+	if err != nil || len(r.Workers) != 1 || r.Workers[0].Name == first.Name || r.Workers[0].Born == 0 || workerNumber(r.Workers[0]) != 0 {
+		t.Fatalf("%+v %v", r, err)
+	}
+	again := dialWorker(t, r.Workers[0].Addr)
+	again.send("FN", "3", "class=call,key=00000000000000aa,wait=1000", "body")
+	again.wants("3", "ok", "how=loaded")
+}
+
+type workerClient struct {
+	t    *testing.T
+	conn net.Conn
+	have []byte
+}
+
+func dialWorker(t *testing.T, addr string) *workerClient {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	return &workerClient{t: t, conn: conn}
+}
+
+func (c *workerClient) send(words ...string) {
+	c.t.Helper()
+	if _, err := c.conn.Write(resp.Append(nil, words...)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *workerClient) wants(id, word, fields string) {
+	c.t.Helper()
+	part := make([]byte, 1024)
+	for {
+		words, taken, err := resp.Parse(c.have, 1<<16)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		if taken > 0 {
+			c.have = c.have[taken:]
+			if string(words[0]) != id || string(words[1]) != word || !strings.HasPrefix(string(words[2]), fields) {
+				c.t.Errorf("%q, want %s %s %s", words, id, word, fields)
+			}
+			return
+		}
+		n, err := c.conn.Read(part)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.have = append(c.have, part[:n]...)
+	}
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,320 @@
+package scale_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/prometheus/procfs"
+	"go.uber.org/goleak"
+
+	"lupinpond/internal/scale"
+)
+
+// The test binary plays the children of its runs, and a parent that is killed.
+const (
+	roleVariable   = "LUPINPOND_SCALE_ROLE"
+	parentVariable = "LUPINPOND_SCALE_PARENT"
+)
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(roleVariable); role != "" {
+		if err := scale.Child(context.Background(), scale.Role(role), os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	if os.Getenv(parentVariable) != "" {
+		if _, err := scale.Run(context.Background(), parse(longPlan), options(nil)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+const sizes = `
+sample: 200ms
+front-ends: {hollow: 24, processes: 2, real: 0, rate: 4, wait: 4s, memory: 64MiB, sockets: 128}
+workers: {count: 30, processes: 2, zones: 3, slots: 8, queue: 16, answer: 10ms, load: 50ms, keep: 5s}
+functions: {count: 40, skew: 1.7, lanes: 2}
+`
+
+const smallPlan = `name: small
+seed: 5
+lasts: 4s` + sizes + `timeline:
+  - {at: 200ms, what: drain, count: 3, over: 300ms, for: 200ms}
+  - {at: 900ms, what: replace, count: 5}
+  - {at: 1100ms, what: stop-workers, count: 2, for: 300ms}
+  - {at: 1600ms, what: silence-zone, zone: 1, for: 300ms}
+  - {at: 2100ms, what: stop-list, for: 400ms}
+  - {at: 2200ms, what: replace, count: 4}
+  - {at: 2800ms, what: restart-fronts, count: 12}
+  - {at: 3s, what: replace, count: 3, over: 300ms}
+  - {at: 3200ms, what: restart-empty, count: 24}
+  - {at: 3500ms, what: change-rate, rate: 0}
+`
+
+// smallChanges are the changes that smallPlan tells: a drain and its end are two, what stops and comes back is two, a zone that
+// comes back is one.
+const smallChanges = 3*2 + 5 + 2 + 1 + 4 + 3
+
+const longPlan = `name: long
+seed: 5
+lasts: 10m` + sizes + `timeline: []
+`
+
+func parse(text string) scale.Plan {
+	p, err := scale.ReadPlan("plan.yaml", []byte(text))
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// children notes the processes that a run starts.
+type children struct {
+	mu   sync.Mutex
+	cmds []*exec.Cmd
+}
+
+func (c *children) command(role scale.Role) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleVariable+"="+string(role))
+	if c != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.cmds = append(c.cmds, cmd)
+	}
+	return cmd
+}
+
+// started are the processes that run by now.
+func (c *children) started() []int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var pids []int
+	for _, cmd := range c.cmds {
+		if cmd.Process != nil {
+			pids = append(pids, cmd.Process.Pid)
+		}
+	}
+	return pids
+}
+
+func options(c *children) scale.Options {
+	return scale.Options{Command: c.command, MostBytes: 4 << 30, Log: slog.New(slog.DiscardHandler)}
+}
+
+// gone tells whether a process has ended; one that waits to be collected has.
+func gone(t *testing.T, pid int) bool {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return true
+	}
+	stat, err := p.Stat()
+	return err != nil || stat.State == "Z"
+}
+
+// allGone waits until processes have ended.
+func allGone(t *testing.T, pids []int) {
+	t.Helper()
+	end := time.Now().Add(time.Minute)
+	for _, pid := range pids {
+		for !gone(t, pid) {
+			if time.Now().After(end) {
+				t.Fatalf("process %d is left behind", pid)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// Whatever the clock does: every front end ends with the list of the service, hears each change once and in its order, also
+// over a service that was away and restarts, and no process is left over.
+func TestEveryFrontEndEndsWithTheSameList(t *testing.T) {
+	c := &children{}
+	result, err := scale.Run(t.Context(), parse(smallPlan), options(c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !result.AllAgree(24) {
+		t.Errorf("%d out of order, lists %v, the service's %s", result.OutOfOrder, result.Lists, result.ListWanted)
+	}
+	if result.Changes != smallChanges {
+		t.Errorf("%d changes, want %d", result.Changes, smallChanges)
+	}
+	var served, submitted int64
+	for _, s := range result.Spans {
+		served, submitted = served+s.Served, submitted+s.Submitted
+	}
+	if served == 0 || submitted < served || len(result.Spans) != 11 {
+		t.Errorf("%d of %d requests served in %d spans", served, submitted, len(result.Spans))
+	}
+	allGone(t, c.started())
+}
+
+// A child that crashes ends the run, which says so and leaves nothing behind.
+func TestCrashedChildIsReported(t *testing.T) {
+	c := &children{}
+	killed := make(chan struct{})
+	o := options(c)
+	o.Log = slog.New(slog.NewTextHandler(firstWrite(func() { // after the first sample
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if err := c.cmds[0].Process.Kill(); err != nil {
+			t.Error(err)
+		}
+		close(killed)
+	}), nil))
+	_, err := scale.Run(t.Context(), parse(longPlan), o)
+	<-killed
+	if !errors.Is(err, scale.ErrChild) || !strings.Contains(err.Error(), "workers-0") || !strings.Contains(err.Error(), "killed") {
+		t.Error(err)
+	}
+	allGone(t, c.started())
+}
+
+// firstWrite calls a function at the first write.
+func firstWrite(do func()) io.Writer {
+	var once sync.Once
+	return writer(func(b []byte) (int, error) {
+		once.Do(do)
+		return len(b), nil
+	})
+}
+
+type writer func(b []byte) (int, error)
+
+func (w writer) Write(b []byte) (int, error) { return w(b) }
+
+// When the process that plays a run is killed, its children end too.
+func TestKilledRunLeavesNothing(t *testing.T) {
+	parent := exec.Command(os.Args[0])
+	parent.Env = append(os.Environ(), parentVariable+"=1")
+	var said bytes.Buffer
+	parent.Stderr = &said
+	if err := parent.Start(); err != nil {
+		t.Fatal(err)
+	}
+	var pids []int
+	for end := time.Now().Add(time.Minute); len(pids) < 5; pids = childrenOf(t, parent.Process.Pid) {
+		if time.Now().After(end) {
+			t.Fatal("it started only", pids)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if err := parent.Process.Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	if err := parent.Wait(); err == nil {
+		t.Error("it ended by itself: ", said.String())
+	}
+	allGone(t, pids)
+}
+
+func childrenOf(t *testing.T, parent int) (pids []int) {
+	t.Helper()
+	all, err := procfs.AllProcs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range all {
+		if stat, err := p.Stat(); err == nil && stat.PPID == parent {
+			pids = append(pids, p.PID)
+		}
+	}
+	return pids
+}
+
+// A plan that can't fit is refused with its arithmetic, before anything starts.
+func TestTooLargePlanIsRefused(t *testing.T) {
+	c := &children{}
+	o := options(c)
+	o.MostBytes = 64 << 20
+	_, err := scale.Run(t.Context(), parse(smallPlan), o)
+	if !errors.Is(err, scale.ErrTooLarge) || !strings.Contains(err.Error(), "24 front ends * (1 MiB + 30 lines * 1700 B)") {
+		t.Error(err)
+	}
+	p := parse(strings.Replace(smallPlan, "count: 30, processes: 2", "count: 400, processes: 299", 1))
+	if err := p.Check(1 << 40); !errors.Is(err, scale.ErrTooLarge) || !strings.Contains(err.Error(), "303 processes") {
+		t.Error(err)
+	}
+	if len(c.started()) > 0 {
+		t.Error("something was started")
+	}
+}
+
+// A run that is cancelled ends, and leaves nothing behind.
+func TestCancelledRunLeavesNothing(t *testing.T) {
+	c := &children{}
+	ctx, cancel := context.WithCancel(t.Context())
+	o := options(c)
+	o.Log = slog.New(slog.NewTextHandler(firstWrite(cancel), nil)) // at the first sample
+	if _, err := scale.Run(ctx, parse(longPlan), o); !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+	allGone(t, c.started())
+}
+
+// A mistake in a plan is one message with file, line and column.
+func TestPlanMistakes(t *testing.T) {
+	for change, want := range map[[2]string]string{
+		{"lasts: 4s", "lasts: 4"}:                      "plan.yaml:3:8: ",
+		{"lasts: 4s", "lasts: 9h"}:                     "plan.yaml:3:8: lasts: more than 0s, at most 30m0s",
+		{"seed: 5", "sed: 5"}:                          "plan.yaml:2:1: ",
+		{"hollow: 24", "hollow: 0"}:                    "plan.yaml:5:22: front-ends.hollow: from 1 to 5000",
+		{"zones: 3", "zones: 31"}:                      "plan.yaml:6:43: workers.zones: at least 1",
+		{"what: drain", "what: drown"}:                 "plan.yaml:9:23: timeline[0].what: \"drown\" is nothing that can happen",
+		{"what: replace, count: 5", "what: replace"}:   "plan.yaml:10:6: timeline[1].count: from 1 to 30",
+		{"at: 900ms", "at: 100ms"}:                     "plan.yaml:10:10: timeline[1].at: earlier than the row before",
+		{"zone: 1, for: 300ms", "zone: 1"}:             "timeline[3].for: more than 0s",
+		{"zone: 1, for: 300ms", "zone: 3, for: 300ms"}: "timeline[3].zone: from 0 to 2",
+		{"at: 3500ms", "at: 4s"}:                       "timeline[9].at: it has to be over before the run ends",
+		{"skew: 1.7", "skew: -1"}:                      "functions.skew: from 0 to 4",
+	} {
+		text := strings.Replace(smallPlan, change[0], change[1], 1)
+		_, err := scale.ReadPlan("plan.yaml", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", change[1], err, want)
+		}
+	}
+	if _, err := scale.ReadPlan("plan.yaml", nil); err == nil {
+		t.Error("an empty plan was taken")
+	}
+}
+
+// The plans that come with the project can be read, and fit a machine of 24 GiB.
+func TestPlansOfTheProject(t *testing.T) {
+	files, err := filepath.Glob("../../deploy/scale/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := scale.ReadPlan(file, b)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if err := p.Check(12 << 30); err != nil {
+			t.Error(file, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/workers.go
@@ -0,0 +1,458 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lupinpond/internal/feed"
+	"lupinpond/internal/resp"
+)
+
+// Loopback networks of the roles: every worker has an address of its own, so that ports never run out.
+const (
+	workersNet = 64 // and the ones after it
+	gatesNet   = 32
+	mostWord   = 64 << 10
+	writeLimit = 5 * time.Second
+)
+
+// workerPool are the emulated workers of one process.
+type workerPool struct {
+	plan    Plan
+	first   int
+	workers []*emulatedWorker
+	done    sync.WaitGroup
+
+	accepted, open, requests, loads, orders, probes, kills, refused, controlBytes, requestBytes atomic.Int64
+}
+
+// emulatedWorker answers commands from a small model of slots, a queue, loads and cold starts.
+type emulatedWorker struct {
+	pool   *workerPool
+	number int
+	life   int // counts its starts
+	random *rand.Rand
+	line   feed.Worker
+
+	mu       sync.Mutex
+	listener net.Listener // nil: stopped
+	conns    map[net.Conn]bool
+	replicas map[string]*replica
+	running  int
+	queue    []*job
+	jobs     map[string]*job // by connection and id
+	silent   bool
+}
+
+// replica is a function loaded, or being loaded, at a worker.
+type replica struct {
+	ready time.Time // when the load ends or ended
+	until time.Time // idle so long, it is gone
+}
+
+// job is one request at a worker.
+type job struct {
+	conn net.Conn
+	id   string
+	name string // in jobs
+	how  string
+	rep  *replica
+	over bool
+}
+
+func newWorkerPool(s setup) (*workerPool, error) {
+	p := &workerPool{plan: s.Plan, first: s.First}
+	for i := range s.Count {
+		number := s.First + i
+		p.workers = append(p.workers, &emulatedWorker{pool: p, number: number, random: rand.New(rand.NewPCG(s.Plan.Seed, uint64(number)))})
+	}
+	for _, w := range p.workers {
+		if err := w.start(0); err != nil {
+			p.close()
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *workerPool) close() {
+	for _, w := range p.workers {
+		w.stop()
+	}
+	p.done.Wait()
+}
+
+// lines are the workers' lines of the list.
+func (p *workerPool) lines() []feed.Worker {
+	out := make([]feed.Worker, len(p.workers))
+	for i, w := range p.workers {
+		out[i] = w.line
+	}
+	return out
+}
+
+// handle carries out a command for some of the workers, and tells the lines of those that started.
+func (p *workerPool) handle(c command) (r reply, err error) {
+	for _, number := range c.Stop {
+		p.workers[number-p.first].stop()
+	}
+	for _, number := range c.Silence {
+		p.workers[number-p.first].silence()
+	}
+	for _, number := range c.Start {
+		w := p.workers[number-p.first]
+		w.stop()
+		if err := w.start(time.Now().UnixMilli()); err != nil {
+			return r, err
+		}
+		r.Workers = append(r.Workers, w.line)
+	}
+	return r, nil
+}
+
+func (p *workerPool) counts() *workerCounts {
+	return &workerCounts{Accepted: p.accepted.Load(), Open: p.open.Load(), Requests: p.requests.Load(), Loads: p.loads.Load(),
+		Orders: p.orders.Load(), Probes: p.probes.Load(), Kills: p.kills.Load(), Refused: p.refused.Load(),
+		ControlBytes: p.controlBytes.Load(), RequestBytes: p.requestBytes.Load()}
+}
+
+// start has the worker listen, empty, under a new name.
+func (w *emulatedWorker) start(born int64) error {
+	host := loopback(workersNet+w.number>>16, w.number&0xffff)
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return fmt.Errorf("worker %d: %w", w.number, err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.life++
+	zone := w.number % w.pool.plan.Workers.Zones
+	w.line = feed.Worker{Name: fmt.Sprintf("s-%05d-%d", w.number, w.life), Addr: listener.Addr().String(), Zone: fmt.Sprint("zone", zone),
+		Kind: "std", Cell: w.number / 8, State: feed.Up, Size: 1, Born: born}
+	w.listener, w.conns, w.replicas, w.jobs = listener, map[net.Conn]bool{}, map[string]*replica{}, map[string]*job{}
+	w.running, w.queue, w.silent = 0, nil, false
+	w.pool.done.Add(1)
+	go w.accept(listener)
+	return nil
+}
+
+// stop ends the worker as a process that dies does: its connections are reset, new ones refused.
+func (w *emulatedWorker) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.listener == nil {
+		return
+	}
+	w.listener.Close()
+	w.listener = nil
+	for conn := range w.conns {
+		if tcp, is := conn.(*net.TCPConn); is {
+			_ = tcp.SetLinger(0) // a reset; where it can't be one, an end serves as well
+		}
+		conn.Close()
+	}
+	for _, j := range w.jobs {
+		j.over = true
+	}
+}
+
+// silence has the worker swallow what comes and answer nothing, as a machine that is cut off.
+func (w *emulatedWorker) silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = true
+}
+
+func (w *emulatedWorker) accept(listener net.Listener) {
+	defer w.pool.done.Done()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		if w.listener != listener {
+			w.mu.Unlock()
+			conn.Close()
+			return
+		}
+		w.conns[conn] = true
+		w.mu.Unlock()
+		w.pool.accepted.Add(1)
+		w.pool.open.Add(1)
+		w.pool.done.Add(1)
+		go w.serve(conn)
+	}
+}
+
+// serve reads commands until the connection ends, which gives up all that is open on it.
+func (w *emulatedWorker) serve(conn net.Conn) {
+	defer w.pool.done.Done()
+	defer w.pool.open.Add(-1)
+	defer func() {
+		conn.Close()
+		w.mu.Lock()
+		delete(w.conns, conn)
+		for _, j := range w.jobs {
+			j.over = j.over || j.conn == conn
+		}
+		w.mu.Unlock()
+	}()
+	var have []byte
+	part := make([]byte, 2048)
+	for {
+		n, err := conn.Read(part)
+		if err != nil {
+			return
+		}
+		have = append(have, part[:n]...)
+		for {
+			words, taken, err := resp.Parse(have, mostWord)
+			if err != nil {
+				return
+			}
+			if taken == 0 {
+				break
+			}
+			texts := make([]string, len(words))
+			for i, word := range words {
+				texts[i] = string(word)
+			}
+			have = have[taken:]
+			w.take(conn, texts, int64(taken))
+		}
+		if len(have) == 0 {
+			have = nil
+		}
+	}
+}
+
+// take takes one command.
+func (w *emulatedWorker) take(conn net.Conn, words []string, size int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.silent {
+		return
+	}
+	switch {
+	case words[0] == "FN" && len(words) == 4:
+		w.pool.requests.Add(1)
+		w.pool.requestBytes.Add(size)
+		w.request(conn, words[1], field(words[2], "key"))
+	case words[0] == "KILL" && len(words) == 2:
+		w.pool.kills.Add(1)
+		w.pool.requestBytes.Add(size)
+		if j := w.jobs[jobName(conn, words[1])]; j != nil {
+			j.over = true
+		}
+	case words[0] == "SPAWN" && len(words) == 3:
+		w.pool.orders.Add(1)
+		w.pool.controlBytes.Add(size)
+		w.order(conn, words[1], field(words[2], "key"), field(words[2], "n"))
+	case words[0] == "TOP" && len(words) == 2:
+		w.pool.probes.Add(1)
+		w.pool.controlBytes.Add(size)
+		w.control(conn, words[1], "yes", "stats="+w.stats(), "")
+	case words[0] == "REAP" && len(words) == 2:
+		delete(w.replicas, words[1])
+	default:
+		conn.Close()
+	}
+}
+
+func jobName(conn net.Conn, id string) string { return conn.RemoteAddr().String() + " " + id }
+
+// field finds the value of a name in name=value,name=value.
+func field(text, name string) string {
+	for part := range strings.SplitSeq(text, ",") {
+		if key, value, _ := strings.Cut(part, "="); key == name {
+			return value
+		}
+	}
+	return ""
+}
+
+func (w *emulatedWorker) stats() string {
+	return fmt.Sprintf("inflight:%d;pending:%d", w.running, len(w.queue))
+}
+
+// replica finds the replica of a function, or begins to load one.
+func (w *emulatedWorker) replica(key string) (r *replica, how string) {
+	now := time.Now()
+	r = w.replicas[key]
+	switch {
+	case r != nil && now.Before(r.ready):
+		how = "queued"
+	case r != nil && now.Before(r.until):
+		how = "ready"
+	default:
+		w.pool.loads.Add(1)
+		r = &replica{ready: now.Add(w.around(w.pool.plan.Workers.Load.D()))}
+		w.replicas[key] = r
+		w.sweep(now)
+		how = "loaded"
+	}
+	r.until = latest(now, r.ready).Add(w.pool.plan.Workers.Keep.D())
+	return r, how
+}
+
+// sweep forgets replicas that are gone, so that a worker does not grow for good.
+func (w *emulatedWorker) sweep(now time.Time) {
+	for key, r := range w.replicas {
+		if now.After(r.until) && !r.until.IsZero() {
+			delete(w.replicas, key)
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// around draws a time around a mean: half of it at the least.
+func (w *emulatedWorker) around(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(w.random.ExpFloat64()*float64(mean/2))
+}
+
+// order loads a replica and answers when it stands.
+func (w *emulatedWorker) order(conn net.Conn, tag, key, n string) {
+	r, _ := w.replica(key)
+	if n == "" {
+		n = "1"
+	}
+	w.later(time.Until(r.ready), conn, func() { w.control(conn, tag, "ok", "n="+n, "") })
+}
+
+// request runs a request once its replica stands and a slot is free.
+func (w *emulatedWorker) request(conn net.Conn, id, key string) {
+	if len(w.queue) >= w.pool.plan.Workers.Queue+1 {
+		w.pool.refused.Add(1)
+		w.answer(conn, id, "refused", "stats="+w.stats(), "")
+		return
+	}
+	r, how := w.replica(key)
+	j := &job{conn: conn, id: id, name: jobName(conn, id), how: how, rep: r}
+	w.jobs[j.name] = j
+	w.later(time.Until(r.ready), conn, func() { w.ready(j) })
+}
+
+// later has something done with the worker's lock held, unless its connection is gone by then.
+func (w *emulatedWorker) later(wait time.Duration, conn net.Conn, do func()) {
+	if wait <= 0 {
+		do()
+		return
+	}
+	time.AfterFunc(wait, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.conns[conn] && !w.silent {
+			do()
+		}
+	})
+}
+
+// ready has a job run, or wait for a slot.
+func (w *emulatedWorker) ready(j *job) {
+	if w.running >= w.pool.plan.Workers.Slots {
+		w.queue = append(w.queue, j)
+		return
+	}
+	w.run(j)
+}
+
+func (w *emulatedWorker) run(j *job) {
+	w.running++
+	life := w.life
+	time.AfterFunc(w.around(w.pool.plan.Workers.Answer.D()), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.life != life {
+			return
+		}
+		w.finish(j)
+	})
+}
+
+// finish answers a job and runs the next one. The body tells when the replica stood, so that who asked knows a cold start.
+func (w *emulatedWorker) finish(j *job) {
+	w.running--
+	delete(w.jobs, j.name)
+	if !j.over && !w.silent {
+		w.answer(j.conn, j.id, "ok", "how="+j.how+",stats="+w.stats(), strconv.FormatInt(j.rep.ready.UnixNano(), 10))
+	}
+	for len(w.queue) > 0 && w.running < w.pool.plan.Workers.Slots {
+		next := w.queue[0]
+		w.queue = w.queue[1:]
+		if next.over {
+			delete(w.jobs, next.name)
+			continue
+		}
+		w.run(next)
+	}
+}
+
+func (w *emulatedWorker) answer(conn net.Conn, words ...string) {
+	w.pool.requestBytes.Add(w.write(conn, words))
+}
+
+func (w *emulatedWorker) control(conn net.Conn, words ...string) {
+	w.pool.controlBytes.Add(w.write(conn, words))
+}
+
+// write writes an answer; one that can't be written ends its connection.
+func (w *emulatedWorker) write(conn net.Conn, words []string) int64 {
+	frame := resp.Append(nil, words...)
+	if err := conn.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
+		return 0
+	}
+	if _, err := conn.Write(frame); err != nil {
+		conn.Close()
+	}
+	return int64(len(frame))
+}
+
+// runWorkers plays the role of workers.
+func runWorkers(_ context.Context, p *pipe) error {
+	var pool *workerPool
+	defer func() {
+		if pool != nil {
+			pool.close()
+		}
+	}()
+	return p.answer(func(c command) (r reply, err error) {
+		if c.Setup != nil {
+			if pool, err = newWorkerPool(*c.Setup); err == nil {
+				r.Workers = pool.lines()
+			}
+			return r, err
+		}
+		if c.Report {
+			report, err := ownReport()
+			if err != nil {
+				return r, err
+			}
+			report.Workers = pool.counts()
+			return reply{Report: report}, nil
+		}
+		return pool.handle(c)
+	})
+}
+
+// workerNumber is the number of the worker that a line is of; its name holds it.
+func workerNumber(line feed.Worker) int {
+	var number, life int
+	if _, err := fmt.Sscanf(line.Name, "s-%d-%d", &number, &life); err != nil {
+		return -1
+	}
+	return number
+}
