--- a/cmd/lpctl/scale.go
+++ b/cmd/lpctl/scale.go
@@ -165,14 +165,18 @@
 		if err != nil {
 			return err
 		}
-		s := result.Spans[len(result.Spans)-1]
-		note(size, "front end, % of a core", 100*s.FrontCore)
-		note(size, "front end, MiB", s.FrontMiB)
-		note(size, "real front end, MiB", s.RealMiB)
-		note(size, "front end, control B/s", s.ControlBytes)
-		note(size, "list service, % of a core", 100*s.ListCore)
-		note(size, "list service, MiB", s.ListMiB)
-		note(size, "worker, connections", s.Connections)
+		busy, idle := result.Spans[0], result.Spans[len(result.Spans)-1]
+		note(size, "front end with requests, % of a core", 100*busy.FrontCore)
+		note(size, "front end with requests, descriptors", busy.FrontFiles)
+		note(size, "front end with requests, control B/s", busy.ControlBytes)
+		note(size, "front end with requests, handshakes/s", busy.HandshakeRate)
+		note(size, "worker, connections", busy.Connections)
+		note(size, "list service, % of a core", 100*busy.ListCore)
+		note(size, "list service, MiB", busy.ListMiB)
+		note(size, "front end at the end without requests, % of a core", 100*idle.FrontCore)
+		note(size, "front end at the end without requests, control B/s", idle.ControlBytes)
+		note(size, "front end at the end, MiB of its process", idle.FrontMiB)
+		note(size, "real front end at the end, MiB", idle.RealMiB)
 		for _, d := range result.LastOf {
 			note(size, "change at the last front end, ms, p99", d.P99)
 		}
--- a/cmd/lpctl/slopes.go
+++ b/cmd/lpctl/slopes.go
@@ -18,7 +18,7 @@
 	Functions int     `default:"21000" help:"Functions, where these do not grow."`
 	FrontEnds int     `default:"490" help:"Front ends, where these do not grow."`
 	Rate      float64 `default:"122" help:"Requests a second at this front end, where these do not grow."`
-	Skew      float64 `default:"1.7" help:"Exponent of the Zipf law by which functions are called; with 1.55 or more, most of 21,000 are called less than once a minute at 60,000 calls a second."`
+	Skew      float64 `default:"1.7" help:"Exponent of the Zipf law by which functions are called; with 1.65 or more, most of 21,000 are called less than once a minute at 60,000 calls a second."`
 	Requests  int     `default:"3000" help:"Requests that are counted at each size."`
 	Seed      uint64  `default:"1" help:"Of the drawn traffic."`
 	JSON      bool    `help:"One line of JSON for each size in place of the table."`
