--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,289 +1,295 @@
-// Package choice decides for one front end where events go. It is asked and it answers, three ways:
+// Package choice decides for one front end where requests go. It is asked and it answers, three ways:
 //
-//	Place: where to send this event (or not yet, or never)
-//	After: what to do after this outcome
-//	Wait:  what is due now (releases, load orders, probes, final answers) and how long to wait then
+//	Submit:   where to send this request (or not yet, or never)
+//	Complete: what to do after this outcome of an attempt
+//	Tick:     what is due now (attempts, load requests, probes, final answers) and how long to wait then
 //
-// Facts are fed in between: Listed, ListFailed, Probed, Loaded, Left. Plain types stand in types.go.
-// The caller keeps the timers and the events in hand; time is any clock of whole nanoseconds.
-// The design (docs/design.md): a queue per function, released oldest first to a believed-warm free lane;
-// a four-condition rule each tick that orders loads on random workers; surplus copies starve.
+// Facts are fed in between: UpdateMembership, WatchFailed, Probed, Loaded, ClientGone. Types are in types.go.
+// The caller keeps the timers and the requests in flight; time is any clock of whole nanoseconds.
+// The design (docs/design.md): a queue per function, released oldest first to a free slot assumed warm;
+// a four-condition rule each tick that requests loads on random workers; surplus replicas starve.
 // Beside it stand six mechanisms:
-//  1. failures in a row bar a worker, one event on trial brings it back (fail, silent, usable)
-//  2. in-flight limits, of each worker and of all, follow the answer times (pace, follow)
-//  3. waiting events, reported or by the time of a probe, put a worker last (told, known)
-//  4. in a jam, what can't make its target time or is beyond its tenant's share is deferred, and so are a
-//     tenant's repeats beyond a part of its first tries; a tenant refused is served elsewhere (Place, serve)
-//  5. cold workers get a small part of a warm one's work (coldPause)
-//  6. the loads under way follow what comes of them (Loaded, load)
+//  1. consecutive failures eject a worker, one request half-open brings it back (recordFailure, ejectSilent)
+//  2. in-flight limits, of each worker and of the fleet, follow the answer times (adaptLimits, adjust)
+//  3. requests queued at a worker, reported or by a probe's round trip, put it last (takeReport, reportFresh)
+//  4. in an overload, what can't make its objective or is beyond its tenant's share is rejected, and so are
+//     retries beyond a part of a tenant's first tries; a tenant rejected is served elsewhere (release)
+//  5. cold workers get a small part of a warm one's work (slowStartPause)
+//  6. the loads under way follow what comes of them (Loaded, requestLoad)
 //
-// What differs among workers and deployments is told or learned: sizes of kinds (measure, pace), how crowded
-// a worker is by the time of a probe (crowd), what events ahead cost (fits, pace), where memory ends (count).
+// What differs among workers and deployments is reported or learned: sizes of kinds (updateMeanSize), the
+// queue at a worker (queueEstimate), what requests ahead cost (canSend), where memory ends (count).
 package choice
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
-
-	"lupinpond/internal/window"
 )
 
-// Tuned values: shares and multiples of what the settings or the events say.
+// Tuned values: shares and multiples of what the settings or the requests say.
 const (
-	tickShare, overflowShare  = 0.2, 0.25 // a function's tick and its overflow wait, of the target time
-	averaged, typeAveraged    = 10, 100   // answers in a function's average and in an event type's
-	firstLatency, freshSpan   = 10 * time.Millisecond, 5 * time.Second
-	firstShare, stuckAfter    = 0.125, 4   // first mean answer time, of the target; most that one answer counts
-	rowBar, barMost           = 4, 8       // failures in a row that bar; longest bar in longest target times
-	overdue, believed         = 18.0, 0.5  // silence that bars, in mean answer times; most that can be bad
-	firstLimit, leastLimit    = 16.0, 2.0  // in-flight limit of a worker for all front ends, the least for each
-	leastAll                  = 0.5        // the least of all workers
-	tolerance, enoughShare    = 1.1, 0.5   // answers may take so many shortest ones, or so much of the target
-	growth, shortLasts        = 0.1, 20000 // least part for growth; answers that grow the shortest time e times
-	aloneShare                = 0.2        // of the target, where no event waits at the worker
-	loadPatience, slowLoad    = 4.0, 2.0   // usual loads after which an order is lost; that tell a crowded store
-	coldSafety, coldChance    = 0.9, 1.0   // part of the cold budget that is used, less so many errors of chance
-	manyShare, fullFall       = 0.75, 0.9  // of its limit in flight: the next; what a refusal leaves of it
-	spread, leastSpread       = 8.0, 1.0   // workers for first copies, over those that a function fills
-	atFirst, startAs          = 5.0, 30.0  // functions and events that stand for what is not seen yet
-	mostSize, mostMemory      = 1e5, 1e15  // more is not believed
-	copyShare                 = 0.5        // of all memory, for first copies
-	crowdedShare, enoughTold  = 0.5, 3     // fewer workers with room, of all or of so many heard of: a jam
-	repeatsFree, repeatShare  = 1.0, 0.05  // marked repeats of a tenant that are taken, and for each first try
-	aheadKept                 = 0.95       // of what was seen of the events ahead, by the next
-	nearness                  = 3.0        // a worker of another zone is as far as one so much smaller
-	echoWeight, echoMost      = 4.0, 8.0   // waiting events for a probe's excess over the mean one; most excess
-	deepOver                  = 0.25       // mean excess of probes over the shortest that is not the network's
-	backedShare               = 0.5        // a report is believed for so much of the longest target time
-	shareChance               = 1.0        // errors of chance by which a tenant may be beyond its share
-	refusedShare, refusedMost = 0.125, 6   // a refused tenant stays away so much of the target, doubled so often
-	pointsOfFunction          = 64         // on the circle of the shared order: an even one needs many
-	mostDraws, passedFor      = 64, 4      // workers looked at for one that accepts, and for each that is wanted
+	tickShare, overflowShare = 0.2, 0.25 // a function's tick and its overflow wait, of the latency objective
+	averaged, typeAveraged   = 10, 100   // answers in a function's average and in a request type's
+	firstLatency, freshSpan  = 10 * time.Millisecond, 5 * time.Second
+	firstShare, stuckAfter   = 0.125, 4   // first mean answer time, of the objective; most an answer counts
+	ejectAfter, maxEjection  = 4, 8       // failures in a row that eject; longest ejection in longest objectives
+	overdue, mostEjected     = 18.0, 0.5  // silence that ejects, in mean answer times; most that can be bad
+	firstLimit, leastLimit   = 16.0, 2.0  // in-flight limit of a worker for all front ends, the least for each
+	leastFleetLimit          = 0.5        // the least of all workers
+	tolerance, enoughShare   = 1.1, 0.5   // answers may take so many shortest ones, or so much of the objective
+	growth, shortLasts       = 0.1, 20000 // least part for growth; answers that grow the shortest time e times
+	aloneShare               = 0.2        // of the objective, where no request waits at the worker
+	loadTimeoutFactor        = 4.0        // usual loads after which a load request is lost
+	slowLoad                 = 2.0        // usual loads that tell of a crowded store
+	slowStartSafety          = 0.9        // part of a cold worker's budget that is used
+	slowStartChance          = 1.0        // less so many errors of chance
+	manyShare, fullFall      = 0.75, 0.9  // of its limit in flight: the next; what a rejection leaves of it
+	firstPlacementWidth      = 8.0        // workers for first replicas, over those that a function fills
+	leastPlacementWidth      = 1.0        // the least of them
+	atFirst, startAs         = 5.0, 30.0  // functions and requests that stand for what is not seen yet
+	mostSize, mostMemory     = 1e5, 1e15  // more is not believed
+	replicaShare             = 0.5        // of all memory, for first replicas
+	overloadedShare          = 0.5        // fewer workers with room, of all or of those heard of: an overload
+	enoughReports            = 3          // workers heard of that are enough to tell
+	retriesFree              = 1.0        // marked retries of a tenant that are taken
+	retriesPerFirstTry       = 0.05       // and for each first try
+	queuedAheadKept          = 0.95       // of what was seen of the requests ahead, by the next
+	nearness                 = 3.0        // a worker of another zone is as far as one so much smaller
+	probeWeight, probeMost   = 4.0, 8.0   // queued requests for a probe's excess over the mean one; most excess
+	deepOver                 = 0.25       // mean excess of probes over the shortest that is not the network's
+	reportLasts              = 0.5        // a report is believed for so much of the longest objective
+	shareChance              = 1.0        // errors of chance by which a tenant may be beyond its share
+	rejectedShare            = 0.125      // a rejected tenant stays away so much of the objective
+	rejectedMost             = 6          // doubled so often at the most
+	pointsOfFunction         = 64         // on the circle of the shared order: an even one needs many
+	mostDraws, passedFor     = 64, 4      // workers looked at for one that accepts, and for each wanted
 )
 
-func (f *function) mean() time.Duration { return max(1, f.past.Mean(firstLatency)) }
+func (f *function) mean() time.Duration { return max(1, f.runTimes.Mean(firstLatency)) }
 
-func (c *Chooser) expected(f *function) time.Duration { return max(f.mean(), f.typ.mean/2) }
+func (c *Scheduler) expected(f *function) time.Duration { return max(f.mean(), f.typ.mean/2) }
 
-// Place answers where to send an event that has just come.
-func (c *Chooser) Place(now time.Duration, e *Event) Answer {
-	t := c.types[e.Type]
-	if t == nil { // a type that the settings did not name: nothing is known to be safe
-		c.AddType(EventType{Name: e.Type, Effect: AtMostOnce, Target: e.Patience})
-		t = c.types[e.Type]
+// Submit answers where to send a request that has just come.
+func (c *Scheduler) Submit(now time.Duration, e *Request) Decision {
+	t := c.typeOf(e)
+	c.fleetState(now)
+	f := c.functionOf(e, now)
+	c.arrive(e, f, t, now)
+	if !c.withinShare(e, now) {
+		return c.giveUp(e, now)
 	}
-	c.survey(now)
-	f := c.fns[e.Function]
-	if f == nil {
-		if len(c.fns) >= 2*c.kept+averaged { // functions long idle are forgotten
-			maps.DeleteFunc(c.fns, func(_ uint64, g *function) bool {
-				c.refresh(g, now)
-				return len(g.stands)+len(g.queue) == 0 && g.came.All(now) == 0
-			})
-			c.kept = len(c.fns)
+	if len(f.queue) == 0 {
+		c.expireAssumptions(f, now)
+		if s := c.warmReplica(f, e, false, now); s != nil && now < s.w.queuedUntil {
+			c.rebalance = append(c.rebalance, f)
+		} else if s != nil && c.reportFresh(s.w, now) {
+			return c.send(e, s, false, now)
 		}
-		f = &function{id: e.Function, tenant: e.Tenant, came: window.New(4 * freshSpan)}
-		c.fns[e.Function] = f
 	}
-	if f.tenant != e.Tenant { // it serves many: a refusal says nothing of one of them
-		f.tenant = ""
+	return c.enqueue(e)
+}
+
+func (c *Scheduler) typeOf(e *Request) *typeState {
+	if c.types[e.Type] == nil { // the settings did not name it: nothing is known to be safe
+		c.AddType(RequestType{Name: e.Type, Effect: AtMostOnce, Objective: e.TimeLeft})
 	}
-	f.typ, f.lanes, f.memory = t, max(1, e.Lanes), believable(e.Memory, mostMemory)
+	return c.types[e.Type]
+}
+
+// arrive notes what a request tells of itself and of its function, and counts it.
+func (c *Scheduler) arrive(e *Request, f *function, t *typeState, now time.Duration) {
+	f.typ, f.concurrency, f.memory = t, max(1, e.Concurrency), believable(e.Memory, mostMemory)
 	f.load = min(max(0, e.LoadTime), time.Hour)
-	t.patience = max(t.patience, e.Patience)
-	e.typ, e.fn, e.came, e.ends = t, f, now, now+e.Patience
-	e.due = now + t.Target - (t.patience - e.Patience) // less patience than the most seen is age
-	f.came.Add(now, 1)
-	c.came.Add(now, 1)
+	t.timeLeft = max(t.timeLeft, e.TimeLeft)
+	e.typ, e.function, e.submittedAt, e.deadline = t, f, now, now+e.TimeLeft
+	e.objectiveAt = now + t.Objective - (t.timeLeft - e.TimeLeft) // less time left than the most seen is age
+	f.arrivals.Add(now, 1)
+	c.arrivals.Add(now, 1)
 	if now >= c.countAt {
 		c.count(now)
 	}
-	if now >= f.next && len(f.queue) == 0 && len(f.stands) > 0 { // a tick without a queue advances too
-		f.next, f.arrived = now+c.tick(f), 0
-		if c.homes(f, now) > 1 {
-			c.grown = append(c.grown, f)
+	if now >= f.nextTick && len(f.queue) == 0 && len(f.replicaSets) > 0 { // a tick without a queue advances too
+		f.nextTick, f.arrived = now+c.tick(f), 0
+		if c.preferredCount(f, now) > 1 {
+			c.rebalance = append(c.rebalance, f)
 		}
 	}
 	f.arrived++
-	if c.taken.Add(now, 1); !e.Repeat {
-		c.fresh.Add(now, 1)
+	if c.submitted.Add(now, 1); !e.Retry {
+		c.firstTries.Add(now, 1)
 	}
+}
+
+// withinShare tells whether a request is taken: its tenant's retries are limited, in an overload its share
+// too.
+func (c *Scheduler) withinShare(e *Request, now time.Duration) bool {
 	if n := c.tenants[e.Tenant]; n != nil {
-		within := n.quota * c.portion(now) * freshSpan.Seconds() // few come here: more than chance is over
-		if e.over = n.came.All(now) >= within+max(1, shareChance*math.Sqrt(within)); !e.over {
-			n.came.Add(now, 1)
+		within := n.quota * c.trafficShare(now) * freshSpan.Seconds() // few come here: more than chance is over
+		if e.overShare = n.arrivals.All(now) >= within+max(1, shareChance*math.Sqrt(within)); !e.overShare {
+			n.arrivals.Add(now, 1)
 		}
-		if e.Repeat && n.again.All(now) >= repeatsFree+repeatShare*c.fresh.All(now) {
-			return c.give(e, now)
-		} else if e.Repeat {
-			n.again.Add(now, 1)
+		if e.Retry && n.retries.All(now) >= retriesFree+retriesPerFirstTry*c.firstTries.All(now) {
+			return false
+		} else if e.Retry {
+			n.retries.Add(now, 1)
 		}
 	}
-	if e.over && c.jam {
-		return c.give(e, now)
-	}
-	if len(f.queue) == 0 {
-		c.refresh(f, now)
-		if s := c.warm(f, e, false, now); s != nil && now < s.w.backed {
-			c.grown = append(c.grown, f)
-		} else if s != nil && c.known(s.w, now) {
-			return c.launch(e, s, false, now)
-		}
-	}
-	return c.hold(e)
+	return !e.overShare || !c.overloaded
 }
 
-func (c *Chooser) hold(e *Event) Answer {
-	f := e.fn
-	i, _ := slices.BinarySearchFunc(f.queue, e.came+1, func(x *Event, t time.Duration) int {
-		return cmp.Compare(x.came, t)
+func (c *Scheduler) enqueue(e *Request) Decision {
+	f := e.function
+	i, _ := slices.BinarySearchFunc(f.queue, e.submittedAt+1, func(x *Request, t time.Duration) int {
+		return cmp.Compare(x.submittedAt, t)
 	})
 	f.queue = slices.Insert(f.queue, i, e)
 	if !f.active {
 		f.active = true
 		c.active = append(c.active, f)
 	}
-	return Answer{Event: e, Verb: Hold}
+	return Decision{Request: e, Verb: Hold}
 }
 
-// spent tells that an event may have run and must not run again, wherever.
-func (c *Chooser) spent(e *Event, now time.Duration) bool {
-	late := e.typ.Effect == Keyed && now+c.quantum >= e.riskAt+e.typ.Window
-	return e.risk != nil && (late || e.typ.Effect == AtMostOnce)
+// mustNotRunAgain tells that a request may have run and must not run again, wherever.
+func (c *Scheduler) mustNotRunAgain(e *Request, now time.Duration) bool {
+	late := e.typ.Effect == IdempotencyKey && now+c.quantum >= e.mayHaveRunSince+e.typ.Window
+	return e.mayHaveRun != nil && (late || e.typ.Effect == AtMostOnce)
 }
 
-// mayGo keeps effects from happening twice (rule 2): an event that may have run goes again only as its type
-// allows, a keyed one inside its group and window.
-func (c *Chooser) mayGo(e *Event, w *worker, now time.Duration) bool {
-	return !c.spent(e, now) && (e.risk == nil || e.typ.anywhere() ||
-		w.Zone == e.risk.Zone && (e.typ.Group == GroupZone || w.Cell == e.risk.Cell))
+// mayRunOn keeps effects from happening twice (rule 2): a request that may have run goes again only as its
+// type allows, a keyed one inside its group and window.
+func (c *Scheduler) mayRunOn(e *Request, w *worker, now time.Duration) bool {
+	return !c.mustNotRunAgain(e, now) && (e.mayHaveRun == nil || e.typ.anywhere() ||
+		w.Zone == e.mayHaveRun.Zone && (e.typ.Group == GroupZone || w.Cell == e.mayHaveRun.Cell))
 }
 
-func (c *Chooser) weigh(e *Event) float64 { return float64(max(e.typ.mean, firstLatency)) }
-
-func (t *evtType) anywhere() bool {
-	return t.Effect == Redeliverable || t.Effect == Keyed && t.Group == GroupAll
-}
+func (c *Scheduler) weight(e *Request) float64 { return float64(max(e.typ.mean, firstLatency)) }
 
-func (c *Chooser) launch(e *Event, s *standing, cold bool, now time.Duration) Answer {
-	e.cold, e.sent, e.out, e.avoid = cold, now, s, nil
-	e.launches, s.busy, e.ahead = e.launches+1, s.busy+1, s.w.waits(now)
-	s.w.out = append(s.w.out, e)
+func (c *Scheduler) send(e *Request, s *replicaSet, cold bool, now time.Duration) Decision {
+	e.cold, e.sentAt, e.sentTo, e.avoid = cold, now, s, nil
+	e.attempts, s.inFlight, e.queuedAhead = e.attempts+1, s.inFlight+1, s.w.queuedNow(now)
+	s.w.attempts = append(s.w.attempts, e)
 	c.inFlight++
-	c.touch(s.w, now)
-	s.w.coldLast, s.w.coldPart = now, 1
+	c.recount(s.w, now)
+	s.w.lastColdSend, s.w.coldPauseShare = now, 1
 	if cold {
 		s.loading = max(s.loading, 1)
-		s.loadEnd = now + part(loadPatience, e.fn.usualLoad())
+		s.loadDeadline = now + part(loadTimeoutFactor, e.function.usualLoad())
 	}
-	return Answer{Event: e, Verb: Launch, Worker: s.w.Worker}
+	return Decision{Request: e, Verb: Send, Worker: s.w.Worker}
 }
 
-// give ends an event as its type allows: deferred where another try is harmless, else dead-lettered.
-func (c *Chooser) give(e *Event, now time.Duration) Answer {
+// giveUp ends a request as its type allows: rejected where another try is harmless, else failed.
+func (c *Scheduler) giveUp(e *Request, now time.Duration) Decision {
 	e.ended = true
-	if c.spent(e, now) || e.risk != nil && !e.typ.anywhere() {
-		return Answer{Event: e, Verb: DeadLetter}
+	if c.mustNotRunAgain(e, now) || e.mayHaveRun != nil && !e.typ.anywhere() {
+		return Decision{Request: e, Verb: Fail}
 	}
-	back := min(c.mostBack, e.typ.Target/2)
-	return Answer{Event: e, Verb: Defer, Back: back/2 + time.Duration(c.chance.Below(int(back/2)+1))}
+	back := min(c.maxRetryAfter, e.typ.Objective/2)
+	return Decision{Request: e, Verb: Reject, RetryAfter: back/2 + time.Duration(c.random.Below(int(back/2)+1))}
 }
 
-// After answers what to do after the outcome of a launch.
-func (c *Chooser) After(now time.Duration, e *Event, o Outcome) Answer {
-	s, f := e.out, e.fn
+// Complete answers what to do after the outcome of an attempt.
+func (c *Scheduler) Complete(now time.Duration, e *Request, o Outcome) Decision {
+	s := e.sentTo
 	if s == nil {
-		return Answer{Event: e, Verb: Nothing}
+		return Decision{Request: e, Verb: Nothing}
 	}
 	w := s.w
-	c.survey(now)
-	told := c.told(w, o.Load, now)
-	if o.Took >= e.typ.Target && len(w.out) == 1 {
-		w.late = now + c.longest
+	c.fleetState(now)
+	hasRoom := c.takeReport(w, o.Load, now) && o.Load.QueueDepth < 1
+	if o.Took >= e.typ.Objective && len(w.attempts) == 1 {
+		w.lateUntil = now + c.longest
 	}
-	e.out, s.busy = nil, s.busy-1
-	w.out = slices.DeleteFunc(w.out, func(x *Event) bool { return x == e })
-	defer c.touch(w, now)
+	e.sentTo, s.inFlight = nil, s.inFlight-1
+	w.attempts = slices.DeleteFunc(w.attempts, func(x *Request) bool { return x == e })
+	c.learn(e, s, o, hasRoom, now)
+	c.recount(w, now)
+	if e.mayHaveRun == nil && slices.Contains([]Result{Failed, TimedOut, Broken, Cancelled}, o.Result) {
+		e.mayHaveRun, e.mayHaveRunSince = w, e.sentAt
+	}
+	if o.Final || e.ended {
+		e.ended = true
+		return Decision{Request: e, Verb: Nothing}
+	}
+	e.avoid = w
+	hopeless := now+c.giveUpMargin(e) >= e.deadline || c.mustNotRunAgain(e, now)
+	if o.Result == TooLate || e.attempts >= c.maxAttempts || hopeless {
+		return c.giveUp(e, now)
+	}
+	return c.enqueue(e)
+}
+
+// learn takes what an outcome tells of the worker, of the replicas there and of the function.
+func (c *Scheduler) learn(e *Request, s *replicaSet, o Outcome, hasRoom bool, now time.Duration) {
+	w, f := s.w, e.function
 	switch o.Result {
-	case Handled:
-		c.work.Add(now, c.weigh(e))
-		w.row, w.lastGood, w.barFor, w.trial, w.barred, w.deaf = 0, now, 0, false, 0, false
-		s.copies, s.until = max(1, s.copies), now+c.keep
-		delete(w.refuses, e.Tenant)
-		if o.Warmth == FoundWarm || o.Warmth == Untold && !e.cold {
-			f.past.Add(o.Took, averaged)
-			c.pace(w, e, o.Took, now)
+	case Completed:
+		c.work.Add(now, c.weight(e))
+		w.recovered(now)
+		s.replicas, s.assumedUntil = max(1, s.replicas), now+c.keep
+		delete(w.rejections, e.Tenant)
+		if o.Warmth == FoundWarm || o.Warmth == Unreported && !e.cold {
+			f.runTimes.Add(o.Took, averaged)
+			c.adaptLimits(w, e, o.Took, now)
 		}
-	case Full: // whatever the reason, a tenant refused again and again is served elsewhere; others stay
-		r := refusal{row: min(w.refuses[e.Tenant].row+1, refusedMost)}
-		s.shut = now + part(refusedShare, f.typ.Target)<<r.row
+	case Full: // whatever the reason, a tenant rejected again and again is served elsewhere; others stay
+		r := rejection{count: min(w.rejections[e.Tenant].count+1, rejectedMost)}
+		s.closedUntil = now + part(rejectedShare, f.typ.Objective)<<r.count
 		w.limit = max(leastLimit, w.limit*fullFall)
-		if f.tenant != "" && told && o.Load.Waiting < 1 { // it has room
-			r.until = s.shut
+		if f.tenant != "" && hasRoom {
+			r.until = s.closedUntil
 		}
-		w.refuse(e.Tenant, r)
+		w.reject(e.Tenant, r)
 	case Unreached, Broken: // a process that died comes back with a new start; a broken line does not
-		c.fail(w, now)
+		c.recordFailure(w, now)
 	case TimedOut:
-		if c.pace(w, e, o.Took, now); e.sent >= w.lastGood {
-			c.fail(w, now)
+		if c.adaptLimits(w, e, o.Took, now); e.sentAt >= w.lastGood {
+			c.recordFailure(w, now)
 		}
 	case Failed, Missing:
-		if s.copies = 0; o.Result == Failed && o.Warmth != LoadFailed {
-			c.fail(w, now)
+		if s.replicas = 0; o.Result == Failed && o.Warmth != LoadFailed {
+			c.recordFailure(w, now)
 		}
 	}
-	if e.risk == nil && slices.Contains([]Result{Failed, TimedOut, Broken, Withdrawn}, o.Result) {
-		e.risk, e.riskAt = w, e.sent // it may have run
-	}
-	if o.Final || e.ended {
-		e.ended = true
-		return Answer{Event: e, Verb: Nothing}
-	}
-	e.avoid = w
-	if o.Result == TooLate || e.launches >= c.mostLaunches || now+c.lastCall(e) >= e.ends || c.spent(e, now) {
-		return c.give(e, now)
-	}
-	return c.hold(e)
 }
 
-// lastCall is how long before the client gives up an event is given up: an answer is not to be had then.
-func (c *Chooser) lastCall(e *Event) time.Duration {
-	return max(2*c.quantum, min(2*c.expected(e.fn), e.Patience/2))
+// giveUpMargin is how long before the client gives up a request is given up: an answer is not to be had then.
+func (c *Scheduler) giveUpMargin(e *Request) time.Duration {
+	return max(2*c.quantum, min(2*c.expected(e.function), e.TimeLeft/2))
 }
 
-// Wait answers what is due now, and how long to wait until something else is.
-func (c *Chooser) Wait(now time.Duration) Steps {
+// Tick answers what is due now, and how long to wait until something else is.
+func (c *Scheduler) Tick(now time.Duration) Steps {
 	var st Steps
-	if now >= c.askAt {
-		st.Ask, c.askAt = true, now+8*c.askWait
+	if now >= c.subscribeAt {
+		st.Subscribe, c.subscribeAt = true, now+8*c.subscribeEvery
 	}
-	c.survey(now)
-	c.silent(now)
-	for _, e := range c.recall {
-		if c.cancel && e.out != nil && !e.ended && e.typ.anywhere() && e.launches < c.mostLaunches &&
-			now+c.lastCall(e) < e.ends {
-			st.Answers = append(st.Answers, Answer{Event: e, Verb: Withdraw, Launch: e.launches - 1})
+	c.fleetState(now)
+	c.ejectSilent(now)
+	for _, e := range c.toCancel {
+		if c.cancel && e.sentTo != nil && !e.ended && e.typ.anywhere() && e.attempts < c.maxAttempts &&
+			now+c.giveUpMargin(e) < e.deadline {
+			st.Decisions = append(st.Decisions, Decision{Request: e, Verb: Cancel, Attempt: e.attempts - 1})
 		}
 	}
-	c.recall = c.recall[:0]
+	c.toCancel = c.toCancel[:0]
 	for _, f := range c.active {
-		c.refresh(f, now)
-		c.serve(f, false, now, &st)
+		c.expireAssumptions(f, now)
+		c.release(f, false, now, &st)
 	}
-	for _, f := range c.grown {
-		w := c.target(f, true, now)
-		if w != nil && now >= w.backed && !c.jam && f.at(w).copies+f.at(w).loading == 0 {
-			c.load(f, true, now, &st)
+	for _, f := range c.rebalance {
+		w := c.placeReplica(f, true, now)
+		if w != nil && now >= w.queuedUntil && !c.overloaded && f.replicaSetAt(w).empty() {
+			c.requestLoad(f, true, now, &st)
 		}
 	}
-	c.grown = c.grown[:0]
-	wake := c.askAt
+	c.rebalance = c.rebalance[:0]
+	wake := c.subscribeAt
 	for _, f := range c.active {
-		wake = min(wake, c.serve(f, true, now, &st), c.provision(f, now, &st))
+		wake = min(wake, c.release(f, true, now, &st), c.scaleUp(f, now, &st))
 	}
 	c.active = slices.DeleteFunc(c.active, func(f *function) bool {
 		f.active = len(f.queue) > 0
@@ -299,31 +305,31 @@
 	return st
 }
 
-// serve releases a function's held events, oldest first, and gives up those past hope (rule 1: in time).
-// Those that can't make their target time come after all that can: old must not make young late.
-func (c *Chooser) serve(f *function, late bool, now time.Duration, st *Steps) time.Duration {
+// release releases a function's held requests, oldest first, and gives up those past hope (rule 1: in time).
+// Those that can't make their latency objective come after all that can: old must not make young late.
+func (c *Scheduler) release(f *function, late bool, now time.Duration, st *Steps) time.Duration {
 	wake := time.Duration(math.MaxInt64)
 	kept := f.queue[:0]
 	for _, e := range f.queue {
 		if e.ended {
 			continue
 		}
-		var s *standing
-		last := e.ends - c.lastCall(e)
-		give := now >= last || c.spent(e, now)
-		if !give && late == (now+c.expected(f) > e.due) {
-			s = c.warm(f, e, false, now) // where events wait, a copy elsewhere may be heard of in a moment
-			if s != nil && (!c.known(s.w, now) || now < min(s.w.backed, e.came+firstLatency)) {
+		var s *replicaSet
+		last := e.deadline - c.giveUpMargin(e)
+		give := now >= last || c.mustNotRunAgain(e, now)
+		if !give && late == (now+c.expected(f) > e.objectiveAt) {
+			s = c.warmReplica(f, e, false, now) // where requests wait, a replica elsewhere may be heard of in a moment
+			if s != nil && (!c.reportFresh(s.w, now) || now < min(s.w.queuedUntil, e.submittedAt+firstLatency)) {
 				s, wake = nil, min(wake, now+firstLatency)
-			} else if s == nil && now >= e.came+part(overflowShare, e.typ.Target) {
-				s = c.warm(f, e, true, now)
-				give = s == nil && e.risk == nil && (late || e.over) && c.jam
+			} else if s == nil && now >= e.submittedAt+part(overflowShare, e.typ.Objective) {
+				s = c.warmReplica(f, e, true, now)
+				give = s == nil && e.mayHaveRun == nil && (late || e.overShare) && c.overloaded
 			}
 		}
 		if give {
-			st.Answers = append(st.Answers, c.give(e, now))
+			st.Decisions = append(st.Decisions, c.giveUp(e, now))
 		} else if s != nil {
-			st.Answers = append(st.Answers, c.launch(e, s, false, now))
+			st.Decisions = append(st.Decisions, c.send(e, s, false, now))
 		} else {
 			kept, wake = append(kept, e), min(wake, last)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -8,7 +8,7 @@
 	"lupinpond/choice"
 )
 
-// The ordinary path: held, one first load, released to the warm lane, the second waits for the lane.
+// The ordinary path: held, one first load, released to the warm slot, the second waits for the slot.
 func Example_ordinaryPath() {
 	b := newBench(1)
 	e1 := b.place("e1", "redeliverable", 9)
@@ -18,7 +18,7 @@
 	b.step(0)
 	b.place("e2", "redeliverable", 9)
 	b.now += 100 * ms
-	b.after(e1, choice.Handled, 100*ms)
+	b.after(e1, choice.Completed, 100*ms)
 	b.step(0)
 	// Output:
 	// 0s e1 hold
@@ -29,10 +29,10 @@
 	// 500ms e2 launch on c
 }
 
-// Rule 1: an event that nothing can serve is answered before its client gives up.
+// Rule 1: a request that nothing can serve is answered before its client gives up.
 func Example_answeredInTime() {
 	b := newBench(1)
-	b.Listed(b.now, true, nil)
+	b.UpdateMembership(b.now, true, nil)
 	b.place("e1", "at-most-once", 9)
 	for range 30 {
 		b.step(100 * ms)
@@ -42,7 +42,7 @@
 	// 1s e1 defer
 }
 
-// Rule 2: what may have run goes again only as its type allows; a launch that never ran may go again.
+// Rule 2: what may have run goes again only as its type allows; an attempt that never ran may go again.
 func Example_noEffectTwice() {
 	for _, r := range []choice.Result{choice.Full, choice.Broken} {
 		b := newBench(1)
@@ -81,7 +81,7 @@
 	// 180ms at-most-once dead-letter
 }
 
-// Rule 2: outside its window a keyed event that may have run is dead-lettered.
+// Rule 2: outside its window a keyed request that may have run is failed.
 func Example_keyedWindow() {
 	b := newBench(1)
 	e := b.place("e1", "keyed", 9)
@@ -96,16 +96,16 @@
 	// 2.11s e1 dead-letter
 }
 
-// Rule 3: a drained worker gets nothing new, neither launches nor loads.
+// Rule 3: a drained worker gets nothing new, neither attempts nor loads.
 func Example_drain() {
 	b := newBench(1)
-	b.Listed(b.now, false, []choice.Listing{
-		{Worker: "a", Condition: choice.Draining}, {Worker: "b", Condition: choice.Gone}})
+	b.UpdateMembership(b.now, false, []choice.Member{
+		{Worker: "a", Condition: choice.Draining}, {Worker: "b", Condition: choice.Removed}})
 	for i := range 4 {
 		b.place(fmt.Sprint("e", i), "redeliverable", uint64(i))
 	}
 	b.loaded(b.step(0))
-	b.Listed(b.now, false, []choice.Listing{{Worker: "c", Condition: choice.Draining}})
+	b.UpdateMembership(b.now, false, []choice.Member{{Worker: "c", Condition: choice.Draining}})
 	b.step(10 * ms)
 	// Output:
 	// 0s e0 hold
@@ -122,14 +122,14 @@
 func Example_coldWorker() {
 	for _, started := range []time.Duration{0, time.Hour} {
 		b := newBench(1)
-		b.Listed(b.now, true, []choice.Listing{{Worker: "a", Started: started}})
+		b.UpdateMembership(b.now, true, []choice.Member{{Worker: "a", Started: started}})
 		b.place("e0", "redeliverable", 9)
 		b.loaded(b.step(0))
 		b.step(1000 * ms)
 		launched := 0
 		for i := range 20 {
-			e := &choice.Event{ID: fmt.Sprint(i), Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 32}
-			if b.Place(b.now, e).Verb == choice.Launch {
+			e := &choice.Request{ID: fmt.Sprint(i), Type: "redeliverable", Function: 9, TimeLeft: 3000 * ms, Concurrency: 32}
+			if b.Submit(b.now, e).Verb == choice.Send {
 				launched++
 			}
 			b.now += 10 * ms
@@ -147,16 +147,16 @@
 	// launched 0
 }
 
-// Rule 5: no more orders than the ration, however many functions are new.
+// Rule 5: no more orders than the rate limit, however many functions are new.
 func Example_ration() {
 	b := newBench(1)
 	b.Loading(true, false, 10000*ms, 5000*ms, 5000*ms, 2, 0.1)
 	orders := 0
 	for i := range 100 {
-		e := &choice.Event{ID: fmt.Sprint(i), Type: "redeliverable", Function: uint64(i), Patience: 3000 * ms}
-		b.Place(b.now, e)
-		st := b.Wait(b.now)
-		orders += len(st.Orders)
+		e := &choice.Request{ID: fmt.Sprint(i), Type: "redeliverable", Function: uint64(i), TimeLeft: 3000 * ms}
+		b.Submit(b.now, e)
+		st := b.Tick(b.now)
+		orders += len(st.Loads)
 		b.loaded(st)
 		b.now += 10 * ms
 	}
@@ -165,10 +165,10 @@
 	// orders 12 of at most 12
 }
 
-// A worker that answers nothing is barred: what may go again is withdrawn and goes elsewhere.
+// A worker that answers nothing is ejected: what may go again is cancelled and goes elsewhere.
 func Example_silentWorker() {
 	b := newBench(1)
-	var events []*choice.Event
+	var events []*choice.Request
 	for i := range 3 {
 		events = append(events, b.place(fmt.Sprint("e", i), "redeliverable", 9))
 	}
@@ -176,7 +176,7 @@
 		b.loaded(b.step(200 * ms))
 	}
 	for _, e := range events {
-		b.after(e, choice.Withdrawn, 600*ms)
+		b.after(e, choice.Cancelled, 600*ms)
 	}
 	b.loaded(b.step(200 * ms))
 	b.step(0)
@@ -206,7 +206,7 @@
 	e := b.place("e", "redeliverable", 9)
 	for range 16 {
 		b.loaded(b.step(100 * ms))
-		if e.Outstanding() {
+		if e.InFlight() {
 			b.after(e, choice.Full, 0)
 		}
 	}
@@ -228,29 +228,29 @@
 // Settings that make no sense lead to safe decisions, not to a panic.
 func Example_impossibleSettings() {
 	c := choice.New(0, 0, 0, 0)
-	c.AddType(choice.EventType{Name: "t"})
+	c.AddType(choice.RequestType{Name: "t"})
 	c.AddTenant("n", 0)
 	c.Allowed(0, false, false, 0)
 	c.Loading(false, false, 0, 0, 0, 0, 0)
-	c.ColdStarts(0, 0, 0, 0)
-	c.Asking(0)
-	c.Listed(1, true, []choice.Listing{{Worker: "a", Started: 1}})
+	c.SlowStart(0, 0, 0, 0)
+	c.SubscribeWithin(0)
+	c.UpdateMembership(1, true, []choice.Member{{Worker: "a", Started: 1}})
 	for i, kind := range []string{"t", "t", "unknown"} {
-		e := &choice.Event{ID: fmt.Sprint("e", i), Type: kind, Tenant: "n"}
-		a := c.Place(2, e)
+		e := &choice.Request{ID: fmt.Sprint("e", i), Type: kind, Tenant: "n"}
+		a := c.Submit(2, e)
 		fmt.Print(a.Verb, " ")
-		for _, a := range c.Wait(2).Answers {
-			fmt.Print(a.Event.ID, " ", a.Verb, " ", a.Worker, "; ")
+		for _, a := range c.Tick(2).Decisions {
+			fmt.Print(a.Request.ID, " ", a.Verb, " ", a.Worker, "; ")
 		}
 	}
-	c.Listed(3, true, nil)
-	c.ListFailed(3)
-	fmt.Println(len(c.Wait(3).Answers))
+	c.UpdateMembership(3, true, nil)
+	c.WatchFailed(3)
+	fmt.Println(len(c.Tick(3).Decisions))
 	// Output:
 	// 0 e0 2 ; 0 e1 2 ; 0 e2 2 ; 0
 }
 
-// Among many front ends the first copies of a busy function stand on many workers, those of a rare one on few.
+// Among many front ends the first replicas of a busy function stand on many workers, those of a rare one on few.
 func Example_manyFrontEnds() {
 	for _, every := range []int{50, 2} {
 		n := homes(0, func(i int) uint64 {
@@ -266,18 +266,18 @@
 	// one event of 2 workers with first copies 20 of 20
 }
 
-// Rule 4 for all front ends together: a hundred that know nothing yet send a new worker about one event a second.
+// Rule 4 for all front ends together: a hundred that know nothing yet send a new worker about one request a second.
 func Example_coldWorkerOfMany() {
 	launched := 0
 	for self := range 100 {
 		b := fleet(self, 100, 1)
-		b.Listed(b.now, true, []choice.Listing{{Worker: "n", Started: b.now}})
+		b.UpdateMembership(b.now, true, []choice.Member{{Worker: "n", Started: b.now}})
 		for range 20 {
-			b.Place(b.now, &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 32})
-			st := b.Wait(b.now)
+			b.Submit(b.now, &choice.Request{Type: "redeliverable", Function: 9, TimeLeft: 3000 * ms, Concurrency: 32})
+			st := b.Tick(b.now)
 			b.loaded(st)
-			for _, a := range append(st.Answers, b.Wait(b.now).Answers...) {
-				if a.Verb == choice.Launch {
+			for _, a := range append(st.Decisions, b.Tick(b.now).Decisions...) {
+				if a.Verb == choice.Send {
 					launched++
 				}
 			}
@@ -289,15 +289,15 @@
 	// in the first second 1
 }
 
-// Clients that leave early and repeat at once: a few of a tenant's marked repeats are taken, the rest deferred.
+// Clients that leave early and retry at once: a few of a tenant's marked retries are taken, the rest rejected.
 func Example_repeats() {
 	b := newBench(1)
 	b.AddTenant("n", 1000)
 	for _, repeat := range []bool{false, true} {
 		held := 0
 		for range 40 {
-			e := &choice.Event{Type: "redeliverable", Tenant: "n", Function: 9, Patience: 300 * ms, Repeat: repeat}
-			if b.Place(b.now, e).Verb == choice.Hold {
+			e := &choice.Request{Type: "redeliverable", Tenant: "n", Function: 9, TimeLeft: 300 * ms, Retry: repeat}
+			if b.Submit(b.now, e).Verb == choice.Hold {
 				held++
 			}
 		}
@@ -308,11 +308,11 @@
 	// repeat true held 3 of 40
 }
 
-// A worker where others' events wait comes last: a first copy goes to the next of the order.
+// A worker where others' requests wait comes last: a first replica goes to the next of the order.
 func Example_backedUp() {
 	for _, waiting := range []float64{0, 9} {
 		b := newBench(1)
-		b.Probed(b.now, "c", choice.Handled, choice.Load{Told: true, Waiting: waiting}, ms)
+		b.Probed(b.now, "c", choice.Completed, choice.Load{Reported: true, QueueDepth: waiting}, ms)
 		b.place("e", "redeliverable", 9)
 		b.step(0)
 	}
@@ -323,7 +323,7 @@
 	// 0s load 9 x1 on b
 }
 
-// A first copy ordered at a worker that then leaves a probe unanswered does not stand in for one elsewhere.
+// A first replica ordered at a worker that then leaves a probe unanswered does not stand in for one elsewhere.
 func Example_unansweredProbe() {
 	b := newBench(9) // more front ends than workers
 	b.Allowed(4, true, true, 500*ms)
@@ -332,7 +332,7 @@
 	fmt.Println("probe", st.Probes)
 	b.Probed(b.now, st.Probes[0], choice.TimedOut, choice.Load{}, ms)
 	st = b.step(250 * ms)
-	b.Probed(b.now, st.Probes[0], choice.Handled, choice.Load{Told: true}, ms)
+	b.Probed(b.now, st.Probes[0], choice.Completed, choice.Load{Reported: true}, ms)
 	b.loaded(st)
 	b.step(0)
 	// Output:
@@ -346,14 +346,14 @@
 // A worker with room that is full for one tenant stays open to the others.
 func Example_tenantRefused() {
 	b := newBench(1)
-	b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
+	b.UpdateMembership(b.now, true, []choice.Member{{Worker: "a"}})
 	for i, tenant := range []string{"m", "m", "n"} {
-		e := &choice.Event{ID: fmt.Sprint("e", i), Type: "redeliverable", Tenant: tenant, Function: uint64(i),
-			Patience: 3000 * ms, Lanes: 1}
-		b.show(b.Place(b.now, e))
+		e := &choice.Request{ID: fmt.Sprint("e", i), Type: "redeliverable", Tenant: tenant, Function: uint64(i),
+			TimeLeft: 3000 * ms, Concurrency: 1}
+		b.show(b.Submit(b.now, e))
 		b.loaded(b.step(0))
-		if b.step(0); e.Outstanding() && i == 0 {
-			b.show(b.After(b.now, e, choice.Outcome{Result: choice.Full, Load: choice.Load{Told: true}}))
+		if b.step(0); e.InFlight() && i == 0 {
+			b.show(b.Complete(b.now, e, choice.Outcome{Result: choice.Full, Load: choice.Load{Reported: true}}))
 		}
 	}
 	// Output:
@@ -367,22 +367,22 @@
 	// 0s e2 launch on a
 }
 
-// A refusal of a function that serves many tenants, or none, keeps no other function away from the worker.
+// A rejection of a function that serves many tenants, or none, keeps no other function away from the worker.
 func Example_manyTenants() {
 	for _, tenants := range [][]string{{"m", "n"}, {"", ""}} {
 		b := newBench(1)
-		b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
+		b.UpdateMembership(b.now, true, []choice.Member{{Worker: "a"}})
 		for i, tenant := range tenants {
-			b.Place(b.now, &choice.Event{Type: "redeliverable", Tenant: tenant, Function: 1, Patience: 3000 * ms, Lanes: 2})
+			b.Submit(b.now, &choice.Request{Type: "redeliverable", Tenant: tenant, Function: 1, TimeLeft: 3000 * ms, Concurrency: 2})
 			if i == 1 {
-				b.loaded(b.Wait(b.now))
+				b.loaded(b.Tick(b.now))
 			}
 		}
-		for _, a := range b.Wait(b.now).Answers {
-			b.After(b.now, a.Event, choice.Outcome{Result: choice.Full, Load: choice.Load{Told: true}})
+		for _, a := range b.Tick(b.now).Decisions {
+			b.Complete(b.now, a.Request, choice.Outcome{Result: choice.Full, Load: choice.Load{Reported: true}})
 		}
-		b.Place(b.now, &choice.Event{Type: "redeliverable", Tenant: tenants[1], Function: 2, Patience: 3000 * ms, Lanes: 2})
-		for _, o := range b.Wait(b.now).Orders {
+		b.Submit(b.now, &choice.Request{Type: "redeliverable", Tenant: tenants[1], Function: 2, TimeLeft: 3000 * ms, Concurrency: 2})
+		for _, o := range b.Tick(b.now).Loads {
 			fmt.Printf("load %d on %s\n", o.Function, o.Worker)
 		}
 	}
@@ -396,23 +396,23 @@
 	for _, took := range []time.Duration{100 * ms, 900 * ms} {
 		b := fleet(0, 50, 20)
 		for i := range 400 {
-			e := &choice.Event{Type: "redeliverable", Function: uint64(i % 20), Patience: 3000 * ms, Lanes: 4}
-			b.Place(b.now, e)
-			st := b.Wait(b.now)
+			e := &choice.Request{Type: "redeliverable", Function: uint64(i % 20), TimeLeft: 3000 * ms, Concurrency: 4}
+			b.Submit(b.now, e)
+			st := b.Tick(b.now)
 			b.loaded(st)
-			b.handled(append(append(st.Answers, b.Wait(b.now).Answers...), choice.Answer{Event: e}), took)
+			b.handled(append(append(st.Decisions, b.Tick(b.now).Decisions...), choice.Decision{Request: e}), took)
 			b.now += 20 * ms
 		}
 		out := 0
 		for i := range 40 {
-			e := &choice.Event{Type: "redeliverable", Function: uint64(i % 20), Patience: 3000 * ms, Lanes: 4}
-			if b.Place(b.now, e).Verb == choice.Launch {
+			e := &choice.Request{Type: "redeliverable", Function: uint64(i % 20), TimeLeft: 3000 * ms, Concurrency: 4}
+			if b.Submit(b.now, e).Verb == choice.Send {
 				out++
 			}
 		}
 		for range 40 { // the limit is rounded by chance
-			for _, a := range b.Wait(b.now).Answers {
-				if a.Verb == choice.Launch {
+			for _, a := range b.Tick(b.now).Decisions {
+				if a.Verb == choice.Send {
 					out++
 				}
 			}
@@ -424,19 +424,19 @@
 	// answers of 900ms in flight at once 1
 }
 
-// The time of a probe tells of a crowd where it varies: the warm copy there is left for another.
+// The time of a probe tells of a crowd where it varies: the warm replica there is left for another.
 func Example_crowdedProbe() {
 	for _, took := range []time.Duration{ms, 9 * ms} {
 		b := newBench(9) // more front ends than workers
 		b.Allowed(4, true, true, 500*ms)
 		for range 12 { // what is usual
 			for i, worker := range []string{"a", "b", "c"} {
-				b.Probed(b.now, worker, choice.Handled, choice.Load{}, time.Duration(i+1)*ms)
+				b.Probed(b.now, worker, choice.Completed, choice.Load{}, time.Duration(i+1)*ms)
 			}
 		}
 		b.now += time.Second
 		b.place("e", "redeliverable", 9)
-		b.Probed(b.now, "c", choice.Handled, choice.Load{}, took)
+		b.Probed(b.now, "c", choice.Completed, choice.Load{}, took)
 		b.step(0)
 	}
 	// Output:
@@ -460,13 +460,13 @@
 	// 0s load 9 x1 on c
 }
 
-// A worker of three times the size gets first copies of about three times as many functions.
+// A worker of three times the size gets first replicas of about three times as many functions.
 func Example_sizes() {
 	b := newBench(1)
-	b.Listed(b.now, true, []choice.Listing{{Worker: "big", Kind: "b", Size: 3}, {Worker: "small", Kind: "s", Size: 1}})
+	b.UpdateMembership(b.now, true, []choice.Member{{Worker: "big", Kind: "b", Size: 3}, {Worker: "small", Kind: "s", Size: 1}})
 	orders := map[string]int{}
 	for fn := range uint64(200) {
-		e := &choice.Event{Type: "redeliverable", Function: fn, Patience: 3000 * ms, Lanes: 1, LoadTime: 400 * ms}
+		e := &choice.Request{Type: "redeliverable", Function: fn, TimeLeft: 3000 * ms, Concurrency: 1, LoadTime: 400 * ms}
 		for _, o := range b.serve(e, 10*ms) {
 			orders[o.Worker]++
 		}
@@ -476,24 +476,24 @@
 	// 140 50
 }
 
-// Where answers outlast a tick, one event that waits for a lane does not ask for two more; three that come together
+// Where answers outlast a tick, one request that waits for a slot does not ask for two more; three that come together
 // get one load.
 func Example_slowAnswers() {
 	b := newBench(1)
-	b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
+	b.UpdateMembership(b.now, true, []choice.Member{{Worker: "a"}})
 	b.quiet(9)
 	b.quiet(9)
 	b.quiet(9)
 	b.step(100 * ms)
 	b.step(300 * ms)
-	b.Loaded(b.now, choice.Order{Worker: "a", Function: 9, Copies: 1}, choice.Handled, 400*ms)
+	b.Loaded(b.now, choice.LoadRequest{Worker: "a", Function: 9, Replicas: 1}, choice.Completed, 400*ms)
 	for range 3 { // one lane, one after the other
-		for _, a := range b.Wait(b.now).Answers {
+		for _, a := range b.Tick(b.now).Decisions {
 			b.now += 300 * ms
-			b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: 300 * ms, Final: true})
+			b.Complete(b.now, a.Request, choice.Outcome{Result: choice.Completed, Took: 300 * ms, Final: true})
 		}
 	}
-	fmt.Println(b.place("runs", "redeliverable", 9).Outstanding())
+	fmt.Println(b.place("runs", "redeliverable", 9).InFlight())
 	b.place("waits", "redeliverable", 9)
 	b.step(240 * ms)
 	// Output:
@@ -503,7 +503,7 @@
 	// 1.3s waits hold
 }
 
-// Memory that does not hold a copy more of each function keeps a busy one to fewer workers.
+// Memory that does not hold a replica more of each function keeps a busy one to fewer workers.
 func Example_memory() {
 	for _, memory := range []float64{0, 4, 4000} {
 		n := homes(memory, func(i int) uint64 {
@@ -520,19 +520,19 @@
 	// memory 4000 many workers true
 }
 
-// Where crossing zones costs, most events of a function that stands in all zones stay in the front end's own.
+// Where crossing zones costs, most requests of a function that stands in all zones stay in the front end's own.
 func Example_nearness() {
 	for _, zone := range []string{"", "x"} {
 		own := 0
 		for fn := range uint64(100) {
 			b := newBench(1)
 			b.Crossing(zone)
-			b.Listed(b.now, true, []choice.Listing{{Worker: "a", Zone: "x"}, {Worker: "b", Zone: "y"}, {Worker: "c", Zone: "z"}})
+			b.UpdateMembership(b.now, true, []choice.Member{{Worker: "a", Zone: "x"}, {Worker: "b", Zone: "y"}, {Worker: "c", Zone: "z"}})
 			b.quiet(fn)
 			for _, w := range []string{"a", "b", "c"} { // a copy at each
-				b.Loaded(b.now, choice.Order{Worker: w, Function: fn, Copies: 1}, choice.Handled, 400*ms)
+				b.Loaded(b.now, choice.LoadRequest{Worker: w, Function: fn, Replicas: 1}, choice.Completed, 400*ms)
 			}
-			if a := b.Wait(b.now).Answers; len(a) > 0 && a[0].Worker == "a" {
+			if a := b.Tick(b.now).Decisions; len(a) > 0 && a[0].Worker == "a" {
 				own++
 			}
 		}
@@ -543,26 +543,26 @@
 	// own zone "x": over half stay true
 }
 
-// A front end that hears of few workers judges a jam by those: what is late then is deferred, not held to the end.
+// A front end that hears of few workers judges an overload by those: what is late then is rejected, not held to the end.
 func Example_jamHeardOf() {
 	for _, waiting := range []float64{0, 9} {
 		b := fleet(0, 100, 40)
 		b.Allowed(4, true, true, 500*ms)
 		for i := range 4 {
-			b.Probed(b.now, fmt.Sprint("w", i), choice.Handled, choice.Load{Told: true, Waiting: waiting}, ms)
+			b.Probed(b.now, fmt.Sprint("w", i), choice.Completed, choice.Load{Reported: true, QueueDepth: waiting}, ms)
 		}
-		e := &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 1, LoadTime: 900 * ms}
-		b.Place(b.now, e)
+		e := &choice.Request{Type: "redeliverable", Function: 9, TimeLeft: 3000 * ms, Concurrency: 1, LoadTime: 900 * ms}
+		b.Submit(b.now, e)
 		deferred := 0
 		for range 13 {
 			b.now += 100 * ms
 			for i := range 4 {
-				b.Probed(b.now, fmt.Sprint("w", i), choice.Handled, choice.Load{Told: true, Waiting: waiting}, ms)
+				b.Probed(b.now, fmt.Sprint("w", i), choice.Completed, choice.Load{Reported: true, QueueDepth: waiting}, ms)
 			}
-			for _, a := range b.Wait(b.now).Answers {
-				if a.Verb == choice.Defer {
+			for _, a := range b.Tick(b.now).Decisions {
+				if a.Verb == choice.Reject {
 					deferred++
-					fmt.Println("at", b.now-time.Hour, "of 3s, with a time to come back", a.Back > 0)
+					fmt.Println("at", b.now-time.Hour, "of 3s, with a time to come back", a.RetryAfter > 0)
 				}
 			}
 		}
@@ -574,32 +574,32 @@
 	// waiting 9 deferred 1
 }
 
-// Once launches have shown what events ahead cost, none goes to where they make it late.
+// Once attempts have shown what requests ahead cost, none goes to where they make it late.
 func Example_eventsAhead() {
 	b := newBench(1)
-	b.Listed(b.now, true, []choice.Listing{{Worker: "a"}})
+	b.UpdateMembership(b.now, true, []choice.Member{{Worker: "a"}})
 	told := func(waiting float64) {
-		b.Probed(b.now, "a", choice.Handled, choice.Load{Told: true, Waiting: waiting}, ms)
+		b.Probed(b.now, "a", choice.Completed, choice.Load{Reported: true, QueueDepth: waiting}, ms)
 	}
 	for range 8 {
 		e := b.quiet(9)
-		b.loaded(b.Wait(b.now))
+		b.loaded(b.Tick(b.now))
 		told(8)
 		b.now += 20 * ms
-		b.Wait(b.now)
+		b.Tick(b.now)
 		b.now += 900 * ms
-		b.After(b.now, e, choice.Outcome{Result: choice.Handled, Took: 900 * ms, Final: true, Warmth: choice.FoundWarm})
+		b.Complete(b.now, e, choice.Outcome{Result: choice.Completed, Took: 900 * ms, Final: true, Warmth: choice.FoundWarm})
 	}
 	for _, waiting := range []float64{20, 1} {
 		told(waiting)
 		e := b.quiet(9)
 		b.now += 20 * ms
-		b.Wait(b.now)
-		fmt.Println("waiting", waiting, "launched", e.Outstanding())
+		b.Tick(b.now)
+		fmt.Println("waiting", waiting, "launched", e.InFlight())
 		b.now += 10 * ms
 		told(0)
-		b.Wait(b.now)
-		b.After(b.now, e, choice.Outcome{Result: choice.Handled, Took: 100 * ms, Final: true, Warmth: choice.FoundWarm})
+		b.Tick(b.now)
+		b.Complete(b.now, e, choice.Outcome{Result: choice.Completed, Took: 100 * ms, Final: true, Warmth: choice.FoundWarm})
 	}
 	// Output:
 	// waiting 20 launched false
@@ -628,11 +628,11 @@
 		b := newBench(9)
 		b.Allowed(4, true, true, 500*ms)
 		b.AddKind("k", v)
-		b.Listed(b.now, true, []choice.Listing{{Worker: "a", Kind: "k", Size: v}, {Worker: "b", Kind: "l", Size: 1}})
+		b.UpdateMembership(b.now, true, []choice.Member{{Worker: "a", Kind: "k", Size: v}, {Worker: "b", Kind: "l", Size: 1}})
 		orders := map[string]int{}
 		for fn := range uint64(100) {
-			b.Probed(b.now, "a", choice.Handled, choice.Load{Told: true, Waiting: v}, ms)
-			e := &choice.Event{Type: "redeliverable", Function: fn, Patience: 3000 * ms, Lanes: 1, Memory: v}
+			b.Probed(b.now, "a", choice.Completed, choice.Load{Reported: true, QueueDepth: v}, ms)
+			e := &choice.Request{Type: "redeliverable", Function: fn, TimeLeft: 3000 * ms, Concurrency: 1, Memory: v}
 			for _, o := range b.serve(e, 10*ms) {
 				orders[o.Worker]++
 			}
@@ -647,7 +647,7 @@
 	// 0 both are used true
 }
 
-// A worker that takes three times the shortest time is crowded where it tells of events that wait there; where none
+// A worker that takes three times the shortest time is crowded where it tells of requests that wait there; where none
 // waits it is slow or has slow functions, and less in flight would not make it faster.
 func Example_slowWorker() {
 	for _, waiting := range []float64{0, 3} {
@@ -657,21 +657,21 @@
 			if i >= 100 {
 				took = 150 * ms
 			}
-			e := &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 64}
-			answers := []choice.Answer{b.Place(b.now, e)}
-			st := b.Wait(b.now)
+			e := &choice.Request{Type: "redeliverable", Function: 9, TimeLeft: 3000 * ms, Concurrency: 64}
+			answers := []choice.Decision{b.Submit(b.now, e)}
+			st := b.Tick(b.now)
 			b.loaded(st)
-			for _, a := range append(append(answers, st.Answers...), b.Wait(b.now).Answers...) {
-				if a.Event.Outstanding() {
-					b.After(b.now, a.Event, choice.Outcome{Result: choice.Handled, Took: took, Final: true,
-						Load: choice.Load{Told: true, Waiting: waiting}})
+			for _, a := range append(append(answers, st.Decisions...), b.Tick(b.now).Decisions...) {
+				if a.Request.InFlight() {
+					b.Complete(b.now, a.Request, choice.Outcome{Result: choice.Completed, Took: took, Final: true,
+						Load: choice.Load{Reported: true, QueueDepth: waiting}})
 				}
 			}
 			b.now += 20 * ms
 		}
 		out := 0
 		for range 40 {
-			if b.Place(b.now, &choice.Event{Type: "redeliverable", Function: 9, Patience: 3000 * ms, Lanes: 64}).Verb == choice.Launch {
+			if b.Submit(b.now, &choice.Request{Type: "redeliverable", Function: 9, TimeLeft: 3000 * ms, Concurrency: 64}).Verb == choice.Send {
 				out++
 			}
 		}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -11,7 +11,7 @@
 )
 
 // What front ends send a worker that has just started, all together, stays under what pushes it over (rule 4): N that the
-// settings allow it in their time, and 2 x root of N + 2 that chance adds. Nothing else takes events then, some front ends
+// settings allow it in their time, and 2 x root of N + 2 that chance adds. Nothing else takes requests then, some front ends
 // see several times the mean, and some are told of the start late: what is counted is what those send that were told.
 func TestColdWorkerOfAFleet(t *testing.T) {
 	const tick, warmUp, rate = 10 * ms, 12 * time.Second, 300.0 // events a second of all front ends
@@ -29,7 +29,7 @@
 			}
 			type running struct {
 				b    *bench
-				e    *choice.Event
+				e    *choice.Request
 				ends time.Duration
 			}
 			var out []running
@@ -37,12 +37,12 @@
 			told := map[*bench]bool{}
 			served := 0
 			start := time.Hour + warmUp
-			act := func(b *bench, answers []choice.Answer) {
+			act := func(b *bench, answers []choice.Decision) {
 				for _, a := range answers {
-					if a.Verb != choice.Launch {
+					if a.Verb != choice.Send {
 						continue
 					}
-					if out = append(out, running{b, a.Event, b.now + 100*ms}); told[b] && a.Worker == "w0" {
+					if out = append(out, running{b, a.Request, b.now + 100*ms}); told[b] && a.Worker == "w0" {
 						sent = append(sent, b.now-start)
 					}
 				}
@@ -57,22 +57,22 @@
 					if served++; now >= start {
 						served--
 					}
-					act(r.b, []choice.Answer{r.b.After(now, r.e, choice.Outcome{Result: choice.Handled, Took: 100 * ms, Final: true})})
+					act(r.b, []choice.Decision{r.b.Complete(now, r.e, choice.Outcome{Result: choice.Completed, Took: 100 * ms, Final: true})})
 				}
 				out = left
 				for i, b := range fronts {
 					b.now = now
 					if late := time.Duration(i%3) * 500 * ms; now == start+late {
 						told[b] = true
-						b.Listed(now, false, []choice.Listing{{Worker: "w0", Started: start}, {Worker: "w1", Condition: choice.Draining}})
+						b.UpdateMembership(now, false, []choice.Member{{Worker: "w0", Started: start}, {Worker: "w1", Condition: choice.Draining}})
 					}
 					for mean := rate * tick.Seconds() * weight[i] / all; chance.Float64() < mean; mean-- {
-						e := &choice.Event{ID: fmt.Sprint(now, i, mean), Type: "redeliverable", Function: uint64(chance.IntN(5)),
-							Patience: 3000 * ms, Lanes: 4, LoadTime: 400 * ms}
-						act(b, []choice.Answer{b.Place(now, e)})
+						e := &choice.Request{ID: fmt.Sprint(now, i, mean), Type: "redeliverable", Function: uint64(chance.IntN(5)),
+							TimeLeft: 3000 * ms, Concurrency: 4, LoadTime: 400 * ms}
+						act(b, []choice.Decision{b.Submit(now, e)})
 					}
-					st := b.Wait(now)
-					act(b, st.Answers)
+					st := b.Tick(now)
+					act(b, st.Decisions)
 					b.loaded(st)
 				}
 			}
--- a/choice/loads.go
+++ b/choice/loads.go
@@ -1,126 +1,124 @@
 package choice
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
 )
 
-func (f *function) usualLoad() time.Duration { return cmp.Or(f.load, f.typ.Target) }
-
-// refresh lets beliefs expire and forgets standings without any.
-func (c *Chooser) refresh(f *function, now time.Duration) {
-	f.stands = slices.DeleteFunc(f.stands, func(s *standing) bool {
-		if now > s.until && s.busy == 0 {
-			s.copies = 0
+// expireAssumptions lets what is assumed expire and forgets replica sets without any.
+func (c *Scheduler) expireAssumptions(f *function, now time.Duration) {
+	f.replicaSets = slices.DeleteFunc(f.replicaSets, func(s *replicaSet) bool {
+		if now > s.assumedUntil && s.inFlight == 0 {
+			s.replicas = 0
 		}
-		if now > s.loadEnd {
+		if now > s.loadDeadline {
 			s.loading = 0
 		}
-		return s.copies == 0 && s.loading == 0 && s.busy == 0 && now >= s.shut
+		return s.replicas == 0 && s.loading == 0 && s.inFlight == 0 && now >= s.closedUntil
 	})
 }
 
-func (c *Chooser) tick(f *function) time.Duration {
-	return max(part(tickShare, f.typ.Target), c.quantum, 1)
+func (c *Scheduler) tick(f *function) time.Duration {
+	return max(part(tickShare, f.typ.Objective), c.quantum, 1)
 }
 
-// provision is the four-condition rule. It advances only for a queue that is not empty or after arrivals.
-func (c *Chooser) provision(f *function, now time.Duration, st *Steps) time.Duration {
+// scaleUp is the four-condition rule. It advances only for a queue that is not empty or after arrivals.
+func (c *Scheduler) scaleUp(f *function, now time.Duration, st *Steps) time.Duration {
 	if len(f.queue) == 0 {
 		return math.MaxInt64
-	} else if now < f.next {
-		return f.next
+	} else if now < f.nextTick {
+		return f.nextTick
 	}
 	have, under, short, queued := 0, 0, 0, len(f.queue)
-	for _, s := range f.stands { // what stands at a worker that can't be used is no instance
-		if c.usable(s.w, now) && !s.w.mute(now) && now >= max(s.shut, s.w.refuses[f.tenant].until) {
-			have, under = have+s.copies, under+s.loading
+	for _, s := range f.replicaSets { // what stands at a worker that can't be used is no instance
+		if c.usable(s.w, now) && !s.w.unanswered(now) && now >= max(s.closedUntil, s.w.rejections[f.tenant].until) {
+			have, under = have+s.replicas, under+s.loading
 		}
 	}
 	total := have + under
-	// a lane runs one event at least, however long answers take against the tick
-	power := max(1, float64(c.tick(f))/float64(f.mean())) * float64(f.lanes)
+	// a slot runs one request at least, however long answers take against the tick
+	power := max(1, float64(c.tick(f))/float64(f.mean())) * float64(f.concurrency)
 	required := int(math.Ceil(float64(queued) / power))
 	switch {
 	case total == 0:
 		short = 1
 	case have == 0:
-		in := max(1, float64(f.typ.Target)/float64(f.mean())) * float64(f.lanes)
+		in := max(1, float64(f.typ.Objective)/float64(f.mean())) * float64(f.concurrency)
 		short = int(math.Ceil(float64(f.arrived)/in)) - under
 	case total < queued && f.arrived < queued:
 		short = required - under
 	case float64(f.arrived) >= power*float64(total):
 		short = required - total
 	}
-	if f.next = now + c.tick(f); have > 0 {
+	if f.nextTick = now + c.tick(f); have > 0 {
 		f.arrived = 0 // during first loads arrivals add up
 	}
 	for range min(short, queued) {
-		if !c.load(f, total == 0, now, st) {
+		if !c.requestLoad(f, total == 0, now, st) {
 			break
 		}
 		total++
 	}
-	return f.next
+	return f.nextTick
 }
 
-// load orders one copy; where no order may be given the oldest event goes there itself to bring it.
-func (c *Chooser) load(f *function, first bool, now time.Duration, st *Steps) bool {
-	if !first && c.jam || float64(c.loadsOut) >= c.loads.limit {
+// requestLoad requests one replica; where none may be sent the oldest request goes there itself to bring
+// it.
+func (c *Scheduler) requestLoad(f *function, first bool, now time.Duration, st *Steps) bool {
+	if !first && c.overloaded || float64(c.loadsInFlight) >= c.loadLimit.limit {
 		return false
 	}
-	w := c.target(f, first, now)
+	w := c.placeReplica(f, first, now)
 	if w == nil {
 		return false
 	}
-	c.known(w, now)
-	s := f.at(w)
-	if c.orders && c.allowed(now) && s.copies+s.loading < 16 {
+	c.reportFresh(w, now)
+	s := f.replicaSetAt(w)
+	if c.mayRequestLoads && c.loadAllowed(now) && s.replicas+s.loading < 16 {
 		s.loading++
-		s.loadEnd = now + min(part(loadPatience*max(1, c.crowded), f.usualLoad()), c.orderLimit)
-		c.ordered.Add(now, 1)
-		c.loadsOut++
-		st.Orders = append(st.Orders, Order{Worker: w.Worker, Function: f.id, Copies: s.copies + s.loading})
+		s.loadDeadline = now + min(part(loadTimeoutFactor*max(1, c.loadSlowdown), f.usualLoad()), c.loadTimeout)
+		c.loadsSent.Add(now, 1)
+		c.loadsInFlight++
+		st.Loads = append(st.Loads, LoadRequest{Worker: w.Worker, Function: f.id, Replicas: s.replicas + s.loading})
 		return true
 	}
-	if !first || !c.loadsOnMiss && c.orders || len(f.queue) == 0 || !c.mayGo(f.queue[0], w, now) ||
-		!c.coldRoom(w, f.queue[0], now) {
+	if !first || !c.loadsOnMiss && c.mayRequestLoads || len(f.queue) == 0 || !c.mayRunOn(f.queue[0], w, now) ||
+		!c.slowStartAllows(w, f.queue[0], now) {
 		return false
 	}
 	e := f.queue[0]
 	f.queue = f.queue[1:]
-	st.Answers = append(st.Answers, c.launch(e, s, true, now))
+	st.Decisions = append(st.Decisions, c.send(e, s, true, now))
 	return true
 }
 
-// allowed keeps load orders rationed (rule 5), this one included, counted to the safe side.
-func (c *Chooser) allowed(now time.Duration) bool {
-	return !c.rationed || c.ordered.All(now)+1 <= c.orderFree+c.orderShare*c.taken.Inner(now)
+// loadAllowed keeps load requests rate-limited (rule 5), this one included, counted to the safe side.
+func (c *Scheduler) loadAllowed(now time.Duration) bool {
+	return !c.loadsLimited || c.loadsSent.All(now)+1 <= c.loadBurst+c.loadsPerRequest*c.submitted.Inner(now)
 }
 
-// Loaded takes the answer to a load order.
-func (c *Chooser) Loaded(now time.Duration, o Order, r Result, took time.Duration) {
-	w, f := c.workers[o.Worker], c.fns[o.Function]
-	if c.loadsOut--; w == nil || f == nil {
+// Loaded takes the answer to a load request.
+func (c *Scheduler) Loaded(now time.Duration, o LoadRequest, r Result, took time.Duration) {
+	w, f := c.workers[o.Worker], c.functions[o.Function]
+	if c.loadsInFlight--; w == nil || f == nil {
 		return
 	}
 	usual := f.usualLoad()
-	if r != Handled {
-		took = max(took, part(loadPatience, usual))
+	if r != Completed {
+		took = max(took, part(loadTimeoutFactor, usual))
 	}
-	if took > usual/4 { // else the copies stood; a crowded store or memory shows in loads that fail or take long
-		c.follow(&c.loads, now, took, slowLoad*float64(usual), c.loadsOut, 1)
-		c.crowded += (float64(took)/float64(usual) - c.crowded) / averaged
+	if took > usual/4 { // else the replicas stood; a crowded store shows in loads that fail or take long
+		c.adjust(&c.loadLimit, now, took, slowLoad*float64(usual), c.loadsInFlight, 1)
+		c.loadSlowdown += (float64(took)/float64(usual) - c.loadSlowdown) / averaged
 	}
-	s := f.at(w)
-	if s.loading = max(0, s.loading-1); r == Handled || r == Full || r == Failed { // else nothing was heard
-		s.copies, s.until = o.Copies, now+c.keep
+	s := f.replicaSetAt(w)
+	if s.loading = max(0, s.loading-1); r == Completed || r == Full || r == Failed { // else nothing was heard
+		s.replicas, s.assumedUntil = o.Replicas, now+c.keep
 	}
 	if r == Full {
-		s.shut = now + usual
+		s.closedUntil = now + usual
 	} else if r == Unreached || r == Broken {
-		c.fail(w, now)
+		c.recordFailure(w, now)
 	}
 }
--- a/choice/mutants_test.go
+++ b/choice/mutants_test.go
@@ -20,12 +20,12 @@
 	{"a worker off the list is never forgotten", "members.go", "c.leaving = append(c.leaving, w)", ""},
 	{"a worker that was replaced stays listed", "members.go", "\tw.listed = false\n\tdelete", "\tdelete"},
 	{"a drained worker stays in the shared order", "members.go", "w.kind.ring.Ring.Remove(w.node)", ""},
-	{"the size of a worker that left its kind still counts", "members.go", "w.kind.told-w.toldSize()", "w.kind.told"},
+	{"the size of a worker that left its kind still counts", "members.go", "w.kind.sizeSum-w.listedSize()", "w.kind.sizeSum"},
 	{"a worker without attempts is still looked at for silence", "members.go", "} else if !working {\n\t\tc.busy.Remove(&w.working)", "} else if !working {"},
-	{"an attempt is not counted", "choice.go", "\tc.touch(s.w, now)\n", ""},
-	{"the end of an attempt is not counted", "choice.go", "defer c.touch(w, now)", ""},
-	{"an ejection is not counted", "fleet.go", "c.recall = append(c.recall, w.out...)\n\t\tc.touch(w, now)", "c.recall = append(c.recall, w.out...)"},
-	{"a report is not counted", "fleet.go", "\t}\n\tc.touch(w, now)\n\treturn true", "\t}\n\treturn true"},
+	{"an attempt is not counted", "choice.go", "\tc.recount(s.w, now)\n", ""},
+	{"the end of an attempt is not counted", "choice.go", "\tc.recount(w, now)\n\tif e.mayHaveRun", "\tif e.mayHaveRun"},
+	{"an ejection is not counted", "fleet.go", "c.toCancel = append(c.toCancel, w.attempts...)\n\t\tc.recount(w, now)", "c.toCancel = append(c.toCancel, w.attempts...)"},
+	{"a report is not counted", "fleet.go", "\t}\n\tc.recount(w, now)\n\treturn true", "\t}\n\treturn true"},
 	{"a longer target does not renew the reports", "settings.go", "c.stale = true", ""},
 }
 
--- a/choice/reference_test.go
+++ b/choice/reference_test.go
@@ -18,45 +18,45 @@
 // of each worker and none of the counts, orders and deadlines that are kept beside them.
 
 // walkedTally counts all members anew.
-func walkedTally(c *Chooser, now time.Duration) (t tally) {
+func walkedTally(c *Scheduler, now time.Duration) (t tally) {
 	for _, w := range c.workers {
-		in := w.listed && w.Condition == In
-		barred, backed := now < w.barred, now < w.backed
-		room := in && float64(len(w.out)) < w.limit && !backed
-		for what, counts := range map[int]bool{inUse: in, ejected: barred || w.trial, freeOfAny: room,
-			free: room && !barred && (!w.trial || len(w.out) == 0)} {
+		in := w.listed && w.Condition == Up
+		barred, backed := now < w.ejectedUntil, now < w.queuedUntil
+		room := in && float64(len(w.attempts)) < w.limit && !backed
+		for what, counts := range map[int]bool{inUse: in, ejected: barred || w.halfOpen, freeOfAny: room,
+			free: room && !barred && (!w.halfOpen || len(w.attempts) == 0)} {
 			if counts {
 				t[what]++
 			}
 		}
-		if w.toldAt > 0 && now < w.toldAt+2*c.longest {
+		if w.reportedAt > 0 && now < w.reportedAt+2*c.longest {
 			t[reported]++
-			if w.waiting <= float64(len(w.out)) {
+			if w.queueDepth <= float64(len(w.attempts)) {
 				t[idle]++
 			}
 		}
-		if !w.trial {
-			t[inFlight] += int32(len(w.out))
+		if !w.halfOpen {
+			t[inFlight] += int32(len(w.attempts))
 		}
 	}
 	return t
 }
 
 // walkedSurvey decides by a walk what survey decides; believedBefore is what it decided the last time.
-func walkedSurvey(c *Chooser, unbelievedBefore bool, now time.Duration) (inFlightNow int, unbelieved, jam bool) {
+func walkedSurvey(c *Scheduler, unbelievedBefore bool, now time.Duration) (inFlightNow int, unbelieved, jam bool) {
 	t := walkedTally(c, now)
 	withRoom := float64(t[free])
 	if unbelievedBefore {
 		withRoom = float64(t[freeOfAny])
 	}
-	full := float64(t[inFlight])+c.rounding >= c.all.limit
-	return int(t[inFlight]), float64(t[ejected]) > believed*float64(t[inUse]),
-		full || withRoom < crowdedShare*math.Max(float64(t[inUse]), 1) ||
-			t[reported] >= enoughTold && float64(t[idle]) < crowdedShare*float64(t[reported])
+	full := float64(t[inFlight])+c.rounding >= c.fleetLimit.limit
+	return int(t[inFlight]), float64(t[ejected]) > mostEjected*float64(t[inUse]),
+		full || withRoom < overloadedShare*math.Max(float64(t[inUse]), 1) ||
+			t[reported] >= enoughReports && float64(t[idle]) < overloadedShare*float64(t[reported])
 }
 
 // sortedOrder is the shared order, by scoring and sorting all workers that may get something new.
-func sortedOrder(c *Chooser, f *function) []*worker {
+func sortedOrder(c *Scheduler, f *function) []*worker {
 	var all []*worker
 	far := map[*worker]float64{}
 	for _, w := range c.workers {
@@ -75,22 +75,22 @@
 }
 
 // sortedPreferred chooses the workers for first copies from all of them.
-func sortedPreferred(c *Chooser, f *function, now time.Duration) []*worker {
+func sortedPreferred(c *Scheduler, f *function, now time.Duration) []*worker {
 	var first, last []*worker
 	for _, w := range sortedOrder(c, f) {
 		switch {
 		case !c.accepts(w, f, now):
-		case w.behind(now) || float64(len(w.out)) >= manyShare*w.limit:
+		case w.comesLast(now) || float64(len(w.attempts)) >= manyShare*w.limit:
 			last = append(last, w)
 		default:
 			first = append(first, w)
 		}
 	}
 	all := append(first, last...)
-	return all[:min(len(all), c.homes(f, now))]
+	return all[:min(len(all), c.preferredCount(f, now))]
 }
 
-func walkedOrder(c *Chooser, f *function) (order []*worker) {
+func walkedOrder(c *Scheduler, f *function) (order []*worker) {
 	c.walk(f)
 	for {
 		w, more := c.order.Next()
@@ -112,23 +112,23 @@
 // drawn is a Chooser under a drawn sequence of facts, and what the test itself knows of the list.
 type drawn struct {
 	*rapid.T
-	c      *Chooser
+	c      *Scheduler
 	now    time.Duration
-	lines  map[string]Listing // listed now
-	out    []*Event
-	orders []Order
+	lines  map[string]Member // listed now
+	out    []*Request
+	orders []LoadRequest
 	held   int
 }
 
 func newDrawn(t *rapid.T, workers int) *drawn {
 	peers := rapid.SampledFrom([]int{1, 3, 200}).Draw(t, "front ends")
-	d := &drawn{T: t, c: New(rapid.Uint64().Draw(t, "seed"), 0, peers, 2*time.Millisecond), now: time.Hour, lines: map[string]Listing{}}
-	d.c.AddType(EventType{Name: "free", Target: time.Second})
-	d.c.AddType(EventType{Name: "once", Effect: AtMostOnce, Target: time.Second})
+	d := &drawn{T: t, c: New(rapid.Uint64().Draw(t, "seed"), 0, peers, 2*time.Millisecond), now: time.Hour, lines: map[string]Member{}}
+	d.c.AddType(RequestType{Name: "free", Objective: time.Second})
+	d.c.AddType(RequestType{Name: "once", Effect: AtMostOnce, Objective: time.Second})
 	d.c.Allowed(4, true, true, 500*time.Millisecond)
 	d.c.Loading(true, true, 3*time.Second, 2*time.Second, 0, 0, 0)
-	d.c.ColdStarts(0.2, 10*time.Second, 2, time.Second)
-	var lines []Listing
+	d.c.SlowStart(0.2, 10*time.Second, 2, time.Second)
+	var lines []Member
 	for i := range workers {
 		lines = append(lines, d.line(i))
 	}
@@ -136,23 +136,23 @@
 	return d
 }
 
-func (d *drawn) line(number int) Listing {
-	return Listing{Worker: fmt.Sprint("w", number), Zone: fmt.Sprint(number % 3), Kind: fmt.Sprint(number % 2),
-		Size: float64(number % 5), Condition: In}
+func (d *drawn) line(number int) Member {
+	return Member{Worker: fmt.Sprint("w", number), Zone: fmt.Sprint(number % 3), Kind: fmt.Sprint(number % 2),
+		Size: float64(number % 5), Condition: Up}
 }
 
-func (d *drawn) listed(whole bool, lines []Listing) {
+func (d *drawn) listed(whole bool, lines []Member) {
 	if whole {
 		clear(d.lines)
 	}
 	for _, l := range lines {
-		if d.lines[l.Worker] = l; l.Condition == Gone {
+		if d.lines[l.Worker] = l; l.Condition == Removed {
 			delete(d.lines, l.Worker)
 		}
 	}
-	d.c.Listed(d.now, whole, lines)
+	d.c.UpdateMembership(d.now, whole, lines)
 	for name := range d.c.workers { // after news, who is off the list and has nothing under way is forgotten
-		underWay := slices.ContainsFunc(d.out, func(e *Event) bool { return e.out.w == d.c.workers[name] })
+		underWay := slices.ContainsFunc(d.out, func(e *Request) bool { return e.sentTo.w == d.c.workers[name] })
 		if d.lines[name].Worker == "" && !underWay {
 			d.Fatalf("%s is still a member", name)
 		}
@@ -161,7 +161,7 @@
 
 // news draws changed lines, or a whole list.
 func (d *drawn) news() {
-	var lines []Listing
+	var lines []Member
 	most := 5
 	whole := rapid.IntRange(0, 5).Draw(d.T, "whole") == 0
 	if whole {
@@ -169,7 +169,7 @@
 	}
 	for range rapid.IntRange(0, most).Draw(d.T, "lines") {
 		l := d.line(rapid.IntRange(0, 24).Draw(d.T, "worker"))
-		l.Condition = rapid.SampledFrom([]Condition{In, In, In, Draining, Gone}).Draw(d.T, "condition")
+		l.Condition = rapid.SampledFrom([]Condition{Up, Up, Up, Draining, Removed}).Draw(d.T, "condition")
 		l.Size = float64(rapid.IntRange(0, 4).Draw(d.T, "size"))
 		if rapid.IntRange(0, 3).Draw(d.T, "anew") == 0 {
 			l.Started = d.now
@@ -181,26 +181,26 @@
 	d.listed(whole, lines)
 }
 
-func (d *drawn) take(answers []Answer) {
+func (d *drawn) take(answers []Decision) {
 	for _, a := range answers {
-		if a.Verb == Launch {
-			d.out = append(d.out, a.Event)
+		if a.Verb == Send {
+			d.out = append(d.out, a.Request)
 		}
 	}
 }
 
 func (d *drawn) request() {
-	e := &Event{ID: "e", Type: rapid.SampledFrom([]string{"free", "once", "free"}).Draw(d.T, "type"), Tenant: "n",
-		Function: rapid.Uint64Range(1, 6).Draw(d.T, "function"), Patience: 3 * time.Second, Lanes: rapid.IntRange(1, 3).Draw(d.T, "lanes"),
+	e := &Request{ID: "e", Type: rapid.SampledFrom([]string{"free", "once", "free"}).Draw(d.T, "type"), Tenant: "n",
+		Function: rapid.Uint64Range(1, 6).Draw(d.T, "function"), TimeLeft: 3 * time.Second, Concurrency: rapid.IntRange(1, 3).Draw(d.T, "lanes"),
 		LoadTime: 300 * time.Millisecond}
 	if rapid.IntRange(0, 40).Draw(d.T, "unknown") == 0 { // its longer target has every report believed for longer
-		e.Type, e.Patience = "unknown", 5*time.Second
+		e.Type, e.TimeLeft = "unknown", 5*time.Second
 	}
-	d.take([]Answer{d.c.Place(d.now, e)})
+	d.take([]Decision{d.c.Submit(d.now, e)})
 }
 
 func (d *drawn) load() Load {
-	return Load{Told: rapid.Bool().Draw(d.T, "told"), Waiting: float64(rapid.IntRange(0, 6).Draw(d.T, "waiting"))}
+	return Load{Reported: rapid.Bool().Draw(d.T, "told"), QueueDepth: float64(rapid.IntRange(0, 6).Draw(d.T, "waiting"))}
 }
 
 func (d *drawn) outcome() {
@@ -210,11 +210,11 @@
 	i := rapid.IntRange(0, len(d.out)-1).Draw(d.T, "attempt")
 	e := d.out[i]
 	d.out = slices.Delete(d.out, i, i+1)
-	o := Outcome{Result: rapid.SampledFrom([]Result{Handled, Handled, Handled, Failed, Full, TimedOut, Unreached, Broken,
-		Withdrawn, TooLate, Missing}).Draw(d.T, "result"), Load: d.load(),
+	o := Outcome{Result: rapid.SampledFrom([]Result{Completed, Completed, Completed, Failed, Full, TimedOut, Unreached, Broken,
+		Cancelled, TooLate, Missing}).Draw(d.T, "result"), Load: d.load(),
 		Took: time.Duration(rapid.IntRange(1, 1500).Draw(d.T, "took")) * time.Millisecond, Warmth: FoundWarm}
-	o.Final = o.Result == Handled
-	d.take([]Answer{d.c.After(d.now, e, o)})
+	o.Final = o.Result == Completed
+	d.take([]Decision{d.c.Complete(d.now, e, o)})
 }
 
 func (d *drawn) worker() string { return fmt.Sprint("w", rapid.IntRange(0, 24).Draw(d.T, "worker")) }
@@ -230,17 +230,17 @@
 	case "outcome":
 		d.outcome()
 	case "wait":
-		st := d.c.Wait(d.now)
-		d.take(st.Answers)
-		d.orders = append(d.orders, st.Orders...)
+		st := d.c.Tick(d.now)
+		d.take(st.Decisions)
+		d.orders = append(d.orders, st.Loads...)
 	case "probe":
-		d.c.Probed(d.now, d.worker(), rapid.SampledFrom([]Result{Handled, Handled, Full, Unreached, TimedOut}).Draw(d.T, "result"),
+		d.c.Probed(d.now, d.worker(), rapid.SampledFrom([]Result{Completed, Completed, Full, Unreached, TimedOut}).Draw(d.T, "result"),
 			d.load(), time.Duration(rapid.IntRange(1, 9).Draw(d.T, "took"))*time.Millisecond)
 	case "load":
 		if len(d.orders) > 0 {
 			o := d.orders[0]
 			d.orders = d.orders[1:]
-			d.c.Loaded(d.now, o, rapid.SampledFrom([]Result{Handled, Handled, Full, Failed, Broken}).Draw(d.T, "result"), 300*time.Millisecond)
+			d.c.Loaded(d.now, o, rapid.SampledFrom([]Result{Completed, Completed, Full, Failed, Broken}).Draw(d.T, "result"), 300*time.Millisecond)
 		}
 	case "time":
 		d.now += time.Duration(rapid.SampledFrom([]int{1, 20, 200, 900, 4000}).Draw(d.T, "ms")) * time.Millisecond
@@ -255,7 +255,7 @@
 		members[name] = true
 	}
 	for _, e := range d.out { // a worker off the list stays while attempts there are under way; one that started anew is another
-		if w := e.out.w; c.workers[w.Worker] == w {
+		if w := e.sentTo.w; c.workers[w.Worker] == w {
 			members[w.Worker] = true
 		}
 	}
@@ -280,28 +280,28 @@
 			d.Fatalf("%s is a member and is not known", w.Worker)
 		}
 	}
-	for _, f := range c.fns { // what another one has replaced under its name gets nothing
-		for _, s := range f.stands {
+	for _, f := range c.functions { // what another one has replaced under its name gets nothing
+		for _, s := range f.replicaSets {
 			if c.workers[s.w.Worker] != s.w && c.usable(s.w, d.now) {
 				d.Fatalf("%s is usable and was replaced", s.w.Worker)
 			}
 		}
 	}
-	before := c.unbelieved
-	c.survey(d.now)
+	before := c.ejectionsIgnored
+	c.fleetState(d.now)
 	if got, want := c.tally, walkedTally(c, d.now); got != want {
 		d.Fatalf("the fleet counts %v, a walk %v", got, want)
 	}
 	inFlightNow, unbelieved, jam := walkedSurvey(c, before, d.now)
-	if c.inFlight != inFlightNow || c.unbelieved != unbelieved || c.jam != jam {
-		d.Fatalf("in flight %d, unbelieved %v, jam %v; a walk tells %d, %v, %v", c.inFlight, c.unbelieved, c.jam, inFlightNow, unbelieved, jam)
+	if c.inFlight != inFlightNow || c.ejectionsIgnored != unbelieved || c.overloaded != jam {
+		d.Fatalf("in flight %d, unbelieved %v, jam %v; a walk tells %d, %v, %v", c.inFlight, c.ejectionsIgnored, c.overloaded, inFlightNow, unbelieved, jam)
 	}
 	d.checkBusy()
 	d.checkSizes()
 	for id := range uint64(2) {
-		f := c.fns[id+1]
+		f := c.functions[id+1]
 		if f == nil {
-			f = &function{id: id + 1, typ: c.types["free"], came: d.c.came}
+			f = &function{id: id + 1, typ: c.types["free"], arrivals: d.c.arrivals}
 		}
 		if got, want := names(walkedOrder(c, f)), names(sortedOrder(c, f)); !slices.Equal(got, want) {
 			d.Fatalf("function %d: order %v, sorted %v", f.id, got, want)
@@ -320,7 +320,7 @@
 	}
 	walked := map[*worker]bool{}
 	for _, w := range d.c.workers {
-		if len(w.out) > 0 {
+		if len(w.attempts) > 0 {
 			walked[w] = true
 		}
 	}
@@ -338,10 +338,10 @@
 	}
 	mean := 0.0
 	for _, k := range d.c.kindList {
-		if math.Abs(k.told-told[k]) > 1e-9 || k.number != number[k] {
-			d.Fatalf("a kind has size %v of %v, a walk finds %v of %v", k.told, k.number, told[k], number[k])
+		if math.Abs(k.sizeSum-told[k]) > 1e-9 || k.count != number[k] {
+			d.Fatalf("a kind has size %v of %v, a walk finds %v of %v", k.sizeSum, k.count, told[k], number[k])
 		}
-		mean += told[k] / k.takes / math.Max(1, float64(len(d.c.workers)))
+		mean += told[k] / k.slowness / math.Max(1, float64(len(d.c.workers)))
 	}
 	if math.Abs(d.c.meanSize-mean) > 1e-9*mean {
 		d.Fatalf("mean size %v, a walk finds %v", d.c.meanSize, mean)
@@ -366,10 +366,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := newDrawn(t, 400), newDrawn(t, 400)
 		gone := map[string]bool{}
-		var lines []Listing
+		var lines []Member
 		for range rapid.IntRange(1, 20).Draw(t, "gone") {
 			l := a.line(rapid.IntRange(0, 399).Draw(t, "worker"))
-			l.Condition = Gone
+			l.Condition = Removed
 			gone[l.Worker], lines = true, append(lines, l)
 		}
 		before := names(walkedOrder(a.c, &function{id: 9}))
@@ -377,14 +377,14 @@
 			t.Fatal("the order is not the sorted one")
 		}
 		for _, k := range b.c.kindList { // sizes are learned; here they are alike
-			k.told = k.number
+			k.sizeSum = k.count
 		}
 		for _, k := range a.c.kindList {
-			k.told = k.number
+			k.sizeSum = k.count
 		}
 		b.listed(false, lines)
 		for _, k := range b.c.kindList {
-			k.told = k.number
+			k.sizeSum = k.count
 		}
 		before = names(walkedOrder(a.c, &function{id: 9}))
 		after := names(walkedOrder(b.c, &function{id: 9}))
--- a/choice/types.go
+++ b/choice/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -10,131 +11,131 @@
 	"lupinpond/internal/window"
 )
 
-// Effect says what may happen when an event runs a second time.
+// Effect says what may happen when a request runs a second time.
 type Effect int
 
-// The effects an event type can have.
+// The effects a request type can have.
 const (
-	Redeliverable Effect = iota
-	Keyed
+	Idempotent Effect = iota
+	IdempotencyKey
 	AtMostOnce
 )
 
-// Group names the workers that drop each other's repeats of a keyed event.
+// Group names the workers that drop each other's retries of a keyed request.
 type Group int
 
-// The groups of a keyed event type.
+// The groups of a keyed request type.
 const (
 	GroupAll Group = iota
 	GroupZone
 	GroupCell
 )
 
-// EventType is what is known beforehand of the events of one type.
-type EventType struct {
-	Name   string
-	Effect Effect
-	Group  Group
-	Window time.Duration // how long a repeat of a keyed event is dropped
-	Target time.Duration
+// RequestType is what is known beforehand of the requests of one type.
+type RequestType struct {
+	Name      string
+	Effect    Effect
+	Group     Group
+	Window    time.Duration // how long a retry of a keyed request is dropped
+	Objective time.Duration `cbor:"Target"`
 }
 
-// Event is one event in hand. The exported fields are facts; the rest is the Chooser's.
-type Event struct {
-	ID       string
-	Type     string
-	Tenant   string
-	Function uint64
-	Patience time.Duration // how long the client still waits
-	Lanes    int           // events that one copy runs at a time
-	Memory   float64       // of one copy; 0 where it is not told
-	LoadTime time.Duration // usual time of a load; 0 where it is not told
-	Repeat   bool          // the client marked it as a repeat
-
-	typ      *evtType
-	fn       *function
-	came     time.Duration
-	ends     time.Duration
-	due      time.Duration // end of the target time of its first try
-	launches int
-	out      *standing     // where a launch is outstanding
-	sent     time.Duration // when the outstanding or the last launch left
-	cold     bool          // that launch was sent to bring the function there
-	risk     *worker       // worker of the first launch that may have run
-	riskAt   time.Duration
-	avoid    *worker
-	ahead    float64 // events that waited there when it left, as far as was known
-	over     bool    // beyond its tenant's share when it came
-	ended    bool
+// Request is one request of a client. The exported fields are facts; the rest is the Scheduler's.
+type Request struct {
+	ID          string
+	Type        string
+	Tenant      string
+	Function    uint64
+	TimeLeft    time.Duration `cbor:"Patience"` // how long the client still waits
+	Concurrency int           `cbor:"Lanes"`    // requests that one replica runs at a time
+	Memory      float64       // of one replica; 0 where it is not told
+	LoadTime    time.Duration // usual time of a load; 0 where it is not told
+	Retry       bool          `cbor:"Repeat"` // the client marked it as a retry
+
+	typ             *typeState
+	function        *function
+	submittedAt     time.Duration
+	deadline        time.Duration
+	objectiveAt     time.Duration // end of the latency objective of its first try
+	attempts        int
+	sentTo          *replicaSet   // where an attempt is in flight
+	sentAt          time.Duration // when the attempt in flight, or the last one, left
+	cold            bool          // that attempt was sent to bring the function there
+	mayHaveRun      *worker       // worker of the first attempt that may have run
+	mayHaveRunSince time.Duration
+	avoid           *worker
+	queuedAhead     float64 // requests that waited there when it left, as far as was known
+	overShare       bool    // beyond its tenant's share when it came
+	ended           bool
 }
 
-// Outstanding tells whether a launch of the event still has no outcome.
-func (e *Event) Outstanding() bool { return e.out != nil }
+// InFlight tells whether an attempt of the request still has no outcome.
+func (e *Request) InFlight() bool { return e.sentTo != nil }
 
-// Verb is what to do with an event.
+// Verb is what to do with a request.
 type Verb int
 
-// The answers to "where to send this event".
+// The answers to "where to send this request".
 const (
 	Hold Verb = iota
-	Launch
-	Defer
-	DeadLetter
-	Withdraw // give up the launch, not the event
+	Send
+	Reject
+	Fail
+	Cancel // give up the attempt, not the request
 	Nothing
 )
 
-// Answer tells what to do with one event.
-type Answer struct {
-	Event  *Event
-	Verb   Verb
-	Worker string
-	Launch int           // with Withdraw: which launch, counted from 0
-	Back   time.Duration // with Defer: when to come back; 0: not named
+// Decision tells what to do with one request.
+type Decision struct {
+	Request    *Request
+	Verb       Verb
+	Worker     string
+	Attempt    int           // with Cancel: which attempt, counted from 0
+	RetryAfter time.Duration // with Reject: when to come back; 0: not named
 }
 
-// Result is how a launch, a probe or a load order ended.
+// Result is how an attempt, a probe or a load request ended.
 type Result int
 
 // The results.
 const (
-	Handled   Result = iota
+	Completed Result = iota
 	Failed           // an error: it may have run
 	Full             // turned away unseen
 	TimedOut         // may have run, or run still
 	Unreached        // no connection: never ran
 	Broken           // connection lost: may have run
-	Withdrawn        // may have run
+	Cancelled        // may have run
 	TooLate          // never left the front end
 	Missing          // function not there: never ran
 )
 
-// Warmth is what an answer tells of the copy that the event found.
+// Warmth is what an answer tells of the replica that the request found.
 type Warmth int
 
 // The kinds of warmth.
 const (
-	Untold Warmth = iota
+	Unreported Warmth = iota
 	FoundWarm
 	BeganLoad
 	AwaitedLoad
 	LoadFailed
 )
 
-// Outcome is the end of one launch.
+// Outcome is the end of one attempt.
 type Outcome struct {
 	Worker string
 	Took   time.Duration
 	Result Result
-	Final  bool // the event has ended with this outcome or before
+	Final  bool // the request has ended with this outcome or before
 	Warmth Warmth
 	Load   Load
 }
 
 // Load is what a worker reports of itself, for all that it serves.
 type Load struct {
-	Told    bool    // false where no report came
-	Waiting float64 // events that wait there; 0 where it is not told
+	Reported   bool    `cbor:"Told"`    // false where no report came
+	QueueDepth float64 `cbor:"Waiting"` // requests that wait there; 0 where it is not told
 }
 
 // Condition is a worker's state in the list.
@@ -142,13 +143,13 @@
 
 // The conditions.
 const (
-	In Condition = iota
+	Up Condition = iota
 	Draining
-	Gone
+	Removed
 )
 
-// Listing is one line of the list of workers.
-type Listing struct {
+// Member is one line of the list of workers.
+type Member struct {
 	Worker    string
 	Zone      string
 	Cell      string
@@ -158,57 +159,60 @@
 	Started   time.Duration // 0: long ago
 }
 
-// Order asks a worker to hold copies of a function.
-type Order struct {
+// LoadRequest asks a worker to hold replicas of a function.
+type LoadRequest struct {
 	Worker   string
 	Function uint64
-	Copies   int
+	Replicas int `cbor:"Copies"`
 }
 
 // Steps is what is due at one moment.
 type Steps struct {
-	Answers []Answer
-	Orders  []Order
-	Probes  []string      // workers to probe
-	Ask     bool          // subscribe to the list of workers
-	Next    time.Duration // how long to wait at the most; 0: until news comes
+	Decisions []Decision
+	Loads     []LoadRequest
+	Probes    []string      // workers to probe
+	Subscribe bool          // subscribe to the list of workers
+	Next      time.Duration // how long to wait at the most; 0: until news comes
 }
 
-type evtType struct {
-	EventType
+type typeState struct {
+	RequestType
 	seen     time.Duration // answers in the average
 	mean     time.Duration // of the answer time
 	short    time.Duration // shortest mean answer time, slowly forgotten
-	patience time.Duration // most that a client has shown
+	timeLeft time.Duration // most that a client has shown
 }
 
 // kind is what is known of the workers of one kind.
 type kind struct {
-	told, number float64                    // sum of the sizes told, workers
-	memory       float64                    // of one of them; 0: not told
-	seen, takes  float64                    // answers; their time over the mean of its function
-	ring         fleetindex.Scaled[*worker] // those that may get something new, at their points on a circle
+	sizeSum, count float64                    // sum of the sizes told, workers
+	memory         float64                    // of one of them; 0: not told
+	seen, slowness float64                    // answers; their time over the mean of its function
+	ring           fleetindex.Scaled[*worker] // those that may get something new, at their points on a circle
 }
 
-// echoes is what probes of a zone take.
-type echoes struct {
+// probeTimes is what probes of a zone take.
+type probeTimes struct {
 	least time.Duration
 	over  float64 // mean beyond that, in parts of it
 }
 
 type tenant struct {
-	quota float64 // events a second within its share, at this front end
-	came  *window.Window
-	again *window.Window // its marked repeats that were taken
+	quota    float64 // requests a second within its share, at this front end
+	arrivals *window.Window
+	retries  *window.Window // its marked retries that were taken
 }
 
-// limited is a limit of launches in flight and the answer times that move it.
-type limited struct {
+// adaptiveLimit is a limit of attempts in flight and the answer times that move it.
+type adaptiveLimit struct {
 	limit     float64
 	least     float64
 	took, may *window.Window
 }
 
+// empty tells that no replica is assumed there, nor being loaded.
+func (s *replicaSet) empty() bool { return s.replicas+s.loading == 0 }
+
 // tally is what one worker counts for, or all of them together.
 type tally [tallies]int32
 
@@ -238,82 +242,82 @@
 }
 
 type worker struct {
-	Listing
-	limited
-	kind     *kind
-	hash     uint64
-	listed   bool
-	update   int                          // the last update of the list that named it
-	tally    tally                        // its part of the fleet's
-	member   fleetindex.Slot              // among the members of the fleet
-	working  fleetindex.Slot              // among those with attempts under way
-	deadline fleetindex.Deadline[*worker] // when time alone changes its tally
-	node     *fleetindex.Node[*worker]    // in the order of its kind; nil: it gets nothing new
-	out      []*Event                     // launches outstanding, oldest first
-	lastGood time.Duration
-	row      int // failures in a row
-	barred   time.Duration
-	barFor   time.Duration
-	trial    bool
-	toldAt   time.Duration // its last load report
-	waiting  float64       // events waiting by it
-	probed   bool          // a probe is out since probedAt
-	deaf     bool          // the last probe failed, nothing came since
-	probedAt time.Duration
-	late     time.Duration      // until then it comes last for a late answer
-	backed   time.Duration      // until then it is believed to have events waiting
-	refuses  map[string]refusal // by tenant
-	coldLast time.Duration      // last launch while cold, or when it was heard of
-	coldPart float64            // part of the pause that is kept from then
+	Member
+	adaptiveLimit
+	kind           *kind
+	hash           uint64
+	listed         bool
+	update         int                          // the last update of the list that named it
+	tally          tally                        // its part of the fleet's
+	member         fleetindex.Slot              // among the members of the fleet
+	working        fleetindex.Slot              // among those with attempts under way
+	deadline       fleetindex.Deadline[*worker] // when time alone changes its tally
+	node           *fleetindex.Node[*worker]    // in the order of its kind; nil: it gets nothing new
+	attempts       []*Request                   // attempts in flight, oldest first
+	lastGood       time.Duration
+	failures       int // failures in a row
+	ejectedUntil   time.Duration
+	ejectionTime   time.Duration
+	halfOpen       bool
+	reportedAt     time.Duration // its last load report
+	queueDepth     float64       // requests waiting by it
+	probeOut       bool          // a probe is out since probedAt
+	unresponsive   bool          // the last probe failed, nothing came since
+	probedAt       time.Duration
+	lateUntil      time.Duration        // until then it comes last for a late answer
+	queuedUntil    time.Duration        // until then it is believed to have requests waiting
+	rejections     map[string]rejection // by tenant
+	lastColdSend   time.Duration        // last attempt while cold, or when it was heard of
+	coldPauseShare float64              // part of the pause that is kept from then
 }
 
-// refusal is a tenant's events turned away as full.
-type refusal struct {
-	row   int // in a row
+// rejection is a tenant's requests turned away as full.
+type rejection struct {
+	count int // in a row
 	until time.Duration
 }
 
-// standing is what is believed of one function at one worker.
-type standing struct {
-	w       *worker
-	copies  int // believed loaded
-	busy    int // own events there
-	until   time.Duration
-	loading int // loads under way
-	loadEnd time.Duration
-	shut    time.Duration
+// replicaSet is what is assumed of one function at one worker.
+type replicaSet struct {
+	w            *worker
+	replicas     int // believed loaded
+	inFlight     int // own requests there
+	assumedUntil time.Duration
+	loading      int // loads under way
+	loadDeadline time.Duration
+	closedUntil  time.Duration
 }
 
 type function struct {
-	id      uint64
-	tenant  string
-	typ     *evtType
-	lanes   int
-	load    time.Duration
-	memory  float64 // of a copy
-	queue   []*Event
-	stands  []*standing
-	past    window.Last
-	arrived int // since the last advance
-	came    *window.Window
-	next    time.Duration
-	active  bool
+	id          uint64
+	tenant      string
+	typ         *typeState
+	concurrency int
+	load        time.Duration
+	memory      float64 // of a replica
+	queue       []*Request
+	replicaSets []*replicaSet
+	runTimes    window.Last
+	arrived     int // since the last advance
+	arrivals    *window.Window
+	nextTick    time.Duration
+	active      bool
 }
 
-// Chooser decides for one front end.
-type Chooser struct {
-	chance      chance.Source
-	self, peers int
-	quantum     time.Duration
-	longest     time.Duration // longest target time
+// Scheduler decides for one front end.
+type Scheduler struct {
+	random          chance.Source
+	self, frontEnds int
+	quantum         time.Duration
+	longest         time.Duration // longest latency objective
 
-	types       map[string]*evtType
+	types       map[string]*typeState
 	tenants     map[string]*tenant
 	workers     map[string]*worker
 	kinds       map[string]*kind         // those of the list or told of
 	kindList    []*kind                  // the same, in the order in which they became known
 	meanSize    float64                  // of the workers of the list
-	echoes      map[string]*echoes       // by zone
+	probeTimes  map[string]*probeTimes   // by zone
 	zone        string                   // its own, where crossing costs
 	members     fleetindex.List[*worker] // those listed or with attempts under way
 	busy        fleetindex.List[*worker] // those with attempts under way
@@ -325,60 +329,60 @@
 	order       fleetindex.Order[*worker]     // that all front ends share
 	points      []uint64                      // of the function whose order is walked
 	first, last []*worker                     // room for the workers found on a walk
-	fns         map[uint64]*function
-	active      []*function // with held events
-	grown       []*function // whose first copy may belong elsewhere
-	recall      []*Event    // outstanding at workers just barred
-
-	loadsOut   int     // orders not answered yet
-	loads      limited // of them
-	crowded    float64 // what loads take, over what is usual
-	kept       int     // functions after the last clean-up
-	all        limited // launches in flight at all workers
-	inFlight   int
-	rounding   float64 // of the limit on them
-	jam        bool    // few workers have room
-	unbelieved bool    // too many workers are barred to be believed
-
-	mostLaunches int
-	cancel       bool
-	probing      bool
-	probes       []string // workers to probe
-	mostBack     time.Duration
-
-	orders, loadsOnMiss   bool
-	keep, orderLimit      time.Duration
-	rationed              bool
-	orderFree, orderShare float64
-	ordered, taken        *window.Window // load orders and events in the ration's window
-
-	coldFrom, multiple float64
-	warmAfter, fall    time.Duration
-	work               *window.Window // launches to all workers, weighted
-
-	askAt, askWait time.Duration
-
-	shares float64        // events a second within the shares of all tenants
-	fresh  *window.Window // first tries
-	came   *window.Window // events
-
-	ahead, delayed, delay float64 // events ahead of launches, what they took longer, and that for each
-
-	spread   float64 // workers for first copies, over those that a function fills
-	discount float64 // of the events of a function, what may be luck
-	countAt  time.Duration
+	functions   map[uint64]*function
+	active      []*function // with held requests
+	rebalance   []*function // whose first replica may belong elsewhere
+	toCancel    []*Request  // in flight at workers just ejected
+
+	loadsInFlight    int           // orders not answered yet
+	loadLimit        adaptiveLimit // of them
+	loadSlowdown     float64       // what loads take, over what is usual
+	functionsKept    int           // functions after the last clean-up
+	fleetLimit       adaptiveLimit // attempts in flight at all workers
+	inFlight         int
+	rounding         float64 // of the limit on them
+	overloaded       bool    // few workers have room
+	ejectionsIgnored bool    // too many workers are ejected to be believed
+
+	maxAttempts   int
+	cancel        bool
+	probing       bool
+	probes        []string // workers to probe
+	maxRetryAfter time.Duration
+
+	mayRequestLoads, loadsOnMiss bool
+	keep, loadTimeout            time.Duration
+	loadsLimited                 bool
+	loadBurst, loadsPerRequest   float64
+	loadsSent, submitted         *window.Window // load requests and requests in the rate limit's window
+
+	coldFrom, fallMultiple float64
+	warmAfter, fall        time.Duration
+	work                   *window.Window // attempts to all workers, weighted
+
+	subscribeAt, subscribeEvery time.Duration
+
+	tenantShares float64        // requests a second within the shares of all tenants
+	firstTries   *window.Window // first tries
+	arrivals     *window.Window // requests
+
+	queuedAhead, delayed, delay float64 // requests ahead of attempts, what they took longer, and that for each
+
+	placementWidth float64 // workers for first replicas, over those that a function fills
+	discount       float64 // of the requests of a function, what may be luck
+	countAt        time.Duration
 }
 
-// Left says that the client of an event is gone.
-func (c *Chooser) Left(e *Event) { e.ended = true }
+// ClientGone says that the client of a request is gone.
+func (c *Scheduler) ClientGone(e *Request) { e.ended = true }
 
-// EndBy says that an event must have its final answer by a time before its client gives up.
-func (c *Chooser) EndBy(e *Event, by time.Duration) { e.ends = min(e.ends, by) }
+// EndBy says that a request must have its final answer by a time before its client gives up.
+func (c *Scheduler) EndBy(e *Request, by time.Duration) { e.deadline = min(e.deadline, by) }
 
 // kindOf is what is known of a kind, from now on if not before.
-func (c *Chooser) kindOf(name string) *kind {
+func (c *Scheduler) kindOf(name string) *kind {
 	if c.kinds[name] == nil {
-		k := &kind{takes: 1}
+		k := &kind{slowness: 1}
 		k.ring.Scale = k.size
 		c.kinds[name], c.kindList = k, append(c.kindList, k)
 		c.order.Add(&k.ring)
@@ -387,32 +391,38 @@
 }
 
 // open tells whether the list lets a worker have anything new (rule 3).
-func (w *worker) open() bool { return w.listed && w.Condition == In }
+func (w *worker) open() bool { return w.listed && w.Condition == Up }
 
-// toldSize is the size that the list tells, 1 where it tells none.
-func (w *worker) toldSize() float64 { return cmp.Or(w.Size, 1) }
+// listedSize is the size that the list tells, 1 where it tells none.
+func (w *worker) listedSize() float64 { return cmp.Or(w.Size, 1) }
 
-func (w *worker) refuse(tenant string, r refusal) {
-	if w.refuses == nil {
-		w.refuses = map[string]refusal{}
+// recovered notes an answer that tells that the worker is well.
+func (w *worker) recovered(now time.Duration) {
+	w.failures, w.lastGood, w.ejectionTime, w.ejectedUntil = 0, now, 0, 0
+	w.halfOpen, w.unresponsive = false, false
+}
+
+func (w *worker) reject(tenant string, r rejection) {
+	if w.rejections == nil {
+		w.rejections = map[string]rejection{}
 	}
-	w.refuses[tenant] = r
+	w.rejections[tenant] = r
 }
 
-// at is what is believed of the function at a worker, from now on if not before.
-func (f *function) at(w *worker) *standing {
-	i := slices.IndexFunc(f.stands, func(s *standing) bool { return s.w == w })
+// replicaSetAt is what is believed of the function at a worker, from now on if not before.
+func (f *function) replicaSetAt(w *worker) *replicaSet {
+	i := slices.IndexFunc(f.replicaSets, func(s *replicaSet) bool { return s.w == w })
 	if i < 0 {
-		i = len(f.stands)
-		f.stands = append(f.stands, &standing{w: w})
+		i = len(f.replicaSets)
+		f.replicaSets = append(f.replicaSets, &replicaSet{w: w})
 	}
-	return f.stands[i]
+	return f.replicaSets[i]
 }
 
-// waits is how many events wait there, as far as is known.
-func (w *worker) waits(now time.Duration) float64 {
-	if now < w.backed {
-		return w.waiting
+// queuedNow is how many requests wait there, as far as is known.
+func (w *worker) queuedNow(now time.Duration) float64 {
+	if now < w.queuedUntil {
+		return w.queueDepth
 	}
 	return 0
 }
@@ -426,3 +436,18 @@
 }
 
 func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
+
+func afterAll(rank float64, behind bool) float64 {
+	if behind {
+		return rank + math.MaxUint32
+	}
+	return rank
+}
+
+func (k *kind) size() float64 { return k.sizeSum / k.count / k.slowness }
+
+func (f *function) usualLoad() time.Duration { return cmp.Or(f.load, f.typ.Objective) }
+
+func (t *typeState) anywhere() bool {
+	return t.Effect == Idempotent || t.Effect == IdempotencyKey && t.Group == GroupAll
+}
--- a/cmd/lpctl/rehearse.go
+++ b/cmd/lpctl/rehearse.go
@@ -255,6 +255,6 @@
 	if told.Torn {
 		torn = "; the recording ends in the middle of an item"
 	}
-	fmt.Printf("front end %d of %d: %d facts, %d actions, all as recorded%s\n", told.Front.Self, told.Front.Peers, told.Facts, told.Actions, torn)
+	fmt.Printf("front end %d of %d: %d facts, %d actions, all as recorded%s\n", told.Front.Self, told.Front.FrontEnds, told.Facts, told.Actions, torn)
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -463,9 +463,9 @@
 }
 
 // Core is what the core of front end self of peers is started with.
-func (f File) Core(seed uint64, self, peers int) core.Front {
-	front := core.Front{Seed: seed, Self: self, Peers: peers, Quantum: f.Fleet.Quantum.D(), Deadlines: true,
-		AskWithin: f.Fleet.AskListWithin.D()}
+func (f File) Core(seed uint64, self, peers int) core.Settings {
+	front := core.Settings{Seed: seed, Self: self, FrontEnds: peers, Quantum: f.Fleet.Quantum.D(), Deadlines: true,
+		SubscribeWithin: f.Fleet.AskListWithin.D()}
 	for _, t := range f.Fleet.Types {
 		front.Types = append(front.Types, t.Choice())
 	}
@@ -473,24 +473,24 @@
 		front.Tenants = append(front.Tenants, core.Tenant{Name: t.Name, Quota: t.Share})
 	}
 	a, l, c := f.Fleet.Allowed, f.Fleet.Loading, f.Fleet.Cold
-	front.Launches, front.Cancel, front.Probe, front.MostBack = a.Launches, a.Cancel, a.Probe, a.RetryAfter.D()
-	front.Loading = core.Loading{Orders: l.Orders, OnMiss: l.OnMiss == "load", Keep: l.Keep.D(),
+	front.MaxAttempts, front.Cancel, front.Probe, front.MaxRetryAfter = a.Launches, a.Cancel, a.Probe, a.RetryAfter.D()
+	front.Loading = core.Loading{Requests: l.Orders, OnMiss: l.OnMiss == "load", Keep: l.Keep.D(),
 		Limit: l.OrderLimit.D(), Within: l.Ration.Within.D(), Free: l.Ration.Free, Share: l.Ration.Share}
 	for _, k := range f.Fleet.Workers.Kinds {
 		front.Kinds = append(front.Kinds, core.Kind{Name: k.Name, Memory: float64(k.Memory)})
 	}
 	front.Zone = f.Front.Zone
-	front.ColdStarts = core.ColdStarts{From: c.From, WarmAfter: c.WarmAfter.D(), Multiple: c.FallMultiple,
+	front.SlowStart = core.SlowStart{From: c.From, WarmAfter: c.WarmAfter.D(), Multiple: c.FallMultiple,
 		Fall: c.Fall.D()}
 	return front
 }
 
 // Choice is the event type as the module takes it.
-func (t EventType) Choice() choice.EventType {
-	e := choice.EventType{Name: t.Name, Window: t.Window.D(), Target: t.Target.D()}
+func (t EventType) Choice() choice.RequestType {
+	e := choice.RequestType{Name: t.Name, Window: t.Window.D(), Objective: t.Target.D()}
 	switch t.Effect {
 	case "keyed":
-		e.Effect = choice.Keyed
+		e.Effect = choice.IdempotencyKey
 	case "at-most-once":
 		e.Effect = choice.AtMostOnce
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -17,7 +17,7 @@
 
 const ms = time.Millisecond
 
-// told prints what a core does, and keeps what is outstanding.
+// told prints what a core does, and keeps what is in flight.
 type told struct {
 	out     map[string]int // launch outstanding, by event
 	endings map[string]int // final answers
@@ -31,30 +31,32 @@
 	}
 }
 
-func (a *told) Launch(e *choice.Event, n int, worker string) {
+func (a *told) Send(e *choice.Request, n int, worker string) {
 	a.out[e.ID] = n
 	a.say("launch %s %d at %s", e.ID, n, worker)
 }
-func (a *told) Handle(e *choice.Event, n int) {
+func (a *told) Complete(e *choice.Request, n int) {
 	a.endings[e.ID]++
 	a.say("handle %s by launch %d", e.ID, n)
 }
-func (a *told) Defer(e *choice.Event, _ time.Duration, ran bool) {
+func (a *told) Reject(e *choice.Request, _ time.Duration, ran bool) {
 	a.endings[e.ID]++
 	a.say("defer %s, may have run %v", e.ID, ran)
 }
-func (a *told) DeadLetter(e *choice.Event, n int, ran bool) {
+func (a *told) Fail(e *choice.Request, n int, ran bool) {
 	a.endings[e.ID]++
 	a.say("dead-letter %s after %d launches, may have run %v", e.ID, n, ran)
 }
-func (a *told) Withdraw(e *choice.Event, n int, worker string) {
+func (a *told) Cancel(e *choice.Request, n int, worker string) {
 	a.say("withdraw %s %d at %s", e.ID, n, worker)
 }
-func (a *told) Order(o choice.Order) { a.say("order %d of %d at %s", o.Copies, o.Function, o.Worker) }
-func (a *told) Probe(worker string)  { a.say("probe %s", worker) }
-func (a *told) Ask()                 {}
-func (a *told) Wake(time.Duration)   {}
-func (a *told) Ended(e *choice.Event, _ int, how core.Ending) {
+func (a *told) Load(o choice.LoadRequest) {
+	a.say("order %d of %d at %s", o.Replicas, o.Function, o.Worker)
+}
+func (a *told) Probe(worker string) { a.say("probe %s", worker) }
+func (a *told) Subscribe()          {}
+func (a *told) Wake(time.Duration)  {}
+func (a *told) Ended(e *choice.Request, _ int, how core.Ending) {
 	a.ended[e.ID]++
 	a.say("ended %s %d", e.ID, how)
 }
@@ -63,21 +65,21 @@
 	return &told{out: map[string]int{}, endings: map[string]int{}, ended: map[string]int{}, print: print}
 }
 
-func front() core.Front {
-	return core.Front{Seed: 7, Peers: 1, Quantum: 2 * ms, Launches: 4, Cancel: true, MostBack: 500 * ms, Deadlines: true,
-		Types: []choice.EventType{{Name: "free", Target: time.Second}, {Name: "once", Effect: choice.AtMostOnce, Target: time.Second},
-			{Name: "zone", Effect: choice.Keyed, Group: choice.GroupZone, Window: 300 * ms, Target: time.Second}},
+func front() core.Settings {
+	return core.Settings{Seed: 7, FrontEnds: 1, Quantum: 2 * ms, MaxAttempts: 4, Cancel: true, MaxRetryAfter: 500 * ms, Deadlines: true,
+		Types: []choice.RequestType{{Name: "free", Objective: time.Second}, {Name: "once", Effect: choice.AtMostOnce, Objective: time.Second},
+			{Name: "zone", Effect: choice.IdempotencyKey, Group: choice.GroupZone, Window: 300 * ms, Objective: time.Second}},
 		Loading: core.Loading{OnMiss: true, Keep: 10 * time.Second, Limit: 5 * time.Second}}
 }
 
-var workers = []choice.Listing{{Worker: "a", Zone: "1"}, {Worker: "b", Zone: "1"}, {Worker: "c", Zone: "2"}}
+var workers = []choice.Member{{Worker: "a", Zone: "1"}, {Worker: "b", Zone: "1"}, {Worker: "c", Zone: "2"}}
 
-// begin has event e of a type launched.
+// begin has request e of a type sent.
 func begin(a core.Actor, kind string) (*core.Core, time.Duration) {
 	c, now := core.New(front(), a), time.Hour
-	c.Listed(now, true, workers)
-	e := &choice.Event{ID: "e", Type: kind, Function: 1, Patience: 2 * time.Second, Lanes: 1}
-	fmt.Println(c.Came(now, e), c.Came(now, e))
+	c.UpdateMembership(now, true, workers)
+	e := &choice.Request{ID: "e", Type: kind, Function: 1, TimeLeft: 2 * time.Second, Concurrency: 1}
+	fmt.Println(c.Submit(now, e), c.Submit(now, e))
 	c.Settle(now)
 	return c, now
 }
@@ -87,12 +89,12 @@
 	a := newTold(true)
 	c, now := begin(a, "once")
 	now += 2 * time.Second
-	fmt.Println(c.Outcome(now, "e", 0, choice.Outcome{Result: choice.Handled, Took: 2 * time.Second}))
+	fmt.Println(c.Outcome(now, "e", 0, choice.Outcome{Result: choice.Completed, Took: 2 * time.Second}))
 	c.Settle(now)
 	c, now = begin(a, "once")
 	now += 2 * time.Second
 	c.Settle(now)
-	fmt.Println(c.Outcome(now, "e", 0, choice.Outcome{Result: choice.Handled, Took: 2 * time.Second}))
+	fmt.Println(c.Outcome(now, "e", 0, choice.Outcome{Result: choice.Completed, Took: 2 * time.Second}))
 	fmt.Println(c.InHand())
 	// Output:
 	// <nil> an event of this id is in hand
@@ -108,11 +110,11 @@
 	// 0
 }
 
-// A client that leaves while its at-most-once event runs: nothing is answered, the launch is awaited or timed out.
+// A client that leaves while its at-most-once request runs: nothing is answered, the attempt is awaited or timed out.
 func Example_clientGoneWhileItRuns() {
 	a := newTold(true)
 	c, now := begin(a, "once")
-	fmt.Println(c.Left(now+ms, "e"), c.InHand(), c.Left(now, "never"))
+	fmt.Println(c.ClientGone(now+ms, "e"), c.InHand(), c.ClientGone(now, "never"))
 	c.Settle(now + 3*time.Second)
 	fmt.Println(c.InHand())
 	// Output:
@@ -123,7 +125,7 @@
 	// 0
 }
 
-// Whatever is told in whatever order: every event that came has one final answer by its client's time, unless the
+// Whatever is told in whatever order: every request that came has one final answer by its client's time, unless the
 // client left; nothing stays in hand; and a recording of it replays to the same actions.
 func TestOneEndingAndTheSameReplay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -131,7 +133,7 @@
 		var tape bytes.Buffer
 		c, rec := corelog.Start(front(), a, &tape)
 		now := time.Hour
-		c.Listed(now, true, workers)
+		c.UpdateMembership(now, true, workers)
 		left := map[string]bool{}
 		n := 0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -140,9 +142,9 @@
 			switch rapid.IntRange(0, 7).Draw(t, "what") {
 			case 0, 1:
 				kind := rapid.SampledFrom([]string{"free", "once", "zone", "unheard"}).Draw(t, "type")
-				e := &choice.Event{ID: fmt.Sprint(n), Type: kind, Function: uint64(n % 3), Lanes: 1,
-					Patience: time.Duration(rapid.IntRange(1, 3000).Draw(t, "patience")) * ms}
-				if err := c.Came(now, e); err != nil {
+				e := &choice.Request{ID: fmt.Sprint(n), Type: kind, Function: uint64(n % 3), Concurrency: 1,
+					TimeLeft: time.Duration(rapid.IntRange(1, 3000).Draw(t, "patience")) * ms}
+				if err := c.Submit(now, e); err != nil {
 					t.Fatal(err)
 				}
 				n++
@@ -153,14 +155,14 @@
 				}
 				c.Outcome(now, id, launch, choice.Outcome{Result: choice.Result(rapid.IntRange(0, 8).Draw(t, "result")), Took: ms})
 			case 4:
-				if c.Left(now, id) {
+				if c.ClientGone(now, id) {
 					left[id] = true
 				}
 			case 5:
 				i := rapid.IntRange(0, 2).Draw(t, "worker")
 				l := workers[i]
 				l.Condition = choice.Condition(rapid.IntRange(0, 2).Draw(t, "condition"))
-				c.Listed(now, rapid.Bool().Draw(t, "whole"), []choice.Listing{l})
+				c.UpdateMembership(now, rapid.Bool().Draw(t, "whole"), []choice.Member{l})
 			case 6:
 				c.EndBy(now, now+time.Duration(rapid.IntRange(0, 5000).Draw(t, "end"))*ms)
 			}
@@ -196,22 +198,22 @@
 }
 
 // A front end that is told to end answers all that it has in hand by then, and what comes yet, whatever time their clients
-// still have: an event that waits for a copy, one out at a worker that says nothing, one whose client has left.
+// still have: a request that waits for a replica, one out at a worker that says nothing, one whose client has left.
 func TestEndBy(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := newTold(false)
 		c, now := core.New(front(), a), time.Hour
-		c.Listed(now, true, workers[:rapid.IntRange(0, 3).Draw(t, "workers")])
+		c.UpdateMembership(now, true, workers[:rapid.IntRange(0, 3).Draw(t, "workers")])
 		n := 0
 		came := func() {
-			e := &choice.Event{ID: fmt.Sprint(n), Type: rapid.SampledFrom([]string{"free", "once", "zone"}).Draw(t, "type"),
-				Function: uint64(n % 3), Lanes: 1, Patience: 100 * time.Second}
-			if err := c.Came(now, e); err != nil {
+			e := &choice.Request{ID: fmt.Sprint(n), Type: rapid.SampledFrom([]string{"free", "once", "zone"}).Draw(t, "type"),
+				Function: uint64(n % 3), Concurrency: 1, TimeLeft: 100 * time.Second}
+			if err := c.Submit(now, e); err != nil {
 				t.Fatal(err)
 			}
 			n++
 			if rapid.IntRange(0, 4).Draw(t, "leaves") == 0 {
-				c.Left(now, e.ID)
+				c.ClientGone(now, e.ID)
 				a.endings[e.ID]++
 			}
 		}
@@ -247,7 +249,7 @@
 func FuzzReplay(f *testing.F) {
 	var tape bytes.Buffer
 	c, _ := corelog.Start(front(), newTold(false), &tape)
-	c.Listed(time.Hour, true, workers)
+	c.UpdateMembership(time.Hour, true, workers)
 	c.Settle(time.Hour)
 	f.Add(tape.Bytes())
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -258,12 +260,12 @@
 	})
 }
 
-// The outcome of a launch that is over, come while the next one is out, is not taken for that one's.
+// The outcome of an attempt that is over, come while the next one is out, is not taken for that one's.
 func TestOutcomeOfAnEarlierLaunch(t *testing.T) {
 	a := newTold(false)
 	c, now := core.New(front(), a), time.Hour
-	c.Listed(now, true, workers)
-	if err := c.Came(now, &choice.Event{ID: "e", Type: "free", Function: 1, Patience: 20 * time.Second, Lanes: 1}); err != nil {
+	c.UpdateMembership(now, true, workers)
+	if err := c.Submit(now, &choice.Request{ID: "e", Type: "free", Function: 1, TimeLeft: 20 * time.Second, Concurrency: 1}); err != nil {
 		t.Fatal(err)
 	}
 	until := func(launch int) {
@@ -282,10 +284,10 @@
 		t.Error("the outcome is not taken")
 	}
 	until(1)
-	if c.Outcome(now, "e", 0, choice.Outcome{Result: choice.Handled, Took: ms}) || a.endings["e"] != 0 {
+	if c.Outcome(now, "e", 0, choice.Outcome{Result: choice.Completed, Took: ms}) || a.endings["e"] != 0 {
 		t.Error("a late answer to the first launch is taken for one to the second")
 	}
-	if !c.Outcome(now, "e", 1, choice.Outcome{Result: choice.Handled, Took: ms}) || a.endings["e"] != 1 {
+	if !c.Outcome(now, "e", 1, choice.Outcome{Result: choice.Completed, Took: ms}) || a.endings["e"] != 1 {
 		t.Error("the second's is not")
 	}
 }
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -26,17 +26,17 @@
 
 // Entry is one fact as it was told: what a recording holds. Fields that the fact does not have are zero.
 type Entry struct {
-	Op      Op               `cbor:"1,keyasint"`
-	Now     time.Duration    `cbor:"2,keyasint"`
-	ID      string           `cbor:"3,keyasint,omitempty"`
-	Launch  int              `cbor:"4,keyasint,omitempty"`
-	Flag    bool             `cbor:"5,keyasint,omitempty"`
-	Worker  string           `cbor:"6,keyasint,omitempty"`
-	News    []choice.Listing `cbor:"7,keyasint,omitempty"`
-	Event   *choice.Event    `cbor:"8,keyasint,omitempty"`
-	Outcome choice.Outcome   `cbor:"9,keyasint,omitempty"`
-	Order   choice.Order     `cbor:"10,keyasint,omitempty"`
-	By      time.Duration    `cbor:"11,keyasint,omitempty"`
+	Op      Op                 `cbor:"1,keyasint"`
+	Now     time.Duration      `cbor:"2,keyasint"`
+	ID      string             `cbor:"3,keyasint,omitempty"`
+	Launch  int                `cbor:"4,keyasint,omitempty"`
+	Flag    bool               `cbor:"5,keyasint,omitempty"`
+	Worker  string             `cbor:"6,keyasint,omitempty"`
+	News    []choice.Member    `cbor:"7,keyasint,omitempty"`
+	Event   *choice.Request    `cbor:"8,keyasint,omitempty"`
+	Outcome choice.Outcome     `cbor:"9,keyasint,omitempty"`
+	Order   choice.LoadRequest `cbor:"10,keyasint,omitempty"`
+	By      time.Duration      `cbor:"11,keyasint,omitempty"`
 }
 
 // Record has every fact from now on given to note before it takes effect; nil ends it.
@@ -48,10 +48,10 @@
 	}
 }
 
-// facts copies what is known of an event when it comes, without what the module keeps in it.
-func facts(e *choice.Event) *choice.Event {
-	return &choice.Event{ID: e.ID, Type: e.Type, Tenant: e.Tenant, Function: e.Function, Patience: e.Patience,
-		Lanes: e.Lanes, Memory: e.Memory, LoadTime: e.LoadTime, Repeat: e.Repeat}
+// facts replicas what is known of a request when it comes, without what the module keeps in it.
+func facts(e *choice.Request) *choice.Request {
+	return &choice.Request{ID: e.ID, Type: e.Type, Tenant: e.Tenant, Function: e.Function, TimeLeft: e.TimeLeft,
+		Concurrency: e.Concurrency, Memory: e.Memory, LoadTime: e.LoadTime, Retry: e.Retry}
 }
 
 // Feed tells one recorded fact. An entry that no core can have recorded is an error, and nothing is done.
@@ -61,18 +61,18 @@
 	}
 	switch e.Op {
 	case OpListed:
-		c.Listed(e.Now, e.Flag, e.News)
+		c.UpdateMembership(e.Now, e.Flag, e.News)
 	case OpListFailed:
-		c.ListFailed(e.Now)
+		c.WatchFailed(e.Now)
 	case OpCame:
 		if e.Event == nil {
 			return fmt.Errorf("an event came at %v, but the entry holds none", e.Now)
 		}
-		return c.Came(e.Now, facts(e.Event))
+		return c.Submit(e.Now, facts(e.Event))
 	case OpOutcome:
 		c.Outcome(e.Now, e.ID, e.Launch, e.Outcome)
 	case OpLeft:
-		c.Left(e.Now, e.ID)
+		c.ClientGone(e.Now, e.ID)
 	case OpProbed:
 		c.Probed(e.Now, e.Worker, e.Outcome.Result, e.Outcome.Load, e.Outcome.Took)
 	case OpLoaded:
--- a/internal/corelog/corelog.go
+++ b/internal/corelog/corelog.go
@@ -20,21 +20,21 @@
 )
 
 type header struct {
-	Magic   string     `cbor:"1,keyasint"`
-	Version int        `cbor:"2,keyasint"`
-	Front   core.Front `cbor:"3,keyasint"`
+	Magic   string        `cbor:"1,keyasint"`
+	Version int           `cbor:"2,keyasint"`
+	Front   core.Settings `cbor:"3,keyasint"`
 }
 
 // Action is one thing that a core did.
 type Action struct {
-	Verb   string        `cbor:"1,keyasint"` // launch, handle, defer, dead-letter, withdraw, order, probe, ask, wake, ended
-	ID     string        `cbor:"2,keyasint,omitempty"`
-	Launch int           `cbor:"3,keyasint,omitempty"`
-	Worker string        `cbor:"4,keyasint,omitempty"`
-	Time   time.Duration `cbor:"5,keyasint,omitempty"`
-	MayRun bool          `cbor:"6,keyasint,omitempty"`
-	Order  choice.Order  `cbor:"7,keyasint,omitempty"`
-	Ending core.Ending   `cbor:"8,keyasint,omitempty"`
+	Verb   string             `cbor:"1,keyasint"` // launch, handle, defer, dead-letter, withdraw, order, probe, ask, wake, ended
+	ID     string             `cbor:"2,keyasint,omitempty"`
+	Launch int                `cbor:"3,keyasint,omitempty"`
+	Worker string             `cbor:"4,keyasint,omitempty"`
+	Time   time.Duration      `cbor:"5,keyasint,omitempty"`
+	MayRun bool               `cbor:"6,keyasint,omitempty"`
+	Order  choice.LoadRequest `cbor:"7,keyasint,omitempty"`
+	Ending core.Ending        `cbor:"8,keyasint,omitempty"`
 }
 
 // String spells an action as replay shows it.
@@ -47,7 +47,7 @@
 	case "dead-letter":
 		return fmt.Sprintf("dead-letter %s may have run %v", a.ID, a.MayRun)
 	case "order":
-		return fmt.Sprintf("order %d copies of %d at %s", a.Order.Copies, a.Order.Function, a.Order.Worker)
+		return fmt.Sprintf("order %d copies of %d at %s", a.Order.Replicas, a.Order.Function, a.Order.Worker)
 	case "wake":
 		return fmt.Sprintf("wake in %v", a.Time)
 	}
@@ -73,41 +73,41 @@
 	}
 }
 
-func (w watcher) Launch(e *choice.Event, n int, worker string) {
-	w.do(Action{Verb: "launch", ID: e.ID, Launch: n, Worker: worker}, func(a core.Actor) { a.Launch(e, n, worker) })
+func (w watcher) Send(e *choice.Request, n int, worker string) {
+	w.do(Action{Verb: "launch", ID: e.ID, Launch: n, Worker: worker}, func(a core.Actor) { a.Send(e, n, worker) })
 }
 
-func (w watcher) Handle(e *choice.Event, n int) {
-	w.do(Action{Verb: "handle", ID: e.ID, Launch: n}, func(a core.Actor) { a.Handle(e, n) })
+func (w watcher) Complete(e *choice.Request, n int) {
+	w.do(Action{Verb: "handle", ID: e.ID, Launch: n}, func(a core.Actor) { a.Complete(e, n) })
 }
 
-func (w watcher) Defer(e *choice.Event, back time.Duration, ran bool) {
-	w.do(Action{Verb: "defer", ID: e.ID, Time: back, MayRun: ran}, func(a core.Actor) { a.Defer(e, back, ran) })
+func (w watcher) Reject(e *choice.Request, back time.Duration, ran bool) {
+	w.do(Action{Verb: "defer", ID: e.ID, Time: back, MayRun: ran}, func(a core.Actor) { a.Reject(e, back, ran) })
 }
 
-func (w watcher) DeadLetter(e *choice.Event, n int, ran bool) {
-	w.do(Action{Verb: "dead-letter", ID: e.ID, Launch: n, MayRun: ran}, func(a core.Actor) { a.DeadLetter(e, n, ran) })
+func (w watcher) Fail(e *choice.Request, n int, ran bool) {
+	w.do(Action{Verb: "dead-letter", ID: e.ID, Launch: n, MayRun: ran}, func(a core.Actor) { a.Fail(e, n, ran) })
 }
 
-func (w watcher) Withdraw(e *choice.Event, n int, worker string) {
-	w.do(Action{Verb: "withdraw", ID: e.ID, Launch: n, Worker: worker}, func(a core.Actor) { a.Withdraw(e, n, worker) })
+func (w watcher) Cancel(e *choice.Request, n int, worker string) {
+	w.do(Action{Verb: "withdraw", ID: e.ID, Launch: n, Worker: worker}, func(a core.Actor) { a.Cancel(e, n, worker) })
 }
 
-func (w watcher) Order(o choice.Order) {
-	w.do(Action{Verb: "order", Order: o}, func(a core.Actor) { a.Order(o) })
+func (w watcher) Load(o choice.LoadRequest) {
+	w.do(Action{Verb: "order", Order: o}, func(a core.Actor) { a.Load(o) })
 }
 
 func (w watcher) Probe(worker string) {
 	w.do(Action{Verb: "probe", Worker: worker}, func(a core.Actor) { a.Probe(worker) })
 }
 
-func (w watcher) Ask() { w.do(Action{Verb: "ask"}, core.Actor.Ask) }
+func (w watcher) Subscribe() { w.do(Action{Verb: "ask"}, core.Actor.Subscribe) }
 
 func (w watcher) Wake(after time.Duration) {
 	w.do(Action{Verb: "wake", Time: after}, func(a core.Actor) { a.Wake(after) })
 }
 
-func (w watcher) Ended(e *choice.Event, n int, how core.Ending) {
+func (w watcher) Ended(e *choice.Request, n int, how core.Ending) {
 	w.do(Action{Verb: "ended", ID: e.ID, Launch: n, Ending: how}, func(a core.Actor) { a.Ended(e, n, how) })
 }
 
@@ -118,7 +118,7 @@
 }
 
 // Start starts a core that acts through actor and is recorded to out.
-func Start(f core.Front, actor core.Actor, out io.Writer) (*core.Core, *Recorder) {
+func Start(f core.Settings, actor core.Actor, out io.Writer) (*core.Core, *Recorder) {
 	r := &Recorder{enc: cbor.NewEncoder(out)}
 	r.write(header{Magic: magic, Version: version, Front: f})
 	c := core.New(f, watcher{note: func(a Action) { r.write(item{Action: &a}) }, next: actor})
@@ -137,7 +137,7 @@
 
 // Told is what a replay found.
 type Told struct {
-	Front   core.Front
+	Front   core.Settings
 	Facts   int
 	Actions int
 	Torn    bool // the recording ends inside an item, as after a kill
--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -33,8 +33,8 @@
 // Recall gives the launch up.
 func (r recaller) Recall() { r.Call.Recall(r.tell) }
 
-// Launch sends a launch to a worker.
-func (l links) Launch(e *Event, launch int, worker string, left time.Duration, done func(choice.Outcome, []byte)) Sent {
+// Send sends a launch to a worker.
+func (l links) Send(e *Request, launch int, worker string, left time.Duration, done func(choice.Outcome, []byte)) Sent {
 	p := l.peer(worker)
 	if p == nil {
 		done(choice.Outcome{Result: choice.Unreached}, nil)
@@ -58,13 +58,13 @@
 	case link.Broken:
 		out.Result = choice.Broken
 	case link.Recalled:
-		out.Result = choice.Withdrawn
+		out.Result = choice.Cancelled
 	case link.Answered:
 		a := o.Answer
 		out.Warmth, out.Load = choice.Warmth(a.Warmth), l.load(a.Report)
 		switch a.Code {
 		case link.Done:
-			out.Result, body = choice.Handled, a.Body
+			out.Result, body = choice.Completed, a.Body
 		case link.Full:
 			out.Result = choice.Full
 		case link.Missing:
@@ -72,7 +72,7 @@
 		case link.NotStarted: // drained or withdrawn before its start
 			out.Result = choice.Unreached
 		case link.Withdrawn:
-			out.Result = choice.Withdrawn
+			out.Result = choice.Cancelled
 		default:
 			out.Result = choice.Failed
 		}
@@ -85,27 +85,27 @@
 	if r == nil || g.o.File.Fleet.Workers.Reports == "none" {
 		return choice.Load{}
 	}
-	return choice.Load{Told: true, Waiting: float64(r.Waiting)}
+	return choice.Load{Reported: true, QueueDepth: float64(r.Waiting)}
 }
 
-// Order sends a load order.
-func (l links) Order(o choice.Order, done func(copies int, r choice.Result)) Sent {
+// Load sends a load order.
+func (l links) Load(o choice.LoadRequest, done func(copies int, r choice.Result)) Sent {
 	p := l.peer(o.Worker)
 	if p == nil {
-		done(o.Copies, choice.Unreached)
+		done(o.Replicas, choice.Unreached)
 		return nil
 	}
-	p.Order(link.Order{Function: l.names[o.Function], Copies: o.Copies}, func(out link.Outcome) {
+	p.Order(link.Order{Function: l.names[o.Function], Copies: o.Replicas}, func(out link.Outcome) {
 		switch {
 		case out.Fate == link.Unsent:
-			done(o.Copies, choice.Unreached)
+			done(o.Replicas, choice.Unreached)
 		case out.Ordered == nil:
-			done(o.Copies, choice.Broken)
+			done(o.Replicas, choice.Broken)
 		default:
 			result := choice.Failed
 			switch out.Ordered.Code {
 			case link.Done:
-				result = choice.Handled
+				result = choice.Completed
 			case link.Full, link.NotStarted:
 				result = choice.Full
 			}
@@ -125,7 +125,7 @@
 	p.Probe(func(o link.Outcome) {
 		switch {
 		case o.Echo != nil:
-			done(choice.Handled, l.load(o.Echo.Report))
+			done(choice.Completed, l.load(o.Echo.Report))
 		case o.Fate == link.Unsent:
 			done(choice.Unreached, choice.Load{})
 		default:
@@ -135,8 +135,8 @@
 	return nil
 }
 
-// Ask subscribes to the list.
-func (l links) Ask() {
+// Subscribe subscribes to the list.
+func (l links) Subscribe() {
 	select {
 	case l.asked <- struct{}{}:
 	default:
@@ -165,19 +165,19 @@
 			return nil
 		}
 		g.log.Warn("the list broke off", "err", err)
-		g.ListFailed()
+		g.WatchFailed()
 	}
 }
 
 // news takes a message of the list. Links to drained and gone workers are stopped at once, before the owner gets to it:
 // what waits in a write queue must not leave after the grace, even where the owner is stalled.
 func (g *Gate) news(n roster.News) {
-	var listings []choice.Listing
+	var listings []choice.Member
 	named := map[string]bool{}
 	g.peersMu.Lock()
 	for _, e := range n.Entries {
 		named[e.Name] = true
-		l := choice.Listing{Worker: e.Name, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, Started: g.Since(e.Started)}
+		l := choice.Member{Worker: e.Name, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, Started: g.Since(e.Started)}
 		if g.o.File.Fleet.Workers.Sizes == "cores" {
 			l.Size = e.Cores
 		}
@@ -185,7 +185,7 @@
 		case roster.Draining:
 			l.Condition = choice.Draining
 		case roster.Gone:
-			l.Condition = choice.Gone
+			l.Condition = choice.Removed
 		}
 		listings = append(listings, l)
 		g.link(e)
@@ -202,7 +202,7 @@
 	if g.o.Known != nil {
 		g.o.Known(whole)
 	}
-	g.Listed(n.Whole, listings)
+	g.UpdateMembership(n.Whole, listings)
 }
 
 // keep follows the list and gives the whole of it.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -275,18 +275,18 @@
 	defer g.inHand.Add(-1)
 	id := fmt.Sprintf("%s-%d", g.o.Name, g.number.Add(1))
 	reply := make(chan invoke.Answer, 1)
-	e := &Event{Call: call, Twin: twin(call), Body: call.Body, Reply: func(a invoke.Answer) { reply <- a },
-		Fact: &choice.Event{ID: id, Type: call.Type.Name, Tenant: call.Tenant, Function: call.Function.ID(),
-			Patience: call.Patience, Lanes: call.Function.Lanes, Memory: float64(call.Function.Memory),
-			LoadTime: call.Function.LoadTime.D(), Repeat: call.Repeat}}
-	g.Take(e)
+	e := &Request{Call: call, Twin: twin(call), Body: call.Body, Reply: func(a invoke.Answer) { reply <- a },
+		Fact: &choice.Request{ID: id, Type: call.Type.Name, Tenant: call.Tenant, Function: call.Function.ID(),
+			TimeLeft: call.Patience, Concurrency: call.Function.Lanes, Memory: float64(call.Function.Memory),
+			LoadTime: call.Function.LoadTime.D(), Retry: call.Repeat}}
+	g.Submit(e)
 	select {
 	case a := <-reply:
 		a.Event = id
 		g.bound(w)
 		invoke.Write(w, a)
 	case <-r.Context().Done():
-		g.Left(id)
+		g.ClientGone(id)
 		panic(http.ErrAbortHandler) // returning would send an empty 200: a client that still reads would take it for handled
 	}
 }
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -13,38 +13,38 @@
 	"lupinpond/internal/invoke"
 )
 
-// Event is one event in hand, as the front end knows it beside the core.
-type Event struct {
-	Fact  *choice.Event
+// Request is one request in hand, as the front end knows it beside the core.
+type Request struct {
+	Fact  *choice.Request
 	Twin  string                // what must not be in hand twice; empty where a second one does no harm
 	Reply func(a invoke.Answer) // told the final answer, by the owner; must not wait
-	Gone  func()                // called when nothing follows for the event; may be nil
+	Gone  func()                // called when nothing follows for the request; may be nil
 	Body  []byte                // as the client sent it
 	Call  invoke.Call           // of a client of the invoke API
 
-	came   time.Duration
-	sent   int          // launches
-	out    map[int]Sent // those without an outcome
-	answer []byte       // the body of the answer
+	submittedAt time.Duration
+	sent        int          // attempts
+	inFlight    map[int]Sent // those without an outcome
+	answer      []byte       // the body of the answer
 }
 
-// Sent is a launch, an order or a probe under way at a worker.
+// Sent is an attempt, an order or a probe under way at a worker.
 type Sent interface {
 	Recall() // gives it up; its outcome comes all the same, unless it was told before
 }
 
-// Workers is the way out of a front end: it carries launches, orders and probes to the workers, and brings the list. What
+// Workers is the way out of a front end: it carries attempts, orders and probes to the workers, and brings the list. What
 // done functions tell may come at any time, also at once, from any goroutine; the first counts.
 type Workers interface {
 	// Each may give nil where nothing was sent, or nothing has to be given up
-	Launch(e *Event, launch int, worker string, left time.Duration, done func(o choice.Outcome, body []byte)) Sent
-	Order(o choice.Order, done func(copies int, r choice.Result)) Sent
+	Send(e *Request, launch int, worker string, left time.Duration, done func(o choice.Outcome, body []byte)) Sent
+	Load(o choice.LoadRequest, done func(copies int, r choice.Result)) Sent
 	Probe(worker string, done func(r choice.Result, l choice.Load)) Sent
-	Ask() // for the list
+	Subscribe() // for the list
 }
 
 // Owner owns the core of one front end: one goroutine takes facts from a mailbox, tells them to the core moment by
-// moment, and carries out what the core says. Ways in put events there, ways out what comes of them.
+// moment, and carries out what the core says. Ways in put requests there, ways out what comes of them.
 type Owner struct {
 	base       time.Time // the core's clock is an hour at the start
 	box        mailbox
@@ -57,18 +57,18 @@
 	probeLimit time.Duration // and a probe
 
 	// the goroutine's
-	events map[string]*Event
+	events map[string]*Request
 	twins  map[string]bool
 	counts Counts
 	wake   *time.Timer
 	wakes  []time.Time   // to come, the earliest last
-	endBy  time.Duration // every event has its answer by then
+	endBy  time.Duration // every request has its answer by then
 }
 
 // NewOwner makes the owner of a core; record gets a recording of it where it is not nil. Run runs it.
-func NewOwner(front core.Front, workers Workers, record io.Writer, orderLimit, probeLimit time.Duration) *Owner {
+func NewOwner(front core.Settings, workers Workers, record io.Writer, orderLimit, probeLimit time.Duration) *Owner {
 	o := &Owner{base: time.Now().Add(-time.Hour), workers: workers, orderLimit: orderLimit, probeLimit: probeLimit,
-		events: map[string]*Event{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{}),
+		events: map[string]*Request{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{}),
 		endBy: math.MaxInt64}
 	o.box.kick, o.box.left = make(chan struct{}, 1), map[string]bool{}
 	if record != nil {
@@ -85,17 +85,17 @@
 // Since turns a time of the wall clock into one of the core's, which is 0 for all that is long ago.
 func (o *Owner) Since(t time.Time) time.Duration { return max(0, t.Sub(o.base)) }
 
-// mailbox holds facts for the owner. What may be in it is bounded by the events in hand and the calls to workers.
+// mailbox holds facts for the owner. What may be in it is bounded by the requests in hand and the calls to workers.
 type mailbox struct {
 	mu    sync.Mutex
 	facts []func(now time.Duration)
-	left  map[string]bool // events whose client is gone, until the owner has heard of it
+	left  map[string]bool // requests whose client is gone, until the owner has heard of it
 	kick  chan struct{}
 }
 
 func (m *mailbox) put(f func(now time.Duration)) { m.leave("", f) }
 
-// leave puts the fact that the client of an event is gone, which shows in left at once.
+// leave puts the fact that the client of a request is gone, which shows in left at once.
 func (m *mailbox) leave(id string, f func(now time.Duration)) {
 	m.mu.Lock()
 	m.facts = append(m.facts, f)
@@ -130,33 +130,33 @@
 	return facts
 }
 
-// Take takes an event that was read just now. Just one final answer is given to its Reply, unless its client leaves.
-func (o *Owner) Take(e *Event) {
+// Submit takes a request that was read just now. Just one final answer is given to its Reply, unless its client leaves.
+func (o *Owner) Submit(e *Request) {
 	read := o.Now()
 	o.box.put(func(now time.Duration) {
 		// the client's time goes on while the owner stands still; else what came meanwhile is answered too late (rule 1)
-		e.Fact.Patience -= min(e.Fact.Patience, max(0, now-read))
+		e.Fact.TimeLeft -= min(e.Fact.TimeLeft, max(0, now-read))
 		o.came(now, e)
 	})
 }
 
-// Left tells that the client of an event is gone; nobody waits for what is out for it, which is given up. From now on no
-// launch of it leaves, however many facts the owner hears before this one.
-func (o *Owner) Left(id string) {
+// ClientGone tells that the client of a request is gone; nobody waits for what is out for it, which is given up. From now on no
+// attempt of it leaves, however many facts the owner hears before this one.
+func (o *Owner) ClientGone(id string) {
 	o.box.leave(id, func(now time.Duration) {
 		o.box.heard(id)
 		e := o.events[id]
-		if !o.core.Left(now, id) {
+		if !o.core.ClientGone(now, id) {
 			return
 		}
 		o.counts.Left++
-		for _, l := range e.out {
+		for _, l := range e.inFlight {
 			l.Recall()
 		}
 	})
 }
 
-// EndBy has every event in hand, and those that come yet, answered by a time.
+// EndBy has every request in hand, and those that come yet, answered by a time.
 func (o *Owner) EndBy(t time.Time) {
 	by := t.Sub(o.base)
 	o.box.put(func(now time.Duration) {
@@ -165,14 +165,14 @@
 	})
 }
 
-// Listed tells news of the list of workers.
-func (o *Owner) Listed(whole bool, news []choice.Listing) {
-	o.box.put(func(now time.Duration) { o.core.Listed(now, whole, news) })
+// UpdateMembership tells news of the list of workers.
+func (o *Owner) UpdateMembership(whole bool, news []choice.Member) {
+	o.box.put(func(now time.Duration) { o.core.UpdateMembership(now, whole, news) })
 }
 
-// ListFailed tells that the list broke off.
-func (o *Owner) ListFailed() {
-	o.box.put(func(now time.Duration) { o.core.ListFailed(now) })
+// WatchFailed tells that the list broke off.
+func (o *Owner) WatchFailed() {
+	o.box.put(func(now time.Duration) { o.core.WatchFailed(now) })
 }
 
 // Run is the goroutine that owns the core.
@@ -243,7 +243,7 @@
 }
 
 // Members asks for the workers that the core has on its list, in the order of their names; false once it has ended.
-func (o *Owner) Members(ctx context.Context) (members []choice.Listing, running bool) {
+func (o *Owner) Members(ctx context.Context) (members []choice.Member, running bool) {
 	running = o.ask(ctx, func() { members = o.core.Members() })
 	return members, running
 }
@@ -271,7 +271,7 @@
 	return false
 }
 
-func (o *Owner) came(now time.Duration, e *Event) {
+func (o *Owner) came(now time.Duration, e *Request) {
 	if e.Twin != "" { // the client's own name of it: two at once might both run
 		if o.twins[e.Twin] {
 			e.Reply(invoke.Answer{Ending: invoke.InHand, Reason: "an event of this id is in hand"})
@@ -279,15 +279,15 @@
 		}
 		o.twins[e.Twin] = true
 	}
-	e.came, e.out = now, map[int]Sent{}
+	e.submittedAt, e.inFlight = now, map[int]Sent{}
 	if o.events[e.Fact.ID] != nil {
 		delete(o.twins, e.Twin)
-		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: core.ErrInHand.Error()})
+		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: core.ErrDuplicate.Error()})
 		return
 	}
 	o.events[e.Fact.ID] = e // the core may act on it at once
 	o.counts.Taken++
-	if err := o.core.Came(now, e.Fact); err != nil {
+	if err := o.core.Submit(now, e.Fact); err != nil {
 		delete(o.events, e.Fact.ID)
 		delete(o.twins, e.Twin)
 		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: err.Error()})
@@ -296,8 +296,8 @@
 
 // The methods of core.Actor, called by the goroutine only.
 
-// Launch sends a launch to a worker, unless the client is gone by now: an attempt that begins later is a break.
-func (o *Owner) Launch(fact *choice.Event, launch int, worker string) {
+// Send sends an attempt to a worker, unless the client is gone by now: an attempt that begins later is a break.
+func (o *Owner) Send(fact *choice.Request, launch int, worker string) {
 	e := o.events[fact.ID]
 	if o.box.gone(fact.ID) {
 		o.box.put(func(now time.Duration) {
@@ -308,12 +308,12 @@
 	o.counts.Launches++
 	e.sent++
 	sent := time.Now()
-	wait := min(e.came+fact.Patience, o.endBy) - o.Now()
-	l := o.workers.Launch(e, launch, worker, wait, func(out choice.Outcome, body []byte) {
+	wait := min(e.submittedAt+fact.TimeLeft, o.endBy) - o.Now()
+	l := o.workers.Send(e, launch, worker, wait, func(out choice.Outcome, body []byte) {
 		o.box.put(func(now time.Duration) {
-			delete(e.out, launch)
+			delete(e.inFlight, launch)
 			out.Worker, out.Took = worker, time.Since(sent)
-			if out.Result == choice.Handled {
+			if out.Result == choice.Completed {
 				e.answer = body
 			}
 			if !o.core.Outcome(now, fact.ID, launch, out) {
@@ -322,43 +322,43 @@
 		})
 	})
 	if l != nil { // none where no worker was found: there is nothing to give up
-		e.out[launch] = l
+		e.inFlight[launch] = l
 	}
 }
 
-// Handle answers the client.
-func (o *Owner) Handle(fact *choice.Event, launch int) {
+// Complete answers the client.
+func (o *Owner) Complete(fact *choice.Request, launch int) {
 	o.counts.Handled++
 	e := o.events[fact.ID]
 	e.Reply(invoke.Answer{Ending: invoke.Handled, Launches: launch + 1, Body: e.answer})
 }
 
-// Defer answers the client that another try is harmless.
-func (o *Owner) Defer(fact *choice.Event, back time.Duration, _ bool) {
+// Reject answers the client that another try is harmless.
+func (o *Owner) Reject(fact *choice.Request, back time.Duration, _ bool) {
 	o.counts.Deferred++
 	e := o.events[fact.ID]
 	e.Reply(invoke.Answer{Ending: invoke.Deferred, Launches: e.sent, Back: back,
 		Reason: "not handled in time; trying again does no harm"})
 }
 
-// DeadLetter answers the client that no other try was possible.
-func (o *Owner) DeadLetter(fact *choice.Event, launches int, mayRun bool) {
+// Fail answers the client that no other try was possible.
+func (o *Owner) Fail(fact *choice.Request, launches int, mayRun bool) {
 	o.counts.DeadLettered++
 	o.events[fact.ID].Reply(invoke.Answer{Ending: invoke.DeadLettered, Launches: launches, MayRun: mayRun,
 		Reason: "not handled; its type allows no other try"})
 }
 
-// Withdraw gives a launch up; its outcome is a fact of a moment to come.
-func (o *Owner) Withdraw(fact *choice.Event, launch int, _ string) {
-	if l := o.events[fact.ID].out[launch]; l != nil {
+// Cancel gives an attempt up; its outcome is a fact of a moment to come.
+func (o *Owner) Cancel(fact *choice.Request, launch int, _ string) {
+	if l := o.events[fact.ID].inFlight[launch]; l != nil {
 		l.Recall()
 	}
 }
 
-// Ended forgets an event; launches whose outcome was not waited for are given up.
-func (o *Owner) Ended(fact *choice.Event, _ int, _ core.Ending) {
+// Ended forgets a request; attempts whose outcome was not waited for are given up.
+func (o *Owner) Ended(fact *choice.Request, _ int, _ core.Ending) {
 	e := o.events[fact.ID]
-	for _, l := range e.out {
+	for _, l := range e.inFlight {
 		l.Recall()
 	}
 	delete(o.twins, e.Twin)
@@ -368,21 +368,21 @@
 	}
 }
 
-// Order sends a load order.
-func (o *Owner) Order(order choice.Order) {
+// Load sends a load request.
+func (o *Owner) Load(order choice.LoadRequest) {
 	o.counts.Orders++
 	sent, answered := time.Now(), false
 	end := func(copies int, r choice.Result) {
 		o.box.put(func(now time.Duration) {
 			if !answered {
 				answered = true
-				order.Copies = copies
+				order.Replicas = copies
 				o.core.Loaded(now, order, r, time.Since(sent))
 			}
 		})
 	}
-	asked := order.Copies
-	s := o.workers.Order(order, end)
+	asked := order.Replicas
+	s := o.workers.Load(order, end)
 	time.AfterFunc(o.orderLimit, func() {
 		end(asked, choice.TimedOut)
 		recall(s)
@@ -415,8 +415,8 @@
 	}
 }
 
-// Ask subscribes to the list.
-func (o *Owner) Ask() { o.workers.Ask() }
+// Subscribe subscribes to the list.
+func (o *Owner) Subscribe() { o.workers.Subscribe() }
 
 // Wake sets the timer; the core asks only for one that comes before those it has asked for.
 func (o *Owner) Wake(after time.Duration) {
--- a/internal/gate/owner_test.go
+++ b/internal/gate/owner_test.go
@@ -18,30 +18,30 @@
 	recalled chan struct{} // an order was given up
 }
 
-func (n *nowhere) Launch(e *gate.Event, _ int, _ string, _ time.Duration, _ func(choice.Outcome, []byte)) gate.Sent {
-	n.owner.Left(e.Fact.ID)
+func (n *nowhere) Send(e *gate.Request, _ int, _ string, _ time.Duration, _ func(choice.Outcome, []byte)) gate.Sent {
+	n.owner.ClientGone(e.Fact.ID)
 	n.launched <- struct{}{}
 	return nil
 }
 
-func (n *nowhere) Order(choice.Order, func(int, choice.Result)) gate.Sent   { return n }
-func (n *nowhere) Probe(string, func(choice.Result, choice.Load)) gate.Sent { return nil }
-func (n *nowhere) Ask()                                                     {}
-func (n *nowhere) Recall()                                                  { n.recalled <- struct{}{} }
+func (n *nowhere) Load(choice.LoadRequest, func(int, choice.Result)) gate.Sent { return n }
+func (n *nowhere) Probe(string, func(choice.Result, choice.Load)) gate.Sent    { return nil }
+func (n *nowhere) Subscribe()                                                  {}
+func (n *nowhere) Recall()                                                     { n.recalled <- struct{}{} }
 
 // nowhereAt starts an owner whose workers are nowhere, with one worker listed.
 func nowhereAt(t *testing.T, orders bool) *nowhere {
 	out := &nowhere{launched: make(chan struct{}, 1), recalled: make(chan struct{}, 100)}
 	out.owner = gate.NewOwner(front(orders), out, nil, time.Millisecond, time.Second)
 	run(t, out.owner)
-	out.owner.Listed(true, []choice.Listing{{Worker: "w"}})
+	out.owner.UpdateMembership(true, []choice.Member{{Worker: "w"}})
 	return out
 }
 
-func front(orders bool) core.Front {
-	return core.Front{Seed: 1, Peers: 1, Quantum: time.Millisecond, Launches: 1,
-		Loading: core.Loading{Orders: orders, OnMiss: true, Keep: time.Minute, Limit: time.Second},
-		Types:   []choice.EventType{{Name: "call", Target: 100 * time.Millisecond}}}
+func front(orders bool) core.Settings {
+	return core.Settings{Seed: 1, FrontEnds: 1, Quantum: time.Millisecond, MaxAttempts: 1,
+		Loading: core.Loading{Requests: orders, OnMiss: true, Keep: time.Minute, Limit: time.Second},
+		Types:   []choice.RequestType{{Name: "call", Objective: 100 * time.Millisecond}}}
 }
 
 func run(t *testing.T, o *gate.Owner) {
@@ -61,9 +61,9 @@
 	nowhere
 }
 
-func (r *ready) Launch(e *gate.Event, _ int, _ string, _ time.Duration, done func(choice.Outcome, []byte)) gate.Sent {
+func (r *ready) Send(e *gate.Request, _ int, _ string, _ time.Duration, done func(choice.Outcome, []byte)) gate.Sent {
 	r.launched <- struct{}{}
-	done(choice.Outcome{Result: choice.Handled, Warmth: choice.FoundWarm}, nil)
+	done(choice.Outcome{Result: choice.Completed, Warmth: choice.FoundWarm}, nil)
 	return nil
 }
 
@@ -72,13 +72,13 @@
 func TestLeftBeforeItIsHeard(t *testing.T) {
 	out, gone := &ready{nowhere{launched: make(chan struct{}, 2)}}, make(chan struct{})
 	out.owner = gate.NewOwner(front(false), out, nil, time.Millisecond, time.Second)
-	event := func(id string, reply func(invoke.Answer), gone func()) *gate.Event {
-		return &gate.Event{Fact: &choice.Event{ID: id, Type: "call", Function: 9, Patience: 3 * time.Second, Lanes: 1}, Reply: reply, Gone: gone}
+	event := func(id string, reply func(invoke.Answer), gone func()) *gate.Request {
+		return &gate.Request{Fact: &choice.Request{ID: id, Type: "call", Function: 9, TimeLeft: 3 * time.Second, Concurrency: 1}, Reply: reply, Gone: gone}
 	}
-	out.owner.Listed(true, []choice.Listing{{Worker: "w"}})
-	out.owner.Take(event("first", func(invoke.Answer) { // the owner is here: it hears both of these together
-		out.owner.Take(event("second", func(a invoke.Answer) { t.Error("an answer to nobody:", a) }, func() { close(gone) }))
-		out.owner.Left("second")
+	out.owner.UpdateMembership(true, []choice.Member{{Worker: "w"}})
+	out.owner.Submit(event("first", func(invoke.Answer) { // the owner is here: it hears both of these together
+		out.owner.Submit(event("second", func(a invoke.Answer) { t.Error("an answer to nobody:", a) }, func() { close(gone) }))
+		out.owner.ClientGone("second")
 	}, nil))
 	run(t, out.owner)
 	<-gone
@@ -90,7 +90,7 @@
 // A client that leaves while its launch found no worker has nothing to give up.
 func TestLeftWithoutLaunch(t *testing.T) {
 	out := nowhereAt(t, false)
-	out.owner.Take(&gate.Event{Fact: &choice.Event{ID: "e", Type: "call", Function: 9, Patience: 3 * time.Second, Lanes: 1},
+	out.owner.Submit(&gate.Request{Fact: &choice.Request{ID: "e", Type: "call", Function: 9, TimeLeft: 3 * time.Second, Concurrency: 1},
 		Reply: func(a invoke.Answer) { t.Error("an answer to nobody:", a) }})
 	<-out.launched
 	out.owner.Pause(0) // once it stands still for that, it has heard that the client left
@@ -99,7 +99,7 @@
 // An order that is not answered in time is given up: it would hold its connection for good.
 func TestLostOrder(t *testing.T) {
 	out := nowhereAt(t, true)
-	out.owner.Take(&gate.Event{Fact: &choice.Event{ID: "e", Type: "call", Function: 9, Patience: time.Minute, Lanes: 1},
+	out.owner.Submit(&gate.Request{Fact: &choice.Request{ID: "e", Type: "call", Function: 9, TimeLeft: time.Minute, Concurrency: 1},
 		Reply: func(invoke.Answer) {}})
 	<-out.recalled
 }
--- a/internal/gate/shape_test.go
+++ b/internal/gate/shape_test.go
@@ -45,7 +45,7 @@
 			listed = listed || l.Kind == "box" && l.Size == 4
 		}
 		came = came || e.Op == core.OpCame && e.Event.Memory == float64(128<<20)
-		if e.Outcome.Load.Told {
+		if e.Outcome.Load.Reported {
 			t.Errorf("a report was told: %+v", e)
 		}
 	}
@@ -67,7 +67,7 @@
 				t.Errorf("a size was told: %+v", l)
 			}
 		}
-		told = told || e.Outcome.Load.Told
+		told = told || e.Outcome.Load.Reported
 	}
 	if !told {
 		t.Error("no report")
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -25,7 +25,7 @@
 	Sockets               int
 	Known                 feed.News
 	Settings              settings.Paths
-	Front                 core.Front
+	Front                 core.Settings
 }
 
 const mostConfig = 16 << 20
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -89,9 +89,9 @@
 		return
 	}
 	e.workers.news(event)
-	var listings []choice.Listing
+	var listings []choice.Member
 	for _, w := range event.List.Workers {
-		l := choice.Listing{Worker: w.Name, Zone: w.Zone, Kind: w.Kind, Cell: strconv.Itoa(w.Cell)}
+		l := choice.Member{Worker: w.Name, Zone: w.Zone, Kind: w.Kind, Cell: strconv.Itoa(w.Cell)}
 		if e.config.Settings.Sized() {
 			l.Size = w.Size
 		}
@@ -102,11 +102,11 @@
 		case feed.Draining:
 			l.Condition = choice.Draining
 		case feed.Removed:
-			l.Condition = choice.Gone
+			l.Condition = choice.Removed
 		}
 		listings = append(listings, l)
 	}
-	e.Listed(event.List.Whole, listings)
+	e.UpdateMembership(event.List.Whole, listings)
 	e.told(event)
 }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -55,7 +55,7 @@
 	f := &Front{engine: newEngine(c, log, record), listener: listener, reads: reads{keyed: map[string]bool{}, tenants: map[string]bool{}}}
 	f.reads.ages, f.longest = c.ages()
 	for _, t := range c.Front.Types {
-		f.reads.keyed[t.Name] = t.Effect == choice.Keyed
+		f.reads.keyed[t.Name] = t.Effect == choice.IdempotencyKey
 	}
 	for _, t := range c.Front.Tenants {
 		f.reads.tenants[t.Name] = true
@@ -133,10 +133,10 @@
 func (f *Front) dispatch(c *thrift.Conn, seq int32, args thrift.Args, refuse func(int32, string)) {
 	r, err := f.reads.read(args)
 	if err != nil {
-		r = request{fact: &choice.Event{}}
+		r = request{fact: &choice.Request{}}
 	}
 	// the number is checked first: an answer under one that is open would be the answer to another request
-	if !c.Begin(seq, func() { f.Left(r.fact.ID) }) {
+	if !c.Begin(seq, func() { f.ClientGone(r.fact.ID) }) {
 		refuse(thrift.BadSequence, "a number that is not new, or too many requests at a time")
 		return
 	}
@@ -148,7 +148,7 @@
 		return
 	}
 	if !f.recent.add(r.number, time.Now()) { // every request has an id of its own, a repeat too
-		r.fact = &choice.Event{}
+		r.fact = &choice.Request{}
 		bad("an event of this id came before")
 		return
 	}
@@ -158,7 +158,7 @@
 		c.Answer(seq, thrown(seq, resultThrottled))
 		return
 	}
-	f.Take(&gate.Event{Fact: r.fact, Body: r.body, Call: invoke.Call{Key: r.mark}, Gone: func() { f.bytes.Add(-size) },
+	f.Submit(&gate.Request{Fact: r.fact, Body: r.body, Call: invoke.Call{Key: r.mark}, Gone: func() { f.bytes.Add(-size) },
 		Reply: func(a invoke.Answer) { c.Answer(seq, spellAnswer(seq, a)) }})
 }
 
--- a/internal/platform/hollow.go
+++ b/internal/platform/hollow.go
@@ -51,7 +51,7 @@
 }
 
 // Submit takes a request; reply is told its final answer, by the goroutine that owns the core, and must not wait.
-func (h *Hollow) Submit(r Request, reply func(invoke.Answer)) {
-	h.Take(&gate.Event{Fact: &choice.Event{ID: r.ID, Type: r.Class, Tenant: r.Tenant, Function: r.Function, Patience: r.Wait,
-		Lanes: r.Lanes, Memory: r.Memory, LoadTime: r.LoadTime}, Reply: reply})
+func (h *Hollow) Draw(r Request, reply func(invoke.Answer)) {
+	h.Submit(&gate.Request{Fact: &choice.Request{ID: r.ID, Type: r.Class, Tenant: r.Tenant, Function: r.Function, TimeLeft: r.Wait,
+		Concurrency: r.Lanes, Memory: r.Memory, LoadTime: r.LoadTime}, Reply: reply})
 }
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -32,7 +32,7 @@
 
 // request is an event as a client sends it.
 type request struct {
-	fact   *choice.Event
+	fact   *choice.Request
 	number uint64 // the id as a number
 	mark   string // of a keyed event, by which workers know a repeat
 	body   []byte
@@ -77,11 +77,11 @@
 	if err != nil || wait == 0 || patience > age+time.Millisecond { // rounded up
 		return request{}, fmt.Errorf("wait: %q is not from 1 to the max age in milliseconds", fields["wait"])
 	}
-	fact := &choice.Event{ID: id, Type: class, Tenant: tenant, Function: function, Patience: patience}
+	fact := &choice.Request{ID: id, Type: class, Tenant: tenant, Function: function, TimeLeft: patience}
 	switch fields["retry"] {
 	case "", "0":
 	case "1":
-		fact.Repeat = true
+		fact.Retry = true
 	default:
 		return request{}, fmt.Errorf("retry: %q is neither 1 nor absent", fields["retry"])
 	}
@@ -111,7 +111,7 @@
 }
 
 // facts reads what is told of a request's function.
-func facts(e *choice.Event, text string) error {
+func facts(e *choice.Request, text string) error {
 	if text == "" {
 		return nil
 	}
@@ -125,7 +125,7 @@
 		case "memory_mb":
 			e.Memory = n
 		case "lanes", "at_once":
-			if e.Lanes = int(n); n != math.Trunc(n) || n < 1 || n > mostLanes {
+			if e.Concurrency = int(n); n != math.Trunc(n) || n < 1 || n > mostLanes {
 				return fmt.Errorf("%q is no number of lanes", part)
 			}
 		case "load_ms":
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -81,8 +81,8 @@
 // Recall gives it up.
 func (s sent) Recall() { s.Call.Recall(s.kill) }
 
-// Launch sends a launch to a worker.
-func (w *workers) Launch(e *gate.Event, _ int, worker string, left time.Duration, done func(choice.Outcome, []byte)) gate.Sent {
+// Send sends a launch to a worker.
+func (w *workers) Send(e *gate.Request, _ int, worker string, left time.Duration, done func(choice.Outcome, []byte)) gate.Sent {
 	b := w.find(worker)
 	if b == nil {
 		done(choice.Outcome{Result: choice.Unreached}, nil)
@@ -109,7 +109,7 @@
 	case resp.Broken:
 		return choice.Outcome{Result: choice.Broken}, nil
 	case resp.GivenUp:
-		return choice.Outcome{Result: choice.Withdrawn}, nil
+		return choice.Outcome{Result: choice.Cancelled}, nil
 	}
 	if len(a.Words) != 3 { // the request has run, and what came of it can't be told
 		return choice.Outcome{Result: choice.Broken}, nil
@@ -128,7 +128,7 @@
 	}
 	switch string(a.Words[0]) {
 	case "ok":
-		o.Result, body = choice.Handled, bytes.Clone(a.Words[2])
+		o.Result, body = choice.Completed, bytes.Clone(a.Words[2])
 	case "nothing":
 		o.Result = choice.Missing
 	case "refused":
@@ -143,31 +143,31 @@
 	return o, body
 }
 
-// Order sends a load order.
-func (w *workers) Order(o choice.Order, done func(copies int, r choice.Result)) gate.Sent {
+// Load sends a load order.
+func (w *workers) Load(o choice.LoadRequest, done func(copies int, r choice.Result)) gate.Sent {
 	b := w.find(o.Worker)
 	if b == nil {
-		done(o.Copies, choice.Unreached)
+		done(o.Replicas, choice.Unreached)
 		return nil
 	}
 	tag := w.tag()
-	frame := resp.Append(nil, "SPAWN", tag, "key="+spell(o.Function)+",n="+strconv.Itoa(o.Copies))
+	frame := resp.Append(nil, "SPAWN", tag, "key="+spell(o.Function)+",n="+strconv.Itoa(o.Replicas))
 	return sent{b.Call(tag, frame, false, func(a resp.Answer) {
 		switch {
 		case a.Fate == resp.Unsent:
-			done(o.Copies, choice.Unreached)
+			done(o.Replicas, choice.Unreached)
 			return
 		case a.Fate != resp.Answered || len(a.Words) < 2:
-			done(o.Copies, choice.Broken)
+			done(o.Replicas, choice.Broken)
 			return
 		}
 		copies, err := strconv.Atoi(pairs(string(a.Words[1]))["n"])
 		result := choice.Broken
 		switch string(a.Words[0]) {
 		case "ok":
-			result = choice.Handled
+			result = choice.Completed
 			if err != nil {
-				copies = o.Copies
+				copies = o.Replicas
 			}
 		case "refused":
 			result = choice.Full
@@ -197,7 +197,7 @@
 			if len(a.Words) > 1 {
 				load = w.load(pairs(string(a.Words[1]))["stats"])
 			}
-			done(choice.Handled, load)
+			done(choice.Completed, load)
 		case string(a.Words[0]) == "no":
 			done(choice.Full, choice.Load{})
 		default:
@@ -206,8 +206,8 @@
 	}), nil}
 }
 
-// Ask is not needed: the journal is followed all the time.
-func (w *workers) Ask() {}
+// Subscribe is not needed: the journal is followed all the time.
+func (w *workers) Subscribe() {}
 
 func (w *workers) tag() string { return "t" + strconv.FormatUint(w.tags.Add(1), 10) }
 
@@ -226,7 +226,7 @@
 			continue
 		}
 		n, err := strconv.ParseFloat(value, 64)
-		return choice.Load{Told: err == nil, Waiting: n}
+		return choice.Load{Reported: err == nil, QueueDepth: n}
 	}
 	return choice.Load{}
 }
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -9,15 +9,15 @@
 )
 
 // Front is what a core is started with.
-func (p Paths) Front(seed uint64) core.Front {
-	f := core.Front{Seed: seed, Self: int(p.Number("index", 0)), Peers: int(p.Number("instances", 1)),
+func (p Paths) Front(seed uint64) core.Settings {
+	f := core.Settings{Seed: seed, Self: int(p.Number("index", 0)), FrontEnds: int(p.Number("instances", 1)),
 		Quantum: p.Time("quantum", 0)}
 	for i := range int(p.Number("request_classes.count", 0)) {
 		at := "request_classes." + strconv.Itoa(i) + "."
 		age := p.Time(at+"give_up", 0)
-		f.Types = append(f.Types, choice.EventType{Name: p[at+"name"], Effect: effect(p[at+"effect"]),
+		f.Types = append(f.Types, choice.RequestType{Name: p[at+"name"], Effect: effect(p[at+"effect"]),
 			Group: group(p[at+"dedup_scope"]), Window: p.Time(at+"window", 0),
-			Target: p.Time(at+"aim", age)})
+			Objective: p.Time(at+"aim", age)})
 	}
 	for i := range int(p.Number("orgs.count", 0)) {
 		at := "orgs." + strconv.Itoa(i) + "."
@@ -32,19 +32,19 @@
 		f.Kinds = append(f.Kinds, core.Kind{Name: kinds[i], Memory: mb})
 	}
 	if p.Flag("policy_limits.retry_after", false) {
-		f.MostBack = p.Time("policy_limits.max_retry_after", 0)
+		f.MaxRetryAfter = p.Time("policy_limits.max_retry_after", 0)
 	}
-	f.Launches = int(p.Number("policy_limits.send_cap", 1))
+	f.MaxAttempts = int(p.Number("policy_limits.send_cap", 1))
 	f.Cancel, f.Probe = p.Flag("policy_limits.cancel", false), p.Flag("policy_limits.probing", false)
-	f.Loading = core.Loading{Orders: p.Flag("family_info.orders", false),
+	f.Loading = core.Loading{Requests: p.Flag("family_info.orders", false),
 		OnMiss: p["family_info.miss_mode"] != "miss", Keep: p.Time("family_info.keep", 0),
 		Limit: p.Time("family_info.order_limit", 0), Within: p.Time("family_info.loads_within", 0),
 		Free: p.Number("family_info.loads_anyway", 0), Share: p.Number("family_info.load_part", 0)}
-	f.ColdStarts = core.ColdStarts{From: p.Number("rules.cold_from", 0),
+	f.SlowStart = core.SlowStart{From: p.Number("rules.cold_from", 0),
 		WarmAfter: p.Time("rules.warm_after", 0), Multiple: p.Number("rules.fall_multiple", 0),
 		Fall: p.Time("rules.fall", 0)}
 	if p["registry_mode"] == "ask" {
-		f.AskWithin = max(p.Time("rules.must_ask_in", 0), 1)
+		f.SubscribeWithin = max(p.Time("rules.must_ask_in", 0), 1)
 	}
 	return f
 }
@@ -55,9 +55,9 @@
 func effect(word string) choice.Effect {
 	switch word {
 	case "pure":
-		return choice.Redeliverable
+		return choice.Idempotent
 	case "token":
-		return choice.Keyed
+		return choice.IdempotencyKey
 	}
 	return choice.AtMostOnce
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -24,17 +24,17 @@
 	}
 	p := settings.Flat(object)
 	f := p.Front(9)
-	if f.Seed != 9 || f.Self != 1 || f.Peers != 3 || f.Quantum != time.Millisecond || f.Launches != 6 || !p.Sized() {
+	if f.Seed != 9 || f.Self != 1 || f.FrontEnds != 3 || f.Quantum != time.Millisecond || f.MaxAttempts != 6 || !p.Sized() {
 		t.Errorf("%+v", f)
 	}
 	if len(f.Kinds) != 2 || f.Kinds[1].Name != "std" || f.Kinds[1].Memory != 187136.5 || f.Loading.Keep != 4750*time.Millisecond {
 		t.Errorf("%+v", f)
 	}
-	if len(f.Types) != 2 || f.Types[0].Effect != choice.Redeliverable || f.Types[0].Target != 1470*time.Millisecond ||
-		f.Types[1].Effect != choice.AtMostOnce || f.Types[1].Target != 2*time.Second {
+	if len(f.Types) != 2 || f.Types[0].Effect != choice.Idempotent || f.Types[0].Objective != 1470*time.Millisecond ||
+		f.Types[1].Effect != choice.AtMostOnce || f.Types[1].Objective != 2*time.Second {
 		t.Errorf("%+v", f.Types)
 	}
-	if len(f.Tenants) != 1 || f.Tenants[0].Quota != 188 || f.MostBack != 2*time.Second || p["empty.count"] != "0" {
+	if len(f.Tenants) != 1 || f.Tenants[0].Quota != 188 || f.MaxRetryAfter != 2*time.Second || p["empty.count"] != "0" {
 		t.Errorf("%+v", f)
 	}
 }
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -131,7 +131,7 @@
 		line.Word("worker")
 	case "LAPSED":
 		if id := line.Word("request"); line.Done() == nil {
-			in.Left(h.now, id)
+			in.ClientGone(h.now, id)
 		}
 	case "ELAPSED":
 		if line.Whole("timer", false); line.Done() == nil {
@@ -146,10 +146,10 @@
 			in.Probed(h.now, worker, result, report, took)
 		}
 	case "LOAD_RESULT":
-		order := choice.Order{Worker: line.Word("worker"), Function: line.Whole("function", false)}
+		order := choice.LoadRequest{Worker: line.Word("worker"), Function: line.Whole("function", false)}
 		result := outcome(line)
 		took := line.Time("time", true)
-		order.Copies = int(line.Whole("copies", true))
+		order.Replicas = int(line.Whole("copies", true))
 		if line.Done() == nil {
 			in.Loaded(h.now, order, result, took)
 		}
@@ -194,7 +194,7 @@
 	if err := line.Done(); err != nil {
 		return err
 	}
-	var news []choice.Listing
+	var news []choice.Member
 	for range n {
 		line, err := h.next("ENTRY")
 		if err != nil {
@@ -203,7 +203,7 @@
 		if line.Word("ENTRY") != "ENTRY" {
 			line.Complain("ENTRY")
 		}
-		l := choice.Listing{Worker: line.Word("worker"), Zone: line.Maybe("zone")}
+		l := choice.Member{Worker: line.Word("worker"), Zone: line.Maybe("zone")}
 		l.Kind = line.Maybe("kind")
 		l.Cell = line.Maybe("cell")
 		switch word := line.Word("condition"); word {
@@ -211,7 +211,7 @@
 		case "LAME":
 			l.Condition = choice.Draining
 		case "OUT":
-			l.Condition = choice.Gone
+			l.Condition = choice.Removed
 		default:
 			line.Complain("IN, LAME or OUT, got " + strconv.Quote(word))
 		}
@@ -225,27 +225,27 @@
 		news = append(news, l)
 	}
 	if kind == "broken" {
-		in.ListFailed(h.now)
+		in.WatchFailed(h.now)
 	} else {
-		in.Listed(h.now, kind != "patch", news)
+		in.UpdateMembership(h.now, kind != "patch", news)
 	}
 	h.touch(in)
 	return nil
 }
 
 func (h *Host) incoming(in *instance, line *simwire.Line) error {
-	e := &choice.Event{ID: line.Word("request"), Type: line.Word("class"), Tenant: line.Maybe("tenant"),
-		Function: line.Whole("function", false), Patience: line.Time("patience", false)}
+	e := &choice.Request{ID: line.Word("request"), Type: line.Word("class"), Tenant: line.Maybe("tenant"),
+		Function: line.Whole("function", false), TimeLeft: line.Time("patience", false)}
 	line.Number("cost", true)
 	e.Memory = line.Number("memory", true)
-	e.Lanes = int(line.Number("lanes", true))
+	e.Concurrency = int(line.Number("lanes", true))
 	e.LoadTime = time.Duration(line.Number("load time", true) * float64(time.Millisecond))
-	e.Repeat = line.Whole("flags", true)&2 != 0
+	e.Retry = line.Whole("flags", true)&2 != 0
 	if err := line.Done(); err != nil {
 		return err
 	}
 	h.touch(in)
-	if err := in.Came(h.now, e); err != nil {
+	if err := in.Submit(h.now, e); err != nil {
 		return fmt.Errorf("request %s: %w", e.ID, err)
 	}
 	return nil
@@ -275,7 +275,7 @@
 func load(line *simwire.Line) choice.Load {
 	pairs := line.Pairs("load report")
 	waiting, told := pairs["pending"]
-	return choice.Load{Told: told, Waiting: waiting}
+	return choice.Load{Reported: told, QueueDepth: waiting}
 }
 
 // outcome decodes a code; they stand in the order of choice's results.
@@ -290,42 +290,42 @@
 	return choice.Failed
 }
 
-// Launch encodes a launch.
-func (in *instance) Launch(e *choice.Event, _ int, worker string) {
+// Send encodes a launch.
+func (in *instance) Send(e *choice.Request, _ int, worker string) {
 	in.out.Line("SEND", in.name, e.ID, worker)
 }
 
-// Handle has nothing to encode: the simulator conveys an answer itself.
-func (in *instance) Handle(*choice.Event, int) {}
+// Complete has nothing to encode: the simulator conveys an answer itself.
+func (in *instance) Complete(*choice.Request, int) {}
 
-// Defer encodes a refusal.
-func (in *instance) Defer(e *choice.Event, back time.Duration, _ bool) {
+// Reject encodes a refusal.
+func (in *instance) Reject(e *choice.Request, back time.Duration, _ bool) {
 	in.out.Line("SAY_NO", in.name, e.ID, back)
 }
 
-// DeadLetter encodes a failure.
-func (in *instance) DeadLetter(e *choice.Event, _ int, _ bool) {
+// Fail encodes a failure.
+func (in *instance) Fail(e *choice.Request, _ int, _ bool) {
 	in.out.Line("SURRENDER", in.name, e.ID)
 }
 
-// Withdraw encodes the end of the wait for a launch.
-func (in *instance) Withdraw(e *choice.Event, launch int, _ string) {
+// Cancel encodes the end of the wait for a launch.
+func (in *instance) Cancel(e *choice.Request, launch int, _ string) {
 	in.out.Line("WITHDRAW", in.name, e.ID, launch)
 }
 
-// Order encodes a load order.
-func (in *instance) Order(o choice.Order) {
-	in.out.Line("BRING_UP", in.name, o.Worker, o.Function, o.Copies)
+// Load encodes a load order.
+func (in *instance) Load(o choice.LoadRequest) {
+	in.out.Line("BRING_UP", in.name, o.Worker, o.Function, o.Replicas)
 }
 
 // Probe encodes a probe.
 func (in *instance) Probe(worker string) { in.out.Line("TOUCH", in.name, worker) }
 
-// Ask encodes a subscription.
-func (in *instance) Ask() { in.out.Line("WATCH", in.name, 1) }
+// Subscribe encodes a subscription.
+func (in *instance) Subscribe() { in.out.Line("WATCH", in.name, 1) }
 
 // Wake encodes a timer.
 func (in *instance) Wake(after time.Duration) { in.out.Line("SLEEP", in.name, 1, after) }
 
 // Ended has nothing to encode.
-func (in *instance) Ended(*choice.Event, int, core.Ending) {}
+func (in *instance) Ended(*choice.Request, int, core.Ending) {}
--- a/internal/slope/core.go
+++ b/internal/slope/core.go
@@ -43,7 +43,7 @@
 	f := newFleet(l)
 	lines := list(l.Workers)
 	before := heapBytes()
-	f.core.Listed(f.now, true, lines)
+	f.core.UpdateMembership(f.now, true, lines)
 	figures.WorkerBytes = (heapBytes() - before) / float64(l.Workers)
 	figures.TickMicros = f.idleTick()
 	figures.ChangeMicros = f.change(lines)
@@ -82,24 +82,24 @@
 }
 
 // change is the mean time of one changed line: a worker drains and comes back.
-func (f *fleet) change(lines []choice.Listing) float64 {
+func (f *fleet) change(lines []choice.Member) float64 {
 	f.spent = 0
 	for i := range changes {
 		line := lines[i%len(lines)]
 		f.now += 10 * time.Millisecond
-		for _, condition := range []choice.Condition{choice.Draining, choice.In} {
+		for _, condition := range []choice.Condition{choice.Draining, choice.Up} {
 			line.Condition = condition
-			f.timed(func() { f.core.Listed(f.now, false, []choice.Listing{line}) })
+			f.timed(func() { f.core.UpdateMembership(f.now, false, []choice.Member{line}) })
 		}
 	}
 	return micros(f.spent) / (2 * changes)
 }
 
 // wholeList is the mean time, in milliseconds, of a whole list that is the one known.
-func (f *fleet) wholeList(lines []choice.Listing) float64 {
+func (f *fleet) wholeList(lines []choice.Member) float64 {
 	f.spent = 0
 	for range wholeLists {
-		f.timed(func() { f.core.Listed(f.now, true, lines) })
+		f.timed(func() { f.core.UpdateMembership(f.now, true, lines) })
 	}
 	return micros(f.spent) / wholeLists / 1000
 }
@@ -112,10 +112,10 @@
 		at += time.Duration(f.random.ExpFloat64() / l.Rate * float64(time.Second))
 		f.until(at)
 		f.counts.Requests++
-		e := &choice.Event{ID: fmt.Sprint(f.now, f.counts.Requests), Type: "call", Tenant: "tenant", Function: draw(),
-			Patience: maxAge, Lanes: 2, Memory: 1000, LoadTime: loadTime}
+		e := &choice.Request{ID: fmt.Sprint(f.now, f.counts.Requests), Type: "call", Tenant: "tenant", Function: draw(),
+			TimeLeft: maxAge, Concurrency: 2, Memory: 1000, LoadTime: loadTime}
 		f.timed(func() {
-			if err := f.core.Came(f.now, e); err == nil {
+			if err := f.core.Submit(f.now, e); err == nil {
 				f.core.Settle(f.now)
 			}
 		})
--- a/internal/slope/fleet.go
+++ b/internal/slope/fleet.go
@@ -36,24 +36,24 @@
 )
 
 // settings is what the measured front end is started with.
-func (l Load) settings() core.Front {
-	return core.Front{Seed: l.Seed, Peers: l.FrontEnds, Quantum: 2 * time.Millisecond, Launches: 6, Cancel: true, Probe: true,
-		MostBack: 2 * time.Second, Deadlines: true,
-		Types:   []choice.EventType{{Name: "call", Target: target}},
+func (l Load) settings() core.Settings {
+	return core.Settings{Seed: l.Seed, FrontEnds: l.FrontEnds, Quantum: 2 * time.Millisecond, MaxAttempts: 6, Cancel: true, Probe: true,
+		MaxRetryAfter: 2 * time.Second, Deadlines: true,
+		Types:   []choice.RequestType{{Name: "call", Objective: target}},
 		Tenants: []core.Tenant{{Name: "tenant", Quota: 2 * l.Rate * float64(l.FrontEnds)}},
-		Loading: core.Loading{Orders: true, OnMiss: true, Keep: keepLoaded, Limit: 4 * time.Second},
-		ColdStarts: core.ColdStarts{From: 0.3, WarmAfter: 12 * time.Second, Multiple: 2.5,
+		Loading: core.Loading{Requests: true, OnMiss: true, Keep: keepLoaded, Limit: 4 * time.Second},
+		SlowStart: core.SlowStart{From: 0.3, WarmAfter: 12 * time.Second, Multiple: 2.5,
 			Fall: time.Second}}
 }
 
 // listing is one line of the list of workers.
-func listing(number int) choice.Listing {
-	return choice.Listing{Worker: fmt.Sprintf("s-%08x", number*2654435761), Zone: fmt.Sprint("zone", number%zones),
+func listing(number int) choice.Member {
+	return choice.Member{Worker: fmt.Sprintf("s-%08x", number*2654435761), Zone: fmt.Sprint("zone", number%zones),
 		Cell: fmt.Sprint(number / 8), Kind: []string{"fast", "std"}[number%2], Size: float64(4 + number%2)}
 }
 
-func list(workers int) []choice.Listing {
-	lines := make([]choice.Listing, workers)
+func list(workers int) []choice.Member {
+	lines := make([]choice.Member, workers)
 	for i := range lines {
 		lines[i] = listing(i)
 	}
@@ -156,8 +156,8 @@
 	f.now = end
 }
 
-// Launch has a worker answer an attempt: after the load where no replica stands.
-func (f *fleet) Launch(e *choice.Event, launch int, worker string) {
+// Send has a worker answer an attempt: after the load where no replica stands.
+func (f *fleet) Send(e *choice.Request, launch int, worker string) {
 	f.counts.Attempts++
 	at := placed{worker, e.Function}
 	took := time.Duration((0.5 + f.random.ExpFloat64()/2) * float64(answerTime))
@@ -168,13 +168,13 @@
 	}
 	f.loaded[at] = f.now + took + keepLoaded
 	f.after(took, func(now time.Duration) {
-		f.core.Outcome(now, e.ID, launch, choice.Outcome{Worker: worker, Took: took, Result: choice.Handled, Warmth: warmth,
-			Load: choice.Load{Told: true}})
+		f.core.Outcome(now, e.ID, launch, choice.Outcome{Worker: worker, Took: took, Result: choice.Completed, Warmth: warmth,
+			Load: choice.Load{Reported: true}})
 	})
 }
 
-// Order has a worker load a replica.
-func (f *fleet) Order(o choice.Order) {
+// Load has a worker load a replica.
+func (f *fleet) Load(o choice.LoadRequest) {
 	f.counts.Orders++
 	at, took := placed{o.Worker, o.Function}, roundTrip
 	if f.loaded[at] < f.now {
@@ -182,34 +182,34 @@
 		took = loadTime
 	}
 	f.loaded[at] = f.now + took + keepLoaded
-	f.after(took, func(now time.Duration) { f.core.Loaded(now, o, choice.Handled, took) })
+	f.after(took, func(now time.Duration) { f.core.Loaded(now, o, choice.Completed, took) })
 }
 
 // Probe has a worker answer a probe.
 func (f *fleet) Probe(worker string) {
 	f.counts.Probes++
 	f.after(roundTrip, func(now time.Duration) {
-		f.core.Probed(now, worker, choice.Handled, choice.Load{Told: true}, roundTrip)
+		f.core.Probed(now, worker, choice.Completed, choice.Load{Reported: true}, roundTrip)
 	})
 }
 
 // Wake has a timer come.
 func (f *fleet) Wake(after time.Duration) { f.after(after, f.core.Woke) }
 
-// Handle counts an answer.
-func (f *fleet) Handle(*choice.Event, int) { f.counts.Served++ }
+// Complete counts an answer.
+func (f *fleet) Complete(*choice.Request, int) { f.counts.Served++ }
 
-// Defer counts a rejection.
-func (f *fleet) Defer(*choice.Event, time.Duration, bool) { f.counts.Refused++ }
+// Reject counts a rejection.
+func (f *fleet) Reject(*choice.Request, time.Duration, bool) { f.counts.Refused++ }
 
-// DeadLetter counts a failure.
-func (f *fleet) DeadLetter(*choice.Event, int, bool) { f.counts.Refused++ }
+// Fail counts a failure.
+func (f *fleet) Fail(*choice.Request, int, bool) { f.counts.Refused++ }
 
-// Withdraw does nothing: the answer comes and is dropped.
-func (f *fleet) Withdraw(*choice.Event, int, string) {}
+// Cancel does nothing: the answer comes and is dropped.
+func (f *fleet) Cancel(*choice.Request, int, string) {}
 
-// Ask does nothing: the list comes unasked.
-func (f *fleet) Ask() {}
+// Subscribe does nothing: the list comes unasked.
+func (f *fleet) Subscribe() {}
 
 // Ended does nothing.
-func (f *fleet) Ended(*choice.Event, int, core.Ending) {}
+func (f *fleet) Ended(*choice.Request, int, core.Ending) {}
