--- a/choice/reference_test.go
+++ b/choice/reference_test.go
@@ -117,7 +117,6 @@
 	lines  map[string]Member // listed now
 	out    []*Request
 	orders []LoadRequest
-	held   int
 }
 
 func newDrawn(t *rapid.T, workers int) *drawn {
--- a/examples/misbehave/main.go
+++ b/examples/misbehave/main.go
@@ -23,6 +23,7 @@
 		case "fail":
 			return nil, errors.New("told to fail")
 		case "spin":
+			//lint:ignore SA5002 a function that never ends and uses a whole core is what tests ask for here
 			for {
 			}
 		case "allocate":
--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -160,9 +160,7 @@
 		gone.State = feed.Removed
 		change = append(change, gone)
 	}
-	for _, line := range started {
-		change = append(change, line)
-	}
+	change = append(change, started...)
 	r.setLines(workers, started)
 	return r.publish(change)
 }
--- a/internal/scale/list.go
+++ b/internal/scale/list.go
@@ -134,13 +134,7 @@
 	return s.pos, at
 }
 
-// known is the list as a front end is started with.
-func (s *listService) known() (json.RawMessage, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.wholeAnswer()
-}
-
+// wholeAnswer tells the list as it stands; s.mu is held.
 func (s *listService) wholeAnswer() ([]byte, error) {
 	if s.whole != nil {
 		return s.whole, nil
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -76,7 +76,6 @@
 	f       Function
 	copies  int
 	loading int
-	failed  bool // the last load
 	busy    int
 	idle    time.Time
 	queue   []*job
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -20,6 +20,6 @@
 	if f.LogFormat == "json" {
 		return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: f.LogLevel}))
 	}
-	return slog.New(tint.NewHandler(out, &tint.Options{Level: f.LogLevel, TimeFormat: "15:04:05.000",
+	return slog.New(tint.NewTextHandler(out, &tint.Options{Level: f.LogLevel, TimeFormat: "15:04:05.000",
 		NoColor: !term.IsTerminal(int(out.Fd()))}))
 }
