One reader of commands for emulated workers and the workers of tests, one pause

Cause: the loop that reads RESP commands stood three times (the scale run's workers and two tests), a pause that ends with a context twice.

Change: resp.ReadCommands and serve.Pause, used by all of them; the tests keep their assertions. ReadCommands ends at what can't be read; the copies in the tests waited for more.

--- a/cmd/lpgate/main_test.go
+++ b/cmd/lpgate/main_test.go
@@ -46,25 +46,10 @@
 			}
 			go func() {
 				defer conn.Close()
-				var have []byte
-				part := make([]byte, 4096)
-				for {
-					n, err := conn.Read(part)
-					if err != nil {
-						return
-					}
-					have = append(have, part[:n]...)
-					for {
-						words, taken, err := resp.Parse(have, 1<<20)
-						if err != nil || taken == 0 {
-							break
-						}
-						have = have[taken:]
-						if _, err := conn.Write(resp.Append(nil, string(words[1]), "ok", "n=1,how=ready", "body")); err != nil {
-							return
-						}
-					}
-				}
+				_ = resp.ReadCommands(conn, 1<<20, func(words []string, _ int) error { // until the front end ends it
+					_, err := conn.Write(resp.Append(nil, words[1], "ok", "n=1,how=ready", "body"))
+					return err
+				})
 			}()
 		}
 	}()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -71,45 +71,26 @@
 func (w *worker) serve(conn net.Conn) {
 	defer w.done.Done()
 	defer conn.Close()
-	var have []byte
-	part := make([]byte, 4096)
-	for {
-		n, err := conn.Read(part)
-		if err != nil {
-			return
+	_ = resp.ReadCommands(conn, 1<<20, func(texts []string, _ int) error { // until the front end ends it
+		w.saw <- texts
+		var answer []string
+		switch texts[0] {
+		case "FN":
+			w.mu.Lock()
+			says := w.says
+			w.mu.Unlock()
+			answer = says(texts[1], texts[2], texts[3])
+		case "SPAWN":
+			answer = []string{"ok", "n=1", ""}
+		case "TOP":
+			answer = []string{"yes", "stats=busy_reqs:0;pending:0", ""}
 		}
-		have = append(have, part[:n]...)
-		for {
-			words, taken, err := resp.Parse(have, 1<<20)
-			if err != nil || taken == 0 {
-				break
-			}
-			var texts []string
-			for _, word := range words {
-				texts = append(texts, string(word))
-			}
-			have = have[taken:]
-			w.saw <- texts
-			var answer []string
-			switch texts[0] {
-			case "FN":
-				w.mu.Lock()
-				says := w.says
-				w.mu.Unlock()
-				answer = says(texts[1], texts[2], texts[3])
-			case "SPAWN":
-				answer = []string{"ok", "n=1", ""}
-			case "TOP":
-				answer = []string{"yes", "stats=busy_reqs:0;pending:0", ""}
-			}
-			if answer == nil {
-				continue
-			}
-			if _, err := conn.Write(resp.Append(nil, append(texts[1:2:2], answer...)...)); err != nil {
-				return
-			}
+		if answer == nil {
+			return nil
 		}
-	}
+		_, err := conn.Write(resp.Append(nil, append(texts[1:2:2], answer...)...))
+		return err
+	})
 }
 
 // next is the next request of one sort that the worker saw.
--- a/internal/rehearse/play.go
+++ b/internal/rehearse/play.go
@@ -164,7 +164,7 @@
 	}
 	g.Go(func() error {
 		for i, a := range arrivals {
-			if err := sleep(gctx, time.Until(start.Add(a.at))); err != nil {
+			if err := serve.Pause(gctx, time.Until(start.Add(a.at))); err != nil {
 				return err
 			}
 			t, _ := s.o.File.Type(a.function.Type)
@@ -341,20 +341,6 @@
 	return twice, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func add(a, b gate.Counts) gate.Counts {
 	a.Taken, a.Handled, a.Deferred = a.Taken+b.Taken, a.Handled+b.Handled, a.Deferred+b.Deferred
 	a.DeadLettered, a.Left = a.DeadLettered+b.DeadLettered, a.Left+b.Left
@@ -516,11 +502,11 @@
 
 // trouble plays one entry of the time line and undoes it.
 func (s *stage) trouble(ctx context.Context, start time.Time, t Trouble) error {
-	if err := sleep(ctx, time.Until(start.Add(t.At.D()))); err != nil {
+	if err := serve.Pause(ctx, time.Until(start.Add(t.At.D()))); err != nil {
 		return err
 	}
 	s.o.Log.Info("trouble", "day", s.day.Name, "what", t.What, "workers", t.Workers, "fronts", t.Fronts)
-	until := func() error { return sleep(ctx, time.Until(start.Add(t.At.D()+t.For.D()))) }
+	until := func() error { return serve.Pause(ctx, time.Until(start.Add(t.At.D()+t.For.D()))) }
 	var workers []crew.Worker
 	for _, i := range t.Workers {
 		workers = append(workers, s.workers[i])
--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lupinpond/internal/feed"
+	"lupinpond/internal/serve"
 )
 
 // act carries out one row of the timeline and returns when it is over.
@@ -48,18 +49,6 @@
 	return r.random.IntN(below)
 }
 
-// wait waits, or until ctx ends.
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // spread does something to Count workers, drawn without one twice, over the row's time.
 func (r *run) spread(ctx context.Context, row TimelineRow, do func(worker int) error) error {
 	r.mu.Lock()
@@ -68,7 +57,7 @@
 	var g errgroup.Group
 	for i, worker := range workers {
 		if i > 0 && row.Over > 0 {
-			if err := wait(ctx, row.Over.D()/time.Duration(row.Count)); err != nil {
+			if err := serve.Pause(ctx, row.Over.D()/time.Duration(row.Count)); err != nil {
 				return err
 			}
 		}
@@ -126,6 +115,16 @@
 	return r.lines[worker]
 }
 
+// gone are the lines that take workers off the list.
+func (r *run) gone(workers []int) (lines []feed.Worker) {
+	for _, worker := range workers {
+		line := r.line(worker)
+		line.State = feed.Removed
+		lines = append(lines, line)
+	}
+	return lines
+}
+
 func (r *run) setLine(worker int, line feed.Worker) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -138,7 +137,7 @@
 	if err := r.publish([]feed.Worker{line}); err != nil {
 		return err
 	}
-	if err := wait(ctx, lasts); err != nil {
+	if err := serve.Pause(ctx, lasts); err != nil {
 		return err
 	}
 	if r.line(worker).Name != line.Name { // another one has taken its place meanwhile
@@ -154,13 +153,7 @@
 	if err != nil {
 		return err
 	}
-	var change []feed.Worker
-	for _, worker := range workers {
-		gone := r.line(worker)
-		gone.State = feed.Removed
-		change = append(change, gone)
-	}
-	change = append(change, started...)
+	change := append(r.gone(workers), started...)
 	r.setLines(workers, started)
 	return r.publish(change)
 }
@@ -181,16 +174,10 @@
 	if _, err := r.workersDo(workers, func(mine []int) command { return command{Stop: mine} }); err != nil {
 		return err
 	}
-	var gone []feed.Worker
-	for _, worker := range workers {
-		line := r.line(worker)
-		line.State = feed.Removed
-		gone = append(gone, line)
-	}
-	if err := r.publish(gone); err != nil {
+	if err := r.publish(r.gone(workers)); err != nil {
 		return err
 	}
-	if err := wait(ctx, lasts); err != nil {
+	if err := serve.Pause(ctx, lasts); err != nil {
 		return err
 	}
 	started, err := r.workersDo(workers, func(mine []int) command { return command{Start: mine} })
@@ -206,7 +193,7 @@
 	if _, err := r.workersDo(workers, func(mine []int) command { return command{Silence: mine} }); err != nil {
 		return err
 	}
-	if err := wait(ctx, lasts); err != nil {
+	if err := serve.Pause(ctx, lasts); err != nil {
 		return err
 	}
 	return r.replace(workers)
@@ -217,7 +204,7 @@
 	if _, err := r.list.pipe.ask(command{Away: &away}); err != nil {
 		return err
 	}
-	if err := wait(ctx, lasts); err != nil {
+	if err := serve.Pause(ctx, lasts); err != nil {
 		return err
 	}
 	away = false
--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -205,33 +205,10 @@
 		}
 		w.mu.Unlock()
 	}()
-	var have []byte
-	part := make([]byte, 2048)
-	for {
-		n, err := conn.Read(part)
-		if err != nil {
-			return
-		}
-		have = append(have, part[:n]...)
-		for {
-			words, taken, err := resp.Parse(have, mostWord)
-			if err != nil {
-				return
-			}
-			if taken == 0 {
-				break
-			}
-			texts := make([]string, len(words))
-			for i, word := range words {
-				texts[i] = string(word)
-			}
-			have = have[taken:]
-			w.take(conn, texts, int64(taken))
-		}
-		if len(have) == 0 {
-			have = nil
-		}
-	}
+	_ = resp.ReadCommands(conn, mostWord, func(words []string, size int) error { // whatever ends it, the connection is over
+		w.take(conn, words, int64(size))
+		return nil
+	})
 }
 
 // take takes one command.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// Pause waits, or until ctx ends, which is its error.
+func Pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
 // Local is a server on a loopback port inside this process.
 type Local struct {
 	Addr  string // HOST:PORT
