--- a/choice/reference_test.go
+++ b/choice/reference_test.go
@@ -248,6 +248,15 @@
 
 // check compares all that is kept up with what a walk finds.
 func (d *drawn) check() {
+	d.checkMembers()
+	d.checkState()
+	d.checkBusy()
+	d.checkSizes()
+	d.checkOrders()
+}
+
+// checkMembers compares the members with what the test knows of the list and of the attempts under way.
+func (d *drawn) checkMembers() {
 	c := d.c
 	members := map[string]bool{}
 	for name := range d.lines {
@@ -286,6 +295,11 @@
 			}
 		}
 	}
+}
+
+// checkState compares the counts, and what is decided by them.
+func (d *drawn) checkState() {
+	c := d.c
 	before := c.ejectionsIgnored
 	c.fleetState(d.now)
 	if got, want := c.tally, walkedTally(c, d.now); got != want {
@@ -295,8 +309,11 @@
 	if c.inFlight != inFlightNow || c.ejectionsIgnored != unbelieved || c.overloaded != jam {
 		d.Fatalf("in flight %d, unbelieved %v, jam %v; a walk tells %d, %v, %v", c.inFlight, c.ejectionsIgnored, c.overloaded, inFlightNow, unbelieved, jam)
 	}
-	d.checkBusy()
-	d.checkSizes()
+}
+
+// checkOrders compares the shared order and the preferred workers of some functions.
+func (d *drawn) checkOrders() {
+	c := d.c
 	for id := range uint64(2) {
 		f := c.functions[id+1]
 		if f == nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -307,14 +307,24 @@
 
 // contradiction finds the first value that can't be, with its path.
 func (f File) contradiction() (path, reason string) {
-	types, tenants, functions := map[string]EventType{}, map[string]bool{}, map[string]bool{}
-	if len(f.Fleet.Types) == 0 {
+	for _, find := range []func() (path, reason string){f.Fleet.mistakenType, f.Fleet.mistakenTenant, f.Fleet.mistake, f.mixed,
+		f.mistakenFunction, f.Front.mistake} {
+		if path, reason := find(); reason != "" {
+			return path, reason
+		}
+	}
+	return "", ""
+}
+
+func (f Fleet) mistakenType() (path, reason string) {
+	types := map[string]bool{}
+	if len(f.Types) == 0 {
 		return "$.fleet.types", "at least one event type is needed"
 	}
-	for i, t := range f.Fleet.Types {
+	for i, t := range f.Types {
 		at := fmt.Sprintf("$.fleet.types[%d].", i)
-		_, twice := types[t.Name]
-		types[t.Name] = t
+		twice := types[t.Name]
+		types[t.Name] = true
 		switch keyed := t.Effect == "keyed"; {
 		case t.Name == "" || twice:
 			return at + "name", "each event type needs a name of its own"
@@ -336,7 +346,12 @@
 			return at + "benefit", "a benefit is 0 or more"
 		}
 	}
-	for i, t := range f.Fleet.Tenants {
+	return "", ""
+}
+
+func (f Fleet) mistakenTenant() (path, reason string) {
+	tenants := map[string]bool{}
+	for i, t := range f.Tenants {
 		at := fmt.Sprintf("$.fleet.tenants[%d].", i)
 		if t.Name == "" || tenants[t.Name] {
 			return at + "name", "each tenant needs a name of its own"
@@ -346,7 +361,12 @@
 		}
 		tenants[t.Name] = true
 	}
-	l, c := f.Fleet.Loading, f.Fleet.Cold
+	return "", ""
+}
+
+// mistake finds the first value of the fleet's other settings that can't be.
+func (f Fleet) mistake() (path, reason string) {
+	l, c := f.Loading, f.Cold
 	switch {
 	case l.OnMiss != "load" && l.OnMiss != "miss":
 		return "$.fleet.loading.on-miss", fmt.Sprintf("%q is not load or miss", l.OnMiss)
@@ -366,27 +386,35 @@
 		return "$.fleet.cold.fall-multiple", "a multiple is 0 or more"
 	case c.FallMultiple > 0 && (c.Fall <= 0 || c.WarmAfter <= 0 || c.From == 0):
 		return "$.fleet.cold", "a fall multiple needs from, warm-after and fall"
-	case f.Fleet.Allowed.Launches < 1 || f.Fleet.Allowed.Launches > 100:
+	case f.Allowed.Launches < 1 || f.Allowed.Launches > 100:
 		return "$.fleet.allowed.launches", "between 1 and 100 launches an event"
-	case f.Fleet.Quantum <= 0:
+	case f.Quantum <= 0:
 		return "$.fleet.quantum", "more than 0s"
-	case f.Fleet.AskListWithin <= 0:
+	case f.AskListWithin <= 0:
 		return "$.fleet.ask-list-within", "more than 0s"
-	case f.Fleet.StopSendingWithin <= 0:
+	case f.StopSendingWithin <= 0:
 		return "$.fleet.stop-sending-within", "more than 0s"
 	}
-	if at, reason := f.mixed(); reason != "" {
-		return at, reason
+	return "", ""
+}
+
+func (f File) mistakenFunction() (path, reason string) {
+	types, tenants, functions := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for _, t := range f.Fleet.Types {
+		types[t.Name] = true
+	}
+	for _, t := range f.Fleet.Tenants {
+		tenants[t.Name] = true
 	}
 	if len(f.Functions) == 0 {
 		return "$.functions", "at least one function is needed"
 	}
 	for i, fn := range f.Functions {
 		at := fmt.Sprintf("$.functions[%d].", i)
-		switch _, known := types[fn.Type]; {
+		switch {
 		case fn.Name == "" || functions[fn.Name] || strings.ContainsAny(fn.Name, "/?# "):
 			return at + "name", "each function needs a name of its own without /, ?, # or a space"
-		case !known:
+		case !types[fn.Type]:
 			return at + "type", fmt.Sprintf("no event type %q in fleet.types", fn.Type)
 		case fn.Tenant != "" && !tenants[fn.Tenant]:
 			return at + "tenant", fmt.Sprintf("no tenant %q in fleet.tenants", fn.Tenant)
@@ -397,12 +425,17 @@
 		}
 		functions[fn.Name] = true
 	}
-	lim, link := f.Front.Limits, f.Front.Link
-	if err := Loopback(f.Front.Listen); err != nil {
+	return "", ""
+}
+
+// mistake finds the first value of a front end's settings that can't be.
+func (f Front) mistake() (path, reason string) {
+	lim, link := f.Limits, f.Link
+	if err := Loopback(f.Listen); err != nil {
 		return "$.front.listen", err.Error()
 	}
-	if u, err := url.Parse(f.Front.List); err != nil || u.Scheme != "http" || Loopback(u.Host) != nil {
-		return "$.front.list", fmt.Sprintf("%q is no http address on loopback", f.Front.List)
+	if u, err := url.Parse(f.List); err != nil || u.Scheme != "http" || Loopback(u.Host) != nil {
+		return "$.front.list", fmt.Sprintf("%q is no http address on loopback", f.List)
 	}
 	switch {
 	case lim.Header < 1024 || lim.Body < 1 || lim.Body > 12<<20:
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -121,18 +121,7 @@
 	g.group, g.hard = links, hardLinks
 	defer g.recorded()
 
-	server := &http.Server{
-		Handler:           g.handler(),
-		ReadHeaderTimeout: g.o.File.Front.Limits.Read.D(),
-		ReadTimeout:       g.o.File.Front.Limits.Read.D(),
-		IdleTimeout:       g.o.File.Front.Limits.Idle.D(),
-		MaxHeaderBytes:    int(g.o.File.Front.Limits.Header),
-		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
-		BaseContext:       func(net.Listener) context.Context { return hardLinks },
-		Protocols:         new(http.Protocols),
-	}
-	server.Protocols.SetHTTP1(true)
-	server.Protocols.SetUnencryptedHTTP2(true)
+	server := g.server(hardLinks)
 	limited := &limitedListener{Listener: g.o.Tap.Listener(g.o.Listener), open: &g.clients,
 		most: int64(g.o.File.Front.Limits.Connections)}
 
@@ -148,18 +137,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		g.draining.Store(true)
-		g.log.Info("draining", "in hand", g.inHand.Load())
-		longest := g.o.File.Fleet.AnswerSlack.D()
-		for _, t := range g.o.File.Fleet.Types {
-			longest = max(longest, t.MaxAge.D()+g.o.File.Fleet.AnswerSlack.D())
-		}
-		drain, stop := context.WithTimeout(hardLinks, longest)
-		if err = server.Shutdown(drain); err != nil {
-			err = fmt.Errorf("drain: %w", err)
-		}
-		stop()
-		g.goodbye()
+		err = g.drain(hardLinks, server)
 	case err = <-served:
 		served <- err
 	case <-hardLinks.Done():
@@ -183,6 +161,41 @@
 	return err
 }
 
+// server is the server of the invoke API; its requests end with hard.
+func (g *Gate) server(hard context.Context) *http.Server {
+	server := &http.Server{
+		Handler:           g.handler(),
+		ReadHeaderTimeout: g.o.File.Front.Limits.Read.D(),
+		ReadTimeout:       g.o.File.Front.Limits.Read.D(),
+		IdleTimeout:       g.o.File.Front.Limits.Idle.D(),
+		MaxHeaderBytes:    int(g.o.File.Front.Limits.Header),
+		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		BaseContext:       func(net.Listener) context.Context { return hard },
+		Protocols:         new(http.Protocols),
+	}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	return server
+}
+
+// drain has every request in hand answered, and then tells the workers that nothing more comes.
+func (g *Gate) drain(hard context.Context, server *http.Server) error {
+	g.draining.Store(true)
+	g.log.Info("draining", "in hand", g.inHand.Load())
+	longest := g.o.File.Fleet.AnswerSlack.D()
+	for _, t := range g.o.File.Fleet.Types {
+		longest = max(longest, t.MaxAge.D()+g.o.File.Fleet.AnswerSlack.D())
+	}
+	drain, stop := context.WithTimeout(hard, longest)
+	defer stop()
+	err := server.Shutdown(drain)
+	if err != nil {
+		err = fmt.Errorf("drain: %w", err)
+	}
+	g.goodbye()
+	return err
+}
+
 // goodbye tells the workers that nothing more comes; one that does not take it in a moment does without.
 func (g *Gate) goodbye() {
 	g.peersMu.Lock()
--- a/internal/simhost/host.go
+++ b/internal/simhost/host.go
@@ -138,21 +138,9 @@
 			in.Woke(h.now)
 		}
 	case "ECHO":
-		worker := line.Word("worker")
-		took := line.Time("time", true)
-		result := outcome(line)
-		report := load(line)
-		if line.Done() == nil {
-			in.Probed(h.now, worker, result, report, took)
-		}
+		h.probed(in, line)
 	case "LOAD_RESULT":
-		order := choice.LoadRequest{Worker: line.Word("worker"), Function: line.Whole("function", false)}
-		result := outcome(line)
-		took := line.Time("time", true)
-		order.Replicas = int(line.Whole("copies", true))
-		if line.Done() == nil {
-			in.Loaded(h.now, order, result, took)
-		}
+		h.loaded(in, line)
 	case "NEIGHBOUR_SAYS":
 		line.Whole("peer", false)
 		line.Word("bytes")
@@ -166,6 +154,28 @@
 	return nil
 }
 
+// probed decodes the answer to a probe.
+func (h *Host) probed(in *instance, line *simwire.Line) {
+	worker := line.Word("worker")
+	took := line.Time("time", true)
+	result := outcome(line)
+	report := load(line)
+	if line.Done() == nil {
+		in.Probed(h.now, worker, result, report, took)
+	}
+}
+
+// loaded decodes the answer to a load request.
+func (h *Host) loaded(in *instance, line *simwire.Line) {
+	request := choice.LoadRequest{Worker: line.Word("worker"), Function: line.Whole("function", false)}
+	result := outcome(line)
+	took := line.Time("time", true)
+	request.Replicas = int(line.Whole("copies", true))
+	if line.Done() == nil {
+		in.Loaded(h.now, request, result, took)
+	}
+}
+
 func (h *Host) touch(in *instance) {
 	if !in.touched {
 		in.touched = true
