Reread: early words of a change are counted, an unused method is out, names

Cause: a sample could come between a front end's taking a change and the reply that tells its number; that delay was then dropped from the figures (not from the lists, which are compared by themselves).

Change: delays wait until the change's publishing is known. gate.Owner loses a method that nothing called; its fields and Hollow.SubmitDrawn have the field's names.

--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -46,29 +46,29 @@
 // Owner owns the core of one front end: one goroutine takes facts from a mailbox, tells them to the core moment by
 // moment, and carries out what the core says. Ways in put requests there, ways out what comes of them.
 type Owner struct {
-	base       time.Time // the core's clock is an hour at the start
-	box        mailbox
-	started    chan struct{}
-	gone       chan struct{}
-	core       *core.Core
-	recorder   *corelog.Recorder
-	workers    Workers
-	orderLimit time.Duration // an order that is not answered by then is lost
-	probeLimit time.Duration // and a probe
+	base        time.Time // the core's clock is an hour at the start
+	box         mailbox
+	started     chan struct{}
+	gone        chan struct{}
+	core        *core.Core
+	recorder    *corelog.Recorder
+	workers     Workers
+	loadTimeout time.Duration // a load request that is not answered by then is lost
+	probeLimit  time.Duration // and a probe
 
 	// the goroutine's
-	events map[string]*Request
-	twins  map[string]bool
-	counts Counts
-	wake   *time.Timer
-	wakes  []time.Time   // to come, the earliest last
-	endBy  time.Duration // every request has its answer by then
+	requests map[string]*Request
+	twins    map[string]bool
+	counts   Counts
+	wake     *time.Timer
+	wakes    []time.Time   // to come, the earliest last
+	endBy    time.Duration // every request has its answer by then
 }
 
 // NewOwner makes the owner of a core; record gets a recording of it where it is not nil. Run runs it.
 func NewOwner(front core.Settings, workers Workers, record io.Writer, orderLimit, probeLimit time.Duration) *Owner {
-	o := &Owner{base: time.Now().Add(-time.Hour), workers: workers, orderLimit: orderLimit, probeLimit: probeLimit,
-		events: map[string]*Request{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{}),
+	o := &Owner{base: time.Now().Add(-time.Hour), workers: workers, loadTimeout: orderLimit, probeLimit: probeLimit,
+		requests: map[string]*Request{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{}),
 		endBy: math.MaxInt64}
 	o.box.kick, o.box.left = make(chan struct{}, 1), map[string]bool{}
 	if record != nil {
@@ -136,7 +136,7 @@
 	o.box.put(func(now time.Duration) {
 		// the client's time goes on while the owner stands still; else what came meanwhile is answered too late (rule 1)
 		e.Fact.TimeLeft -= min(e.Fact.TimeLeft, max(0, now-read))
-		o.came(now, e)
+		o.accept(now, e)
 	})
 }
 
@@ -145,7 +145,7 @@
 func (o *Owner) ClientGone(id string) {
 	o.box.leave(id, func(now time.Duration) {
 		o.box.heard(id)
-		e := o.events[id]
+		e := o.requests[id]
 		if !o.core.ClientGone(now, id) {
 			return
 		}
@@ -248,12 +248,6 @@
 	return members, running
 }
 
-// Counted asks for the numbers since the start; false once the owner has ended.
-func (o *Owner) Counted(ctx context.Context) (counts Counts, running bool) {
-	running = o.ask(ctx, func() { counts = o.counts })
-	return counts, running
-}
-
 // ask has the goroutine call get; false once it has ended.
 func (o *Owner) ask(ctx context.Context, get func()) bool {
 	<-o.started
@@ -271,7 +265,7 @@
 	return false
 }
 
-func (o *Owner) came(now time.Duration, e *Request) {
+func (o *Owner) accept(now time.Duration, e *Request) {
 	if e.Twin != "" { // the client's own name of it: two at once might both run
 		if o.twins[e.Twin] {
 			e.Reply(invoke.Answer{Ending: invoke.InHand, Reason: "an event of this id is in hand"})
@@ -280,15 +274,15 @@
 		o.twins[e.Twin] = true
 	}
 	e.submittedAt, e.inFlight = now, map[int]Sent{}
-	if o.events[e.Fact.ID] != nil {
+	if o.requests[e.Fact.ID] != nil {
 		delete(o.twins, e.Twin)
 		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: core.ErrDuplicate.Error()})
 		return
 	}
-	o.events[e.Fact.ID] = e // the core may act on it at once
+	o.requests[e.Fact.ID] = e // the core may act on it at once
 	o.counts.Taken++
 	if err := o.core.Submit(now, e.Fact); err != nil {
-		delete(o.events, e.Fact.ID)
+		delete(o.requests, e.Fact.ID)
 		delete(o.twins, e.Twin)
 		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: err.Error()})
 	}
@@ -298,7 +292,7 @@
 
 // Send sends an attempt to a worker, unless the client is gone by now: an attempt that begins later is a break.
 func (o *Owner) Send(fact *choice.Request, launch int, worker string) {
-	e := o.events[fact.ID]
+	e := o.requests[fact.ID]
 	if o.box.gone(fact.ID) {
 		o.box.put(func(now time.Duration) {
 			o.core.Outcome(now, fact.ID, launch, choice.Outcome{Worker: worker, Result: choice.TooLate})
@@ -329,14 +323,14 @@
 // Complete answers the client.
 func (o *Owner) Complete(fact *choice.Request, launch int) {
 	o.counts.Handled++
-	e := o.events[fact.ID]
+	e := o.requests[fact.ID]
 	e.Reply(invoke.Answer{Ending: invoke.Handled, Launches: launch + 1, Body: e.answer})
 }
 
 // Reject answers the client that another try is harmless.
 func (o *Owner) Reject(fact *choice.Request, back time.Duration, _ bool) {
 	o.counts.Deferred++
-	e := o.events[fact.ID]
+	e := o.requests[fact.ID]
 	e.Reply(invoke.Answer{Ending: invoke.Deferred, Launches: e.sent, Back: back,
 		Reason: "not handled in time; trying again does no harm"})
 }
@@ -344,25 +338,25 @@
 // Fail answers the client that no other try was possible.
 func (o *Owner) Fail(fact *choice.Request, launches int, mayRun bool) {
 	o.counts.DeadLettered++
-	o.events[fact.ID].Reply(invoke.Answer{Ending: invoke.DeadLettered, Launches: launches, MayRun: mayRun,
+	o.requests[fact.ID].Reply(invoke.Answer{Ending: invoke.DeadLettered, Launches: launches, MayRun: mayRun,
 		Reason: "not handled; its type allows no other try"})
 }
 
 // Cancel gives an attempt up; its outcome is a fact of a moment to come.
 func (o *Owner) Cancel(fact *choice.Request, launch int, _ string) {
-	if l := o.events[fact.ID].inFlight[launch]; l != nil {
+	if l := o.requests[fact.ID].inFlight[launch]; l != nil {
 		l.Recall()
 	}
 }
 
 // Ended forgets a request; attempts whose outcome was not waited for are given up.
 func (o *Owner) Ended(fact *choice.Request, _ int, _ core.Ending) {
-	e := o.events[fact.ID]
+	e := o.requests[fact.ID]
 	for _, l := range e.inFlight {
 		l.Recall()
 	}
 	delete(o.twins, e.Twin)
-	delete(o.events, fact.ID)
+	delete(o.requests, fact.ID)
 	if e.Gone != nil {
 		e.Gone()
 	}
@@ -383,7 +377,7 @@
 	}
 	asked := order.Replicas
 	s := o.workers.Load(order, end)
-	time.AfterFunc(o.orderLimit, func() {
+	time.AfterFunc(o.loadTimeout, func() {
 		end(asked, choice.TimedOut)
 		recall(s)
 	})
--- a/internal/platform/hollow.go
+++ b/internal/platform/hollow.go
@@ -50,8 +50,8 @@
 	Wait     time.Duration // the client's
 }
 
-// Submit takes a request; reply is told its final answer, by the goroutine that owns the core, and must not wait.
-func (h *Hollow) Draw(r Request, reply func(invoke.Answer)) {
+// SubmitDrawn takes a drawn request; reply is told its final answer, by the goroutine that owns the core, and must not wait.
+func (h *Hollow) SubmitDrawn(r Request, reply func(invoke.Answer)) {
 	h.Submit(&gate.Request{Fact: &choice.Request{ID: r.ID, Type: r.Class, Tenant: r.Tenant, Function: r.Function, TimeLeft: r.Wait,
 		Concurrency: r.Lanes, Memory: r.Memory, LoadTime: r.LoadTime}, Reply: reply})
 }
--- a/internal/scale/fronts.go
+++ b/internal/scale/fronts.go
@@ -190,7 +190,7 @@
 	p := f.pool
 	p.submitted.Add(1)
 	came := time.Now()
-	front.Draw(platform.Request{ID: fmt.Sprintf("%016x", f.random.Uint64()), Class: className, Tenant: tenantName,
+	front.SubmitDrawn(platform.Request{ID: fmt.Sprintf("%016x", f.random.Uint64()), Class: className, Tenant: tenantName,
 		Function: p.draw.draw(f.random), Lanes: p.plan.Functions.Lanes, Memory: replicaMB, LoadTime: p.plan.Workers.Load.D(),
 		Wait: p.plan.FrontEnds.Wait.D()}, func(a invoke.Answer) { p.answered(came, a) })
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -55,6 +55,7 @@
 	published  map[int64]published
 	span       string
 	applied    map[string]*hdrhistogram.Histogram
+	early      map[int64][]application // not counted yet
 	last       map[int64]time.Duration // of a change, the longest so far
 	warm, cold *hdrhistogram.Histogram
 	peak       int64
@@ -81,7 +82,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r := &run{plan: plan, options: options, starter: newStarter(), dir: dir, random: rand.New(rand.NewPCG(plan.Seed, 0)), began: began,
-		cancel: cancel, published: map[int64]published{}, applied: map[string]*hdrhistogram.Histogram{}, last: map[int64]time.Duration{},
+		cancel: cancel, published: map[int64]published{}, applied: map[string]*hdrhistogram.Histogram{}, last: map[int64]time.Duration{}, early: map[int64][]application{},
 		warm: newHistogram(), cold: newHistogram(), leastIdle: 1}
 	defer r.starter.close()
 	defer r.stop()
@@ -309,9 +310,7 @@
 	t.at = time.Now()
 	for _, report := range reports {
 		t.add(report)
-		if err := r.take(report); err != nil {
-			return t, err
-		}
+		r.take(report)
 		for name, n := range report.Digests {
 			lists[name] += n
 		}
@@ -346,31 +345,36 @@
 	return nil
 }
 
-// take takes from a report when changes came into force. Latencies are told from the start of the child each time: the last
-// report has all.
-func (r *run) take(report *childReport) error {
+// take takes from a report when changes came into force.
+func (r *run) take(report *childReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for position, times := range report.Applied {
-		change, known := r.published[position]
-		if !known {
-			continue
-		}
-		h := r.applied[change.span]
-		if h == nil {
-			h = newHistogram()
-			r.applied[change.span] = h
+		r.early[position] = append(r.early[position], times...)
+	}
+	for position, times := range r.early {
+		if change, known := r.published[position]; known { // else the word of its being published is on its way
+			r.inForce(position, change, times)
+			delete(r.early, position)
 		}
-		for _, a := range times {
-			if time.Unix(0, a.Since).After(change.at) { // it started later and catches up
-				continue
-			}
-			took := max(0, time.Unix(0, a.At).Sub(change.at))
-			r.last[position] = max(r.last[position], took)
-			_ = h.RecordValue(min(max(took.Microseconds(), leastMicros), mostMicros)) // it is in the range
+	}
+}
+
+// inForce counts how long a change took at some front ends; r.mu is held.
+func (r *run) inForce(position int64, change published, times []application) {
+	h := r.applied[change.span]
+	if h == nil {
+		h = newHistogram()
+		r.applied[change.span] = h
+	}
+	for _, a := range times {
+		if time.Unix(0, a.Since).After(change.at) { // it started later and catches up
+			continue
 		}
+		took := max(0, time.Unix(0, a.At).Sub(change.at))
+		r.last[position] = max(r.last[position], took)
+		_ = h.RecordValue(min(max(took.Microseconds(), leastMicros), mostMicros)) // it is in the range
 	}
-	return nil
 }
 
 // end waits until every front end has heard the last change, and compares the lists.
@@ -409,7 +413,8 @@
 		if err != nil {
 			return err
 		}
-		if err := errors.Join(r.take(reply.Report), decode(r.warm, reply.Report.Warm), decode(r.cold, reply.Report.Cold)); err != nil {
+		r.take(reply.Report)
+		if err := errors.Join(decode(r.warm, reply.Report.Warm), decode(r.cold, reply.Report.Cold)); err != nil {
 			return err
 		}
 	}
