Reread: one catalogue draws functions for slopes and scale runs

Cause: the Zipf draw of functions stood twice in this change, in internal/slope and internal/scale, and the bits of a rate were spelled in three places.

Change: internal/catalog, used by both, with a test; rateBits is the one spelling. The draws are the same expression on the same numbers.

--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,30 @@
+// Package catalog draws functions for measured and emulated traffic: few of them often and most of them rarely.
+package catalog
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+)
+
+// offset flattens the head of the Zipf law, so that no function has most of the calls.
+const offset = 3.0
+
+// Catalog is a number of functions that are called by a Zipf law.
+type Catalog struct{ sums []float64 }
+
+// New makes a catalog of at least one function; skew is the exponent of the law, 0 calls them evenly.
+func New(functions int, skew float64) *Catalog {
+	c := &Catalog{sums: make([]float64, functions)}
+	sum := 0.0
+	for i := range c.sums {
+		sum += math.Pow(float64(i)+offset, -skew)
+		c.sums[i] = sum
+	}
+	return c
+}
+
+// Draw gives the number of a function, counted from 1.
+func (c *Catalog) Draw(random *rand.Rand) uint64 {
+	return uint64(sort.SearchFloat64s(c.sums, random.Float64()*c.sums[len(c.sums)-1])) + 1
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,28 @@
+package catalog_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"lupinpond/internal/catalog"
+)
+
+// Every number drawn is one of the catalogue; with a skew the first functions have most of the calls, without one they do not.
+func TestDraw(t *testing.T) {
+	for _, skew := range []float64{0, 1.7} {
+		random, first := rand.New(rand.NewPCG(1, 1)), 0
+		functions := catalog.New(1000, skew)
+		for range 10000 {
+			n := functions.Draw(random)
+			if n < 1 || n > 1000 {
+				t.Fatal(n)
+			}
+			if n <= 10 {
+				first++
+			}
+		}
+		if skew == 0 && first > 200 || skew > 0 && first < 5000 {
+			t.Errorf("skew %v: the first 10 functions have %d of 10000 calls", skew, first)
+		}
+	}
+}
--- a/internal/scale/fronts.go
+++ b/internal/scale/fronts.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
-	"sort"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"lupinpond/choice"
+	"lupinpond/internal/catalog"
 	"lupinpond/internal/feed"
 	"lupinpond/internal/invoke"
 	"lupinpond/internal/platform"
@@ -26,7 +26,6 @@
 	className  = "call"
 	tenantName = "tenant"
 	replicaMB  = 256
-	zipfOffset = 3.0
 )
 
 // Latencies are kept from a microsecond to two minutes, to three digits.
@@ -39,28 +38,11 @@
 	return hdrhistogram.New(leastMicros, mostMicros, digits)
 }
 
-// drawer draws functions by their place in the catalogue, few of them often and most rarely.
-type drawer struct{ sums []float64 }
-
-func newDrawer(p FunctionPlan) *drawer {
-	d := &drawer{sums: make([]float64, p.Count)}
-	sum := 0.0
-	for i := range d.sums {
-		sum += math.Pow(float64(i)+zipfOffset, -p.Skew)
-		d.sums[i] = sum
-	}
-	return d
-}
-
-func (d *drawer) draw(random *rand.Rand) uint64 {
-	return uint64(sort.SearchFloat64s(d.sums, random.Float64()*d.sums[len(d.sums)-1])) + 1
-}
-
 // frontPool are the hollow front ends of one process.
 type frontPool struct {
 	plan   Plan
 	config platform.Config
-	draw   *drawer
+	draw   *catalog.Catalog
 	ctx    context.Context
 	fronts []*hollowFront
 	rate   atomic.Uint64 // bits of the requests a second at each
@@ -90,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &frontPool{plan: s.Plan, config: c, draw: newDrawer(s.Plan.Functions), ctx: ctx, applied: map[int64][]application{},
+	p := &frontPool{plan: s.Plan, config: c, draw: s.Plan.Functions.catalog(), ctx: ctx, applied: map[int64][]application{},
 		warm: newHistogram(), cold: newHistogram()}
 	p.setRate(s.Plan.FrontEnds.Rate)
 	for i := range s.Count {
@@ -102,7 +84,7 @@
 	return p, nil
 }
 
-func (p *frontPool) setRate(rate float64) { p.rate.Store(math.Float64bits(rate)) }
+func (p *frontPool) setRate(rate float64) { p.rate.Store(rateBits(rate)) }
 
 func (p *frontPool) close() {
 	for _, f := range p.fronts {
@@ -191,7 +173,7 @@
 	p.submitted.Add(1)
 	came := time.Now()
 	front.SubmitDrawn(platform.Request{ID: fmt.Sprintf("%016x", f.random.Uint64()), Class: className, Tenant: tenantName,
-		Function: p.draw.draw(f.random), Lanes: p.plan.Functions.Lanes, Memory: replicaMB, LoadTime: p.plan.Workers.Load.D(),
+		Function: p.draw.Draw(f.random), Lanes: p.plan.Functions.Lanes, Memory: replicaMB, LoadTime: p.plan.Workers.Load.D(),
 		Wait: p.plan.FrontEnds.Wait.D()}, func(a invoke.Answer) { p.answered(came, a) })
 }
 
--- a/internal/scale/gates.go
+++ b/internal/scale/gates.go
@@ -20,6 +20,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"lupinpond/internal/catalog"
 	"lupinpond/internal/thrift"
 )
 
@@ -84,7 +85,7 @@
 // clients send drawn requests to a real front end over one connection.
 type clients struct {
 	plan   Plan
-	draw   *drawer
+	draw   *catalog.Catalog
 	random *rand.Rand
 	conn   net.Conn
 	rate   *atomic.Uint64
@@ -175,7 +176,7 @@
 	w := thrift.NewWriter("dispatch", thrift.Call, c.seq)
 	w.Texts(1, "class", className, "id", fmt.Sprintf("%016x", c.random.Uint64()), "wait",
 		strconv.FormatInt(c.plan.FrontEnds.Wait.D().Milliseconds(), 10), "tenant", tenantName,
-		"key", fmt.Sprintf("%016x", c.draw.draw(c.random)), "facts",
+		"key", fmt.Sprintf("%016x", c.draw.Draw(c.random)), "facts",
 		fmt.Sprintf("memory_mb:%d;lanes:%d;load_ms:%d", replicaMB, c.plan.Functions.Lanes, c.plan.Workers.Load.D().Milliseconds()))
 	w.Binary(2, nil)
 	return w.Frame()
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"lupinpond/internal/catalog"
 	"lupinpond/internal/config"
 )
 
@@ -55,6 +56,8 @@
 	Lanes int     `yaml:"lanes"`
 }
 
+func (p FunctionPlan) catalog() *catalog.Catalog { return catalog.New(p.Count, p.Skew) }
+
 // TimelineRow is something that happens during a run. What it needs depends on What.
 type TimelineRow struct {
 	At    config.Time `yaml:"at"`
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -134,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	r.rate.Store(math.Float64bits(r.plan.FrontEnds.Rate))
+	r.rate.Store(rateBits(r.plan.FrontEnds.Rate))
 	for i := range r.plan.FrontEnds.Real {
 		if err := r.startGate(ctx, i, list.addr, known); err != nil {
 			return err
@@ -194,7 +193,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", g.name, err)
 	}
-	c := &clients{plan: r.plan, draw: newDrawer(r.plan.Functions), random: rand.New(rand.NewPCG(r.plan.Seed, 2<<32+uint64(index))),
+	c := &clients{plan: r.plan, draw: r.plan.Functions.catalog(), random: rand.New(rand.NewPCG(r.plan.Seed, 2<<32+uint64(index))),
 		conn: conn, rate: &r.rate, sent: map[int32]time.Time{}, warm: newHistogram(), cold: newHistogram()}
 	r.clients = append(r.clients, c)
 	r.sending.Go(func() {
--- a/internal/slope/core.go
+++ b/internal/slope/core.go
@@ -4,13 +4,11 @@
 
 import (
 	"fmt"
-	"math"
-	"math/rand/v2"
 	"runtime"
-	"sort"
 	"time"
 
 	"lupinpond/choice"
+	"lupinpond/internal/catalog"
 )
 
 // Figures are what one core costs under one Load.
@@ -106,13 +104,13 @@
 
 // traffic sends so many requests, at random times of the load's rate.
 func (f *fleet) traffic(l Load, requests int) {
-	draw := newCatalog(l, f.random)
+	functions := catalog.New(l.Functions, l.Skew)
 	at := f.now
 	for range requests {
 		at += time.Duration(f.random.ExpFloat64() / l.Rate * float64(time.Second))
 		f.until(at)
 		f.counts.Requests++
-		e := &choice.Request{ID: fmt.Sprint(f.now, f.counts.Requests), Type: "call", Tenant: "tenant", Function: draw(),
+		e := &choice.Request{ID: fmt.Sprint(f.now, f.counts.Requests), Type: "call", Tenant: "tenant", Function: functions.Draw(f.random),
 			TimeLeft: maxAge, Concurrency: 2, Memory: 1000, LoadTime: loadTime}
 		f.timed(func() {
 			if err := f.core.Submit(f.now, e); err == nil {
@@ -121,16 +119,3 @@
 		})
 	}
 }
-
-// newCatalog draws functions, few of them often and most of them rarely.
-func newCatalog(l Load, random *rand.Rand) func() uint64 {
-	sums := make([]float64, l.Functions)
-	sum := 0.0
-	for i := range sums {
-		sum += math.Pow(float64(i)+zipfOffset, -l.Skew)
-		sums[i] = sum
-	}
-	return func() uint64 {
-		return uint64(sort.SearchFloat64s(sums, random.Float64()*sum)) + 1
-	}
-}
--- a/internal/slope/fleet.go
+++ b/internal/slope/fleet.go
@@ -29,7 +29,6 @@
 	loadTime   = 900 * time.Millisecond
 	roundTrip  = time.Millisecond
 	keepLoaded = 12 * time.Second
-	zipfOffset = 3.0
 	zones      = 6
 	target     = 1500 * time.Millisecond
 	maxAge     = 5 * time.Second
