--- /dev/null
+++ b/internal/platform/deadline_test.go
@@ -0,0 +1,109 @@
+package platform_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// crowdedListener listens with a queue for a single connection, and fills it: a connection to it comes up only when the
+// kernel tries again a second after accept has made room.
+type crowdedListener struct {
+	fd   int
+	addr string
+}
+
+func newCrowdedListener(t *testing.T) *crowdedListener {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &crowdedListener{fd: fd}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.addr = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	filler, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(filler) })
+	if err := syscall.Connect(filler, name); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// accept takes the next connection; the first is the one that fills the queue.
+func (l *crowdedListener) accept(t *testing.T) int {
+	t.Helper()
+	fd, _, err := syscall.Accept(l.fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fd
+}
+
+// The time that a worker is told is what the client has left when the request leaves, however long the connection took to
+// come up.
+func TestDeadlineAfterASlowConnection(t *testing.T) {
+	slow := newCrowdedListener(t)
+	r := start(t, `"dial_timeout":0.25`, `"dial_timeout":5`, `"orders":true`, `"orders":false`, `"probing":true`, `"probing":false`)
+	r.journal <- changes(2, false, host("slow", slow.addr, "up")+","+host("w", r.worker.Addr().String(), "removed"))
+	waited(t, r)
+	c := r.dial()
+	sent := time.Now()
+	c.dispatch("a", fields(id(1))...)
+	time.Sleep(50 * time.Millisecond) // the first try to connect finds no room
+	syscall.Close(slow.accept(t))
+	fd := slow.accept(t)
+	defer syscall.Close(fd)
+	took := time.Since(sent)
+	if took < 500*time.Millisecond {
+		t.Fatalf("the connection came up after %v: the test shows nothing", took)
+	}
+	have := make([]byte, 4096)
+	for {
+		n, err := syscall.Read(fd, have)
+		if err != nil || n == 0 {
+			t.Fatal("no request came:", n, err)
+		}
+		_, rest, is := strings.Cut(string(have[:n]), "wait=")
+		if !is {
+			continue // an order to load, or a probe
+		}
+		digits, _, _ := strings.Cut(rest, "\r")
+		wait, err := strconv.Atoi(digits)
+		if err != nil {
+			t.Fatal(err)
+		}
+		left := 2500*time.Millisecond - time.Since(sent)
+		if told := time.Duration(wait) * time.Millisecond; told > left+150*time.Millisecond {
+			t.Errorf("%v after the client sent it, a worker is told %v, the client has %v left", took, told, left)
+		}
+		return
+	}
+}
+
+// waited returns when the front end has asked for what comes after the answers given so far.
+func waited(t *testing.T, r *rig) {
+	t.Helper()
+	for range 2 {
+		select {
+		case <-r.waits:
+		case <-time.After(20 * time.Second):
+			t.Fatal("the journal is not asked")
+		}
+	}
+}
