--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	bolt "go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 )
 
 // Meta is the bucket in which a file has its format, and whatever else its owner puts there.
@@ -19,6 +21,12 @@
 // process has open, are errors.
 func Open(path string, format byte, buckets ...[]byte) (*bolt.DB, error) {
 	db, err := bolt.Open(path, 0o644, &bolt.Options{Timeout: time.Second})
+	if err != nil && !errors.Is(err, berrors.ErrTimeout) && unfinished(path) {
+		if err := os.Remove(path); err != nil {
+			return nil, err
+		}
+		db, err = bolt.Open(path, 0o644, &bolt.Options{Timeout: time.Second})
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -40,6 +48,24 @@
 	return db, nil
 }
 
+// firstPages is how many pages a new file is made with, in one write, before anything can be kept in it.
+const firstPages = 4
+
+// unfinished tells whether a file was never made whole, as when the disk was full then: nothing was ever kept in it.
+func unfinished(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && info.Size() < firstPages*int64(os.Getpagesize())
+}
+
+// SyncFolder makes the names in a folder durable.
+func SyncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
 // Mode is how kept values are encoded: CBOR whose times have their nanoseconds.
 var Mode = sync.OnceValue(func() cbor.EncMode {
 	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
--- /dev/null
+++ b/internal/kept/kept_test.go
@@ -0,0 +1,52 @@
+package kept_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	bolt "go.etcd.io/bbolt"
+
+	"lupinpond/internal/kept"
+)
+
+var bucket = []byte("b")
+
+// A file that a full disk cut short while it was made holds nothing: it is made anew. One that was made whole never is.
+func TestUnfinishedFileIsMadeAnew(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f.bolt")
+	db, err := kept.Open(path, 1, bucket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := db.Close(); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, size := range []int{0, 100, os.Getpagesize(), os.Getpagesize() + 10, 3 * os.Getpagesize()} {
+		cut := filepath.Join(t.TempDir(), "cut.bolt")
+		if err := os.WriteFile(cut, make([]byte, size), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		db, err := kept.Open(cut, 1, bucket)
+		if err != nil {
+			t.Errorf("%d bytes: %v", size, err)
+			continue
+		}
+		err = db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucket).Put([]byte("k"), []byte("v")) })
+		if err := errors.Join(err, db.Close()); err != nil {
+			t.Error(err)
+		}
+	}
+	spoilt := filepath.Join(t.TempDir(), "spoilt.bolt")
+	if err := os.WriteFile(spoilt, make([]byte, len(whole)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if db, err := kept.Open(spoilt, 1, bucket); err == nil {
+		t.Error("a file of full size that can't be read is taken", db.Close())
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -178,15 +178,7 @@
 		return errors.Join(fmt.Errorf("store: chunk %.12s: %w", d, err), os.Remove(tmp.Name()))
 	}
 	s.o.Fail(PointNamed)
-	return syncDir(dir)
-}
-
-func syncDir(dir string) error {
-	f, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(f.Sync(), f.Close())
+	return kept.SyncFolder(dir)
 }
 
 // Missing are those of the chunks that the store does not have. Those that it has are not collected within the grace.
--- a/internal/worker/journal.go
+++ b/internal/worker/journal.go
@@ -1,7 +1,6 @@
 package worker
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -13,8 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"lupinpond/internal/kept"
 	"lupinpond/internal/keys"
 	"lupinpond/internal/link"
@@ -62,8 +59,7 @@
 // survive the process; loads are synced, and so survive the machine.
 type journal struct {
 	mu     sync.Mutex
-	file   *os.File
-	enc    *cbor.Encoder
+	file   *recordLog
 	keys   map[string]key
 	cut    []link.CutLoad
 	warmUp time.Duration // of the last life, or the one before if that never was warm
@@ -75,7 +71,8 @@
 }
 
 // openJournal reads what the last life left and begins a new file with what still counts. A torn last record is what
-// a kill leaves; anything else that can't be read is an error, and the file stays as it is.
+// a kill leaves, and zeros at the end what a machine that fails may leave; anything else that can't be read is an error, and
+// the file stays as it is.
 func openJournal(path string, log *slog.Logger) (_ *journal, err error) {
 	j := &journal{keys: map[string]key{}, log: log}
 	j.now, j.mark = steady.Continue(steady.Mark{})
@@ -93,8 +90,8 @@
 			err = fmt.Errorf("journal: %w", err)
 		}
 	}()
-	j.file, j.enc = tmp, kept.Mode().NewEncoder(tmp)
-	if err = j.enc.Encode(note{Kind: noteFormat, Format: journalVersion, Mark: &j.mark}); err != nil {
+	j.file = &recordLog{file: tmp}
+	if err = j.file.append(note{Kind: noteFormat, Format: journalVersion, Mark: &j.mark}); err != nil {
 		return nil, err
 	}
 	for name, k := range j.keys {
@@ -102,12 +99,12 @@
 		if k.handled {
 			kind = noteKept
 		}
-		if err = j.enc.Encode(note{Kind: kind, Key: name, Until: k.until, Body: k.body}); err != nil {
+		if err = j.file.append(note{Kind: kind, Key: name, Until: k.until, Body: k.body}); err != nil {
 			return nil, err
 		}
 	}
 	if j.warmUp > 0 {
-		if err = j.enc.Encode(note{Kind: noteWarm, Took: j.warmUp}); err != nil {
+		if err = j.file.append(note{Kind: noteWarm, Took: j.warmUp}); err != nil {
 			return nil, err
 		}
 	}
@@ -117,6 +114,9 @@
 	if err = os.Rename(tmp.Name(), path); err != nil {
 		return nil, err
 	}
+	if err = kept.SyncFolder(filepath.Dir(path)); err != nil { // else a machine that fails may come back with the old file
+		return nil, err
+	}
 	return j, nil
 }
 
@@ -136,11 +136,11 @@
 	var open []*load
 	taken := map[string]string{} // function by event
 	ran := map[string]bool{}
-	dec := cbor.NewDecoder(bufio.NewReader(in))
+	records := newRecordReader(in)
 	for n := 1; ; n++ {
 		var x note
-		err := dec.Decode(&x)
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		err := records.next(&x)
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
@@ -196,11 +196,11 @@
 func (j *journal) write(n note, sync bool) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if err := j.enc.Encode(n); err != nil {
+	if err := j.file.append(n); err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
 	if sync {
-		if err := j.file.Sync(); err != nil {
+		if err := j.file.sync(); err != nil {
 			return fmt.Errorf("journal: %w", err)
 		}
 	}
@@ -267,11 +267,11 @@
 
 // note writes a key; the lock is held.
 func (j *journal) note(kind int, name string, k key) error {
-	err := j.enc.Encode(note{Kind: kind, Key: name, Until: k.until, Body: k.body})
+	err := j.file.append(note{Kind: kind, Key: name, Until: k.until, Body: k.body})
 	if err != nil {
 		j.log.Error("journal: a key is not written down", "err", err)
 	}
 	return err
 }
 
-func (j *journal) close() error { return j.file.Close() }
+func (j *journal) close() error { return j.file.close() }
--- a/internal/worker/journal_fault_test.go
+++ b/internal/worker/journal_fault_test.go
@@ -79,3 +79,42 @@
 		t.Error("a claim that was never granted counts:", v)
 	}
 }
+
+// Zeros at the end, as a machine that fails may leave them behind what was synced, hide nothing before them; anything else
+// that can't be read is an error.
+func TestJournalThatEndsInZeros(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "journal")
+	j, err := openJournal(path, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, v, _ := j.Claim(context.Background(), "k", time.Hour); v != keys.Run {
+		t.Fatal(v)
+	}
+	if err := j.close(); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, append(whole[:len(whole):len(whole)], make([]byte, 5000)...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	next, err := openJournal(path, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, v, _ := next.Claim(context.Background(), "k", time.Hour); v != keys.Repeat {
+		t.Error("the request may run a second time:", v)
+	}
+	if err := next.close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, append(append(whole, 0, 0, 0), "text"...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := openJournal(path, slog.New(slog.DiscardHandler)); err == nil {
+		t.Error("a spoilt journal is taken")
+	}
+}
--- /dev/null
+++ b/internal/worker/recordlog.go
@@ -0,0 +1,94 @@
+package worker
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lupinpond/internal/kept"
+)
+
+// recordLog appends records to a file such that one that could not be written whole leaves nothing behind: what comes after
+// half a record would be read as its rest.
+type recordLog struct {
+	file *os.File
+	size int64 // of the whole records
+	torn bool  // the file holds a part of one more
+}
+
+// append writes one record. After an error the record is not in the file, now or after a later append.
+func (l *recordLog) append(record any) error {
+	if err := l.repair(); err != nil {
+		return err
+	}
+	b, err := kept.Mode().Marshal(record)
+	if err != nil {
+		return err
+	}
+	if _, err := l.file.WriteAt(b, l.size); err != nil {
+		l.torn = true
+		return errors.Join(err, l.repair())
+	}
+	l.size += int64(len(b))
+	return nil
+}
+
+// repair cuts off what a failed write has left. Until that succeeds nothing is appended.
+func (l *recordLog) repair() error {
+	if !l.torn {
+		return nil
+	}
+	if err := l.file.Truncate(l.size); err != nil {
+		return fmt.Errorf("a torn record stays: %w", err)
+	}
+	l.torn = false
+	return nil
+}
+
+func (l *recordLog) sync() error { return l.file.Sync() }
+
+func (l *recordLog) close() error { return l.file.Close() }
+
+// recordReader reads the records of a recordLog in turn.
+type recordReader struct {
+	file   *os.File
+	decode *cbor.Decoder
+}
+
+func newRecordReader(file *os.File) *recordReader {
+	return &recordReader{file, cbor.NewDecoder(bufio.NewReader(file))}
+}
+
+// next reads one record. io.EOF: there is none any more, or the last one is torn.
+func (r *recordReader) next(into any) error {
+	begin := int64(r.decode.NumBytesRead())
+	err := r.decode.Decode(into)
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return io.EOF
+	}
+	if err == nil || errors.Is(err, io.EOF) {
+		return err
+	}
+	if zeros, zerr := onlyZeros(io.NewSectionReader(r.file, begin, 1<<62)); zerr == nil && zeros {
+		return io.EOF
+	}
+	return err
+}
+
+// onlyZeros tells whether nothing else comes.
+func onlyZeros(from io.Reader) (bool, error) {
+	in := bufio.NewReader(from)
+	for {
+		b, err := in.ReadByte()
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil || b != 0 {
+			return false, err
+		}
+	}
+}
