An attempt is judged and its deadline spelled when its bytes leave

Cause: platform.workers.Send spelled wait into the frame when the call was queued; a connection that came up late, or a write that blocked, sent it on unchanged (TestDeadlineAfterASlowConnection: wait=2499 with 1476 ms left). Whether the client had left was looked up at the same moment, and not again. Change: resp.Message is composed when it is about to be written and may be withheld then; gate.Departure is the one place that lets an attempt leave (client there, time left, the process ran since the decision) and checks what left.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -50,6 +50,10 @@
 type Event struct {
 	Number int64 `json:"pos"`
 	List   *List `json:"hosts"`
+
+	// Within bounds how long ago it was told first: the time since the answer before the one that brought it. 0: no bound is
+	// known.
+	Within time.Duration `json:"-"`
 }
 
 // News is an answer of the service: events in their order, and the number of the last one there is.
@@ -123,8 +127,9 @@
 
 // Limits bound what is asked for.
 type Limits struct {
-	Wait   time.Duration // that the service may let pass without news; past that and Answer it is taken for silent
-	Answer time.Duration // for a connection, and for an answer beyond Wait
+	Wait   time.Duration // that the service may let pass without news; past that and Answer it is asked once more
+	Answer time.Duration // usual time for an answer beyond Wait
+	Slow   time.Duration // longest time for it, and for a connection: a slow service is not cut off while it is asked again
 	Bytes  int64         // of an answer
 }
 
@@ -134,17 +139,20 @@
 	log    *slog.Logger
 	told   func(Event)
 	moved  chan struct{}
-	anew   bool // the whole list is to be asked for; Run's goroutine only
+	anew   bool // the whole list is to be asked for; changes between rounds only
+
+	answered time.Time // when the last answer was taken; Run's goroutine only
+	polls    sync.WaitGroup
 
 	mu     sync.Mutex
 	addr   string
 	last   int64
-	cancel context.CancelFunc // ends the request under way
+	cancel context.CancelFunc // ends the requests under way
 }
 
 // New makes a Feed of the journal at addr; told gets each event once, in order.
 func New(addr string, limits Limits, log *slog.Logger, told func(Event)) *Feed {
-	return &Feed{addr: addr, limits: limits, log: log, told: told, moved: make(chan struct{}, 1)}
+	return &Feed{addr: addr, limits: limits, log: log, told: told, moved: make(chan struct{}, 1), answered: time.Now()}
 }
 
 // Tell takes news that came by another way, as at the start.
@@ -163,6 +171,10 @@
 // follow takes an answer. Where events are missing in it none is told: what they changed would be lost for good. The whole
 // list is asked for then.
 func (f *Feed) follow(n News, last int64, took time.Duration) error {
+	within := time.Since(f.answered)
+	for i := range n.Events {
+		n.Events[i].Within = max(1, within)
+	}
 	switch {
 	case f.anew:
 		e, whole := n.fold()
@@ -170,6 +182,8 @@
 			return fmt.Errorf("journal: asked for all events, it told no whole list as new as event %d", f.last)
 		}
 		f.anew = false
+		e.Within = max(1, within)
+		f.answered = time.Now()
 		f.Tell(News{Events: []Event{e}})
 		return nil
 	case !n.follows(last):
@@ -177,6 +191,7 @@
 		f.log.Warn("events of the journal are missing: the whole list is asked for", "after", last)
 		return nil
 	}
+	f.answered = time.Now()
 	f.Tell(n)
 	if f.at().last == last && took < f.limits.Wait/2 { // else it would be asked without a pause
 		return errors.New("journal: nothing new, before the time that it was asked to wait")
@@ -198,15 +213,19 @@
 	}
 }
 
+// mostPolls is how many requests are under way at a time, where the service is slow or silent.
+const mostPolls = 4
+
 // Run asks until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = f.limits.Answer/8, f.limits.Answer
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: f.limits.Answer}).DialContext, MaxIdleConnsPerHost: 1}
+	transport := &http.Transport{DialContext: new(net.Dialer).DialContext, MaxIdleConnsPerHost: 1}
 	defer transport.CloseIdleConnections()
+	defer f.polls.Wait()
 	client := &http.Client{Transport: transport}
 	for ctx.Err() == nil {
-		err := f.ask(ctx, client)
+		err := f.round(ctx, client)
 		if err == nil {
 			pause.Reset()
 			continue
@@ -222,14 +241,53 @@
 	return nil
 }
 
-// ask asks once.
-func (f *Feed) ask(ctx context.Context, client *http.Client) error {
-	ctx, cancel := context.WithTimeout(ctx, f.limits.Wait+f.limits.Answer)
+// round asks until one answer is taken, or nothing is left that may answer. A service that does not answer in time may be slow
+// or silent: it is asked again, which ends a silence, and the requests before go on, as one of a slow service may answer yet.
+func (f *Feed) round(ctx context.Context, client *http.Client) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
 	at := place{f.addr, f.last}
 	f.cancel = cancel
 	f.mu.Unlock()
+	answers := make(chan answer, mostPolls)
+	open := 0
+	ask := func() {
+		if open < mostPolls {
+			open++
+			f.polls.Go(func() { answers <- f.ask(ctx, client, at) })
+		}
+	}
+	ask()
+	again := time.NewTicker(f.limits.Wait + f.limits.Answer)
+	defer again.Stop()
+	for {
+		select {
+		case a := <-answers:
+			open--
+			if a.err == nil {
+				return f.take(a, at)
+			}
+			if open == 0 {
+				return a.err
+			}
+		case <-again.C:
+			ask()
+		}
+	}
+}
+
+// answer is what one request brought.
+type answer struct {
+	news News
+	took time.Duration
+	err  error
+}
+
+// ask asks once.
+func (f *Feed) ask(ctx context.Context, client *http.Client, at place) (a answer) {
+	ctx, cancel := context.WithTimeout(ctx, f.limits.Wait+max(f.limits.Answer, f.limits.Slow))
+	defer cancel()
 	after := at.last
 	if f.anew {
 		after = 0
@@ -238,17 +296,21 @@
 		"&max_wait=" + strconv.FormatInt(f.limits.Wait.Milliseconds(), 10)
 	asked := time.Now()
 	b, err := ask.Do(ctx, client, http.MethodGet, url, nil, f.limits.Bytes)
+	a.took = time.Since(asked)
 	if err != nil {
-		return err
-	}
-	n, err := Parse(b)
-	if err != nil {
-		return err
+		a.err = err
+		return a
 	}
-	if f.at().addr != at.addr { // it was moved meanwhile
+	a.news, a.err = Parse(b)
+	return a
+}
+
+// take takes an answer of a service that has not been moved meanwhile.
+func (f *Feed) take(a answer, at place) error {
+	if f.at().addr != at.addr {
 		return errors.New("moved")
 	}
-	return f.follow(n, at.last, time.Since(asked))
+	return f.follow(a.news, at.last, a.took)
 }
 
 // place is where the journal is asked, and what for.
--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -34,7 +34,12 @@
 func (r recaller) Recall() { r.Call.Recall(r.tell) }
 
 // Send sends a launch to a worker.
-func (l links) Send(e *Request, launch int, worker string, left time.Duration, done func(choice.Outcome, []byte)) Sent {
+func (l links) Send(e *Request, launch int, worker string, departure *Departure, done func(choice.Outcome, []byte)) Sent {
+	left, leaves := departure.Left() // the link tells what is left of it when it writes
+	if !leaves {
+		done(choice.Outcome{Result: choice.TooLate}, nil)
+		return nil
+	}
 	p := l.peer(worker)
 	if p == nil {
 		done(choice.Outcome{Result: choice.Unreached}, nil)
@@ -175,9 +180,14 @@
 	var listings []choice.Member
 	named := map[string]bool{}
 	g.peersMu.Lock()
+	within := Always
+	if !g.listedAt.IsZero() {
+		within = time.Since(g.listedAt)
+	}
+	g.listedAt = time.Now()
 	for _, e := range n.Entries {
 		named[e.Name] = true
-		l := choice.Member{Worker: e.Name, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, Started: g.Since(e.Started)}
+		l := choice.Member{Worker: e.Name, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, Started: g.births.Started(e.Name, e.Started, within)}
 		if g.o.File.Fleet.Workers.Sizes == "cores" {
 			l.Size = e.Cores
 		}
@@ -191,6 +201,7 @@
 		g.link(e)
 	}
 	if n.Whole {
+		g.births.Keep(named)
 		for name, p := range g.peers {
 			if !named[name] {
 				p.Stop(g.grace)
@@ -202,7 +213,7 @@
 	if g.o.Known != nil {
 		g.o.Known(whole)
 	}
-	g.UpdateMembership(n.Whole, listings)
+	g.UpdateMembership(n.Whole, listings, nil)
 }
 
 // keep follows the list and gives the whole of it.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,6 +21,7 @@
 	"lupinpond/choice"
 	"lupinpond/internal/capture"
 	"lupinpond/internal/config"
+	"lupinpond/internal/invariant"
 	"lupinpond/internal/invoke"
 	"lupinpond/internal/link"
 	"lupinpond/internal/roster"
@@ -70,9 +71,12 @@
 	peersMu sync.Mutex
 	peers   map[string]*peer
 	known   map[string]roster.Entry // the list as it was told
-	group   *errgroup.Group         // of links and the list
-	hard    context.Context         // ends when the gate is gone
-	asked   chan struct{}
+	births  *Births
+	// when the list was last told
+	listedAt time.Time
+	group    *errgroup.Group // of links and the list
+	hard     context.Context // ends when the gate is gone
+	asked    chan struct{}
 }
 
 // peer is a worker's link and how to end it.
@@ -107,7 +111,8 @@
 		g.names[f.ID()] = f.Name
 	}
 	g.Owner = NewOwner(o.File.Core(o.Seed, o.Self, max(1, o.Peers)), links{g}, o.Record,
-		o.File.Fleet.Loading.OrderLimit.D(), o.File.Front.Link.Dial.D())
+		o.File.Fleet.Loading.OrderLimit.D(), o.File.Front.Link.Dial.D(), invariant.NewMonitor(g.log))
+	g.births = g.NewBirths()
 	return g, nil
 }
 
@@ -127,6 +132,7 @@
 
 	if g.o.Stale != nil {
 		g.news(*g.o.Stale)
+		g.listedAt = time.Time{} // it tells nothing of when the workers of the next one came
 	}
 	links.Go(func() error { return g.Owner.Run(hardLinks) })
 	links.Go(func() error { return g.list(hardLinks) })
@@ -299,7 +305,7 @@
 		g.bound(w)
 		invoke.Write(w, a)
 	case <-r.Context().Done():
-		g.ClientGone(id)
+		g.ClientGone(e)
 		panic(http.ErrAbortHandler) // returning would send an empty 200: a client that still reads would take it for handled
 	}
 }
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -5,12 +5,15 @@
 	"io"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lupinpond/choice"
 	"lupinpond/internal/core"
 	"lupinpond/internal/corelog"
+	"lupinpond/internal/invariant"
 	"lupinpond/internal/invoke"
+	"lupinpond/internal/stall"
 )
 
 // Request is one request in hand, as the front end knows it beside the core.
@@ -23,9 +26,11 @@
 	Call  invoke.Call           // of a client of the invoke API
 
 	submittedAt time.Duration
+	clientGone  atomic.Int64 // when its client left, by the owner's clock; 0: it waits
 	sent        int          // attempts
 	inFlight    map[int]Sent // those without an outcome
 	answer      []byte       // the body of the answer
+	checks      requestChecks
 }
 
 // Sent is an attempt, an order or a probe under way at a worker.
@@ -36,8 +41,9 @@
 // Workers is the way out of a front end: it carries attempts, orders and probes to the workers, and brings the list. What
 // done functions tell may come at any time, also at once, from any goroutine; the first counts.
 type Workers interface {
-	// Each may give nil where nothing was sent, or nothing has to be given up
-	Send(e *Request, launch int, worker string, left time.Duration, done func(o choice.Outcome, body []byte)) Sent
+	// Each may give nil where nothing was sent, or nothing has to be given up. departure is asked when an attempt's bytes
+	// are about to be written.
+	Send(e *Request, launch int, worker string, departure *Departure, done func(o choice.Outcome, body []byte)) Sent
 	Load(o choice.LoadRequest, done func(copies int, r choice.Result)) Sent
 	Probe(worker string, done func(r choice.Result, l choice.Load)) Sent
 	Subscribe() // for the list
@@ -55,6 +61,10 @@
 	workers     Workers
 	loadTimeout time.Duration // a load request that is not answered by then is lost
 	probeLimit  time.Duration // and a probe
+	stall       stall.Watcher
+	monitor     *invariant.Monitor
+	loads       loadChecks
+	front       core.Settings
 
 	// the goroutine's
 	requests map[string]*Request
@@ -65,12 +75,14 @@
 	endBy    time.Duration // every request has its answer by then
 }
 
-// NewOwner makes the owner of a core; record gets a recording of it where it is not nil. Run runs it.
-func NewOwner(front core.Settings, workers Workers, record io.Writer, orderLimit, probeLimit time.Duration) *Owner {
+// NewOwner makes the owner of a core; record gets a recording of it where it is not nil, and monitor is told of violated
+// invariants. Run runs it.
+func NewOwner(front core.Settings, workers Workers, record io.Writer, orderLimit, probeLimit time.Duration,
+	monitor *invariant.Monitor) *Owner {
 	o := &Owner{base: time.Now().Add(-time.Hour), workers: workers, loadTimeout: orderLimit, probeLimit: probeLimit,
 		requests: map[string]*Request{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{}),
-		endBy: math.MaxInt64}
-	o.box.kick, o.box.left = make(chan struct{}, 1), map[string]bool{}
+		endBy: math.MaxInt64, monitor: monitor, front: front, loads: newLoadChecks(front.Loading)}
+	o.box.kick = make(chan struct{}, 1)
 	if record != nil {
 		o.core, o.recorder = corelog.Start(front, o, record)
 	} else {
@@ -82,26 +94,16 @@
 // Now is the core's clock. It runs on while the process is paused.
 func (o *Owner) Now() time.Duration { return time.Since(o.base) }
 
-// Since turns a time of the wall clock into one of the core's, which is 0 for all that is long ago.
-func (o *Owner) Since(t time.Time) time.Duration { return max(0, t.Sub(o.base)) }
-
 // mailbox holds facts for the owner. What may be in it is bounded by the requests in hand and the calls to workers.
 type mailbox struct {
 	mu    sync.Mutex
 	facts []func(now time.Duration)
-	left  map[string]bool // requests whose client is gone, until the owner has heard of it
 	kick  chan struct{}
 }
 
-func (m *mailbox) put(f func(now time.Duration)) { m.leave("", f) }
-
-// leave puts the fact that the client of a request is gone, which shows in left at once.
-func (m *mailbox) leave(id string, f func(now time.Duration)) {
+func (m *mailbox) put(f func(now time.Duration)) {
 	m.mu.Lock()
 	m.facts = append(m.facts, f)
-	if id != "" {
-		m.left[id] = true
-	}
 	m.mu.Unlock()
 	select {
 	case m.kick <- struct{}{}:
@@ -109,19 +111,6 @@
 	}
 }
 
-// heard ends that.
-func (m *mailbox) heard(id string) {
-	m.mu.Lock()
-	delete(m.left, id)
-	m.mu.Unlock()
-}
-
-func (m *mailbox) gone(id string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.left[id]
-}
-
 func (m *mailbox) take() []func(now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -133,22 +122,32 @@
 // Submit takes a request that was read just now. Just one final answer is given to its Reply, unless its client leaves.
 func (o *Owner) Submit(e *Request) {
 	read := o.Now()
+	behind := o.stall.Behind(time.Now())
+	if behind == 0 {
+		o.submit(e, read)
+		return
+	}
+	// the process did not run: the client's time went on meanwhile, and that it has left may not be read yet
+	time.AfterFunc(stall.Settle, func() { o.submit(e, read-behind) })
+}
+
+func (o *Owner) submit(e *Request, sent time.Duration) {
 	o.box.put(func(now time.Duration) {
 		// the client's time goes on while the owner stands still; else what came meanwhile is answered too late (rule 1)
-		e.Fact.TimeLeft -= min(e.Fact.TimeLeft, max(0, now-read))
+		e.Fact.TimeLeft -= min(e.Fact.TimeLeft, max(0, now-sent))
 		o.accept(now, e)
 	})
 }
 
 // ClientGone tells that the client of a request is gone; nobody waits for what is out for it, which is given up. From now on no
 // attempt of it leaves, however many facts the owner hears before this one.
-func (o *Owner) ClientGone(id string) {
-	o.box.leave(id, func(now time.Duration) {
-		o.box.heard(id)
-		e := o.requests[id]
-		if !o.core.ClientGone(now, id) {
+func (o *Owner) ClientGone(e *Request) {
+	e.clientGone.CompareAndSwap(0, int64(o.Now()))
+	o.box.put(func(now time.Duration) {
+		if o.requests[e.Fact.ID] != e {
 			return
 		}
+		o.core.ClientGone(now, e.Fact.ID)
 		o.counts.Left++
 		for _, l := range e.inFlight {
 			l.Recall()
@@ -165,9 +164,15 @@
 	})
 }
 
-// UpdateMembership tells news of the list of workers.
-func (o *Owner) UpdateMembership(whole bool, news []choice.Member) {
-	o.box.put(func(now time.Duration) { o.core.UpdateMembership(now, whole, news) })
+// UpdateMembership tells news of the list of workers. adopted, which may be nil, is called in the same moment: until then the
+// core's decisions are for the workers that it knew before.
+func (o *Owner) UpdateMembership(whole bool, news []choice.Member, adopted func()) {
+	o.box.put(func(now time.Duration) {
+		o.core.UpdateMembership(now, whole, news)
+		if adopted != nil {
+			adopted()
+		}
+	})
 }
 
 // WatchFailed tells that the list broke off.
@@ -178,6 +183,9 @@
 // Run is the goroutine that owns the core.
 func (o *Owner) Run(ctx context.Context) error {
 	defer close(o.gone)
+	watching, unwatch := context.WithCancel(ctx)
+	defer unwatch()
+	go func() { _ = o.stall.Run(watching) }() // it ends without an error
 	o.wake = time.NewTimer(0)
 	o.wakes = append(o.wakes, time.Now())
 	defer o.wake.Stop()
@@ -198,7 +206,7 @@
 				o.wake.Reset(time.Until(o.wakes[n-1]))
 			}
 		}
-		if late { // the process was paused: what was said meanwhile is heard before anything is judged late
+		if late || o.stall.Behind(time.Now()) > 0 { // paused: what was said meanwhile is heard before anything is judged late
 			select {
 			case <-ctx.Done():
 				return nil
@@ -219,7 +227,7 @@
 // A timer that comes so late tells of a pause of the process; then sockets are listened to for a moment first.
 const (
 	pausedAfter = 200 * time.Millisecond
-	listenFirst = 10 * time.Millisecond
+	listenFirst = stall.Settle
 )
 
 // Pause stops the owner for a time, as a stopped process would, and returns when it stands still: for tests and
@@ -281,6 +289,7 @@
 	}
 	o.requests[e.Fact.ID] = e // the core may act on it at once
 	o.counts.Taken++
+	o.loads.submitted(now)
 	if err := o.core.Submit(now, e.Fact); err != nil {
 		delete(o.requests, e.Fact.ID)
 		delete(o.twins, e.Twin)
@@ -293,20 +302,22 @@
 // Send sends an attempt to a worker, unless the client is gone by now: an attempt that begins later is a break.
 func (o *Owner) Send(fact *choice.Request, launch int, worker string) {
 	e := o.requests[fact.ID]
-	if o.box.gone(fact.ID) {
+	if e.clientGone.Load() != 0 {
 		o.box.put(func(now time.Duration) {
 			o.core.Outcome(now, fact.ID, launch, choice.Outcome{Worker: worker, Result: choice.TooLate})
 		})
 		return
 	}
+	o.checkAttempt(e, launch, worker)
 	o.counts.Launches++
 	e.sent++
 	sent := time.Now()
-	wait := min(e.submittedAt+fact.TimeLeft, o.endBy) - o.Now()
-	l := o.workers.Send(e, launch, worker, wait, func(out choice.Outcome, body []byte) {
+	departure := &Departure{owner: o, request: e, decided: o.Now(), by: min(e.submittedAt+fact.TimeLeft, o.endBy)}
+	l := o.workers.Send(e, launch, worker, departure, func(out choice.Outcome, body []byte) {
 		o.box.put(func(now time.Duration) {
 			delete(e.inFlight, launch)
 			out.Worker, out.Took = worker, time.Since(sent)
+			e.checks.ended(launch, out.Result)
 			if out.Result == choice.Completed {
 				e.answer = body
 			}
@@ -324,24 +335,31 @@
 func (o *Owner) Complete(fact *choice.Request, launch int) {
 	o.counts.Handled++
 	e := o.requests[fact.ID]
-	e.Reply(invoke.Answer{Ending: invoke.Handled, Launches: launch + 1, Body: e.answer})
+	o.reply(e, invoke.Answer{Ending: invoke.Handled, Launches: launch + 1, Body: e.answer})
 }
 
 // Reject answers the client that another try is harmless.
 func (o *Owner) Reject(fact *choice.Request, back time.Duration, _ bool) {
 	o.counts.Deferred++
 	e := o.requests[fact.ID]
-	e.Reply(invoke.Answer{Ending: invoke.Deferred, Launches: e.sent, Back: back,
+	o.reply(e, invoke.Answer{Ending: invoke.Deferred, Launches: e.sent, Back: back,
 		Reason: "not handled in time; trying again does no harm"})
 }
 
 // Fail answers the client that no other try was possible.
 func (o *Owner) Fail(fact *choice.Request, launches int, mayRun bool) {
 	o.counts.DeadLettered++
-	o.requests[fact.ID].Reply(invoke.Answer{Ending: invoke.DeadLettered, Launches: launches, MayRun: mayRun,
+	o.reply(o.requests[fact.ID], invoke.Answer{Ending: invoke.DeadLettered, Launches: launches, MayRun: mayRun,
 		Reason: "not handled; its type allows no other try"})
 }
 
+// reply gives a request its final answer, the only one.
+func (o *Owner) reply(e *Request, a invoke.Answer) {
+	if o.checkAnswer(e) {
+		e.Reply(a)
+	}
+}
+
 // Cancel gives an attempt up; its outcome is a fact of a moment to come.
 func (o *Owner) Cancel(fact *choice.Request, launch int, _ string) {
 	if l := o.requests[fact.ID].inFlight[launch]; l != nil {
@@ -352,6 +370,7 @@
 // Ended forgets a request; attempts whose outcome was not waited for are given up.
 func (o *Owner) Ended(fact *choice.Request, _ int, _ core.Ending) {
 	e := o.requests[fact.ID]
+	o.checkEnd(e)
 	for _, l := range e.inFlight {
 		l.Recall()
 	}
@@ -365,6 +384,7 @@
 // Load sends a load request.
 func (o *Owner) Load(order choice.LoadRequest) {
 	o.counts.Orders++
+	o.checkLoad(order)
 	sent, answered := time.Now(), false
 	end := func(copies int, r choice.Result) {
 		o.box.put(func(now time.Duration) {
--- a/internal/gate/owner_test.go
+++ b/internal/gate/owner_test.go
@@ -18,8 +18,8 @@
 	recalled chan struct{} // an order was given up
 }
 
-func (n *nowhere) Send(e *gate.Request, _ int, _ string, _ time.Duration, _ func(choice.Outcome, []byte)) gate.Sent {
-	n.owner.ClientGone(e.Fact.ID)
+func (n *nowhere) Send(e *gate.Request, _ int, _ string, _ *gate.Departure, _ func(choice.Outcome, []byte)) gate.Sent {
+	n.owner.ClientGone(e)
 	n.launched <- struct{}{}
 	return nil
 }
@@ -32,9 +32,9 @@
 // nowhereAt starts an owner whose workers are nowhere, with one worker listed.
 func nowhereAt(t *testing.T, orders bool) *nowhere {
 	out := &nowhere{launched: make(chan struct{}, 1), recalled: make(chan struct{}, 100)}
-	out.owner = gate.NewOwner(front(orders), out, nil, time.Millisecond, time.Second)
+	out.owner = gate.NewOwner(front(orders), out, nil, time.Millisecond, time.Second, nil)
 	run(t, out.owner)
-	out.owner.UpdateMembership(true, []choice.Member{{Worker: "w"}})
+	out.owner.UpdateMembership(true, []choice.Member{{Worker: "w"}}, nil)
 	return out
 }
 
@@ -61,7 +61,7 @@
 	nowhere
 }
 
-func (r *ready) Send(e *gate.Request, _ int, _ string, _ time.Duration, done func(choice.Outcome, []byte)) gate.Sent {
+func (r *ready) Send(e *gate.Request, _ int, _ string, _ *gate.Departure, done func(choice.Outcome, []byte)) gate.Sent {
 	r.launched <- struct{}{}
 	done(choice.Outcome{Result: choice.Completed, Warmth: choice.FoundWarm}, nil)
 	return nil
@@ -71,14 +71,15 @@
 // begins, and the event ends.
 func TestLeftBeforeItIsHeard(t *testing.T) {
 	out, gone := &ready{nowhere{launched: make(chan struct{}, 2)}}, make(chan struct{})
-	out.owner = gate.NewOwner(front(false), out, nil, time.Millisecond, time.Second)
+	out.owner = gate.NewOwner(front(false), out, nil, time.Millisecond, time.Second, nil)
 	event := func(id string, reply func(invoke.Answer), gone func()) *gate.Request {
 		return &gate.Request{Fact: &choice.Request{ID: id, Type: "call", Function: 9, TimeLeft: 3 * time.Second, Concurrency: 1}, Reply: reply, Gone: gone}
 	}
-	out.owner.UpdateMembership(true, []choice.Member{{Worker: "w"}})
+	out.owner.UpdateMembership(true, []choice.Member{{Worker: "w"}}, nil)
 	out.owner.Submit(event("first", func(invoke.Answer) { // the owner is here: it hears both of these together
-		out.owner.Submit(event("second", func(a invoke.Answer) { t.Error("an answer to nobody:", a) }, func() { close(gone) }))
-		out.owner.ClientGone("second")
+		second := event("second", func(a invoke.Answer) { t.Error("an answer to nobody:", a) }, func() { close(gone) })
+		out.owner.Submit(second)
+		out.owner.ClientGone(second)
 	}, nil))
 	run(t, out.owner)
 	<-gone
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -13,6 +13,7 @@
 	"lupinpond/choice"
 	"lupinpond/internal/feed"
 	"lupinpond/internal/gate"
+	"lupinpond/internal/invariant"
 	"lupinpond/internal/resp"
 )
 
@@ -22,6 +23,8 @@
 	config  Config
 	log     *slog.Logger
 	workers *workers
+	births  *gate.Births // used by the list's goroutine
+	monitor *invariant.Monitor
 	feed    *feed.Feed
 	hard    context.Context // ends when nothing is left to do
 	stopped context.CancelFunc
@@ -33,16 +36,20 @@
 	e.hard, e.stopped = context.WithCancel(context.Background())
 	dial, sockets := c.dial(), c.peerSockets()
 	streams := max(1, int(c.Settings.Number("policy_limits.max_streams", 32)))
-	e.workers = &workers{cancel: c.Front.Cancel, list: map[string]*backend{},
+	e.monitor = invariant.NewMonitor(e.log)
+	e.workers = &workers{cancel: c.Front.Cancel, monitor: e.monitor, started: time.Now(), listed: map[string]*backend{}, adopted: map[string]*backend{},
 		pool: resp.NewPool(e.hard, resp.Limits{Dial: dial, Idle: c.idle() / 2, Streams: streams, Conns: sockets / workerSockets,
 			Most: sockets/workerSockets + sockets/spareSockets, Word: mostAnswer})}
 	if c.Settings["report.source"] != "off" {
 		e.workers.report = "pending"
 	}
-	e.Owner = gate.NewOwner(c.Front, e.workers, record, c.Front.Loading.Limit, dial)
+	e.Owner = gate.NewOwner(c.Front, e.workers, record, c.Front.Loading.Limit, dial, e.monitor)
+	e.births = e.NewBirths()
 	grace := c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond)
-	e.feed = feed.New(c.Journal, feed.Limits{Wait: min(max(dial, journalWaits*grace), mostWait),
-		Answer: dial, Bytes: c.Memory / feedMemory}, e.log, e.news)
+	e.workers.grace = grace
+	wait := min(max(dial, journalWaits*grace), mostWait)
+	e.feed = feed.New(c.Journal, feed.Limits{Wait: wait, Answer: dial, Slow: max(dial, tellWithin-2*wait-dial),
+		Bytes: c.Memory / feedMemory}, e.log, e.news)
 	return e
 }
 
@@ -88,25 +95,37 @@
 		e.told(event)
 		return
 	}
-	e.workers.news(event)
+	adopt := e.workers.news(event)
+	within := gate.Always
+	if event.Within > 0 {
+		within = event.Within
+	}
+	named := map[string]bool{}
 	var listings []choice.Member
 	for _, w := range event.List.Workers {
+		named[w.Name] = true
 		l := choice.Member{Worker: w.Name, Zone: w.Zone, Kind: w.Kind, Cell: strconv.Itoa(w.Cell)}
 		if e.config.Settings.Sized() {
 			l.Size = w.Size
 		}
+		born := time.Time{}
 		if w.Born > 0 {
-			l.Started = e.Since(time.UnixMilli(w.Born))
+			born = time.UnixMilli(w.Born)
 		}
+		l.Started = e.births.Started(w.Name, born, within)
 		switch w.State {
 		case feed.Draining:
 			l.Condition = choice.Draining
 		case feed.Removed:
 			l.Condition = choice.Removed
+			e.births.Forget(w.Name)
 		}
 		listings = append(listings, l)
 	}
-	e.UpdateMembership(event.List.Whole, listings)
+	if event.List.Whole {
+		e.births.Keep(named)
+	}
+	e.UpdateMembership(event.List.Whole, listings, adopt)
 	e.told(event)
 }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -32,6 +32,8 @@
 	restDials     = 8                      // what has come is read within one of so many parts of the time for a connection
 	journalWaits  = 2                      // the journal is asked anew after so much of the drain grace
 	mostWait      = 5 * time.Second        // of the platform: the journal waits no longer
+	tellWithin    = 7 * time.Second        // of the platform: what the journal has to tell counts as told then, heard or not
+	mostWriting   = 100 * time.Millisecond // a request is written within that, as the time it tells goes on; of the platform's 150 ms
 	comeLate      = 700 * time.Millisecond // of the platform: requests go on coming so long after SIGTERM
 	killAfter     = 3 * time.Second        // of the platform: SIGKILL comes so long after that, or after the longest max age
 	mostAnswer    = 1 << 20                // bytes of one word of a worker's answer
@@ -135,8 +137,10 @@
 	if err != nil {
 		r = request{fact: &choice.Request{}}
 	}
+	e := &gate.Request{Fact: r.fact, Body: r.body, Call: invoke.Call{Key: r.mark},
+		Reply: func(a invoke.Answer) { c.Answer(seq, spellAnswer(seq, a)) }}
 	// the number is checked first: an answer under one that is open would be the answer to another request
-	if !c.Begin(seq, func() { f.ClientGone(r.fact.ID) }) {
+	if !c.Begin(seq, func() { f.ClientGone(e) }) {
 		refuse(thrift.BadSequence, "a number that is not new, or too many requests at a time")
 		return
 	}
@@ -148,7 +152,6 @@
 		return
 	}
 	if !f.recent.add(r.number, time.Now()) { // every request has an id of its own, a repeat too
-		r.fact = &choice.Request{}
 		bad("an event of this id came before")
 		return
 	}
@@ -158,8 +161,8 @@
 		c.Answer(seq, thrown(seq, resultThrottled))
 		return
 	}
-	f.Submit(&gate.Request{Fact: r.fact, Body: r.body, Call: invoke.Call{Key: r.mark}, Gone: func() { f.bytes.Add(-size) },
-		Reply: func(a invoke.Answer) { c.Answer(seq, spellAnswer(seq, a)) }})
+	e.Gone = func() { f.bytes.Add(-size) }
+	f.Submit(e)
 }
 
 // spellAnswer spells the final answer of an event.
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -12,64 +12,122 @@
 	"lupinpond/choice"
 	"lupinpond/internal/feed"
 	"lupinpond/internal/gate"
+	"lupinpond/internal/invariant"
 	"lupinpond/internal/resp"
 )
 
-// backend is a worker of the list.
+// backend is one life of a worker of the list.
 type backend struct {
 	*resp.Worker
-	addr string
-	born int64
+	addr    string
+	born    int64
+	stopped atomic.Int64 // when nothing new may go there any more, by the clock of workers; 0: it may
+}
+
+// stop has nothing new go there.
+func (b *backend) stop(now time.Duration) {
+	b.stopped.CompareAndSwap(0, int64(now))
+	b.Stop()
+}
+
+// resume has new requests go there again.
+func (b *backend) resume() {
+	b.stopped.Store(0)
+	b.Resume()
 }
 
 // workers is the way out: requests over RESP, with the list from the journal.
 type workers struct {
-	pool   *resp.Pool
-	cancel bool   // requests may be given up at workers
-	report string // the field of load reports that tells events waiting; empty: none does
-	tags   atomic.Uint64
+	pool    *resp.Pool
+	cancel  bool   // requests may be given up at workers
+	report  string // the field of load reports that tells events waiting; empty: none does
+	tags    atomic.Uint64
+	grace   time.Duration // within which nothing new goes to a worker that drains or is gone
+	monitor *invariant.Monitor
+	started time.Time
 
-	mu   sync.Mutex
-	list map[string]*backend
+	mu     sync.Mutex
+	listed map[string]*backend // as the journal has told it
+	// as the core knows it: what the core decides is for the worker that it has in mind, not for one that has taken its name
+	// since
+	adopted map[string]*backend
 }
 
+func (w *workers) now() time.Duration { return time.Since(w.started) + 1 }
+
 // news follows one event of the journal, before the owner hears of it: what waits to be written must not leave after the
-// grace, even where the owner stands still.
-func (w *workers) news(e feed.Event) {
+// grace, even where the owner stands still. adopt is to be called when the core has heard of the event.
+func (w *workers) news(e feed.Event) (adopt func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	named := map[string]bool{}
+	named, changed := map[string]bool{}, map[string]*backend{}
 	for _, l := range e.List.Workers {
 		named[l.Name] = true
-		b := w.list[l.Name]
-		if b != nil && l.State != feed.Removed && (b.addr != l.Addr || b.born != l.Born) { // another life, perhaps elsewhere
-			b.Stop()
-			b = nil
+		w.follow(l)
+		changed[l.Name] = w.listed[l.Name]
+	}
+	for name, b := range w.listed {
+		if e.List.Whole && !named[name] {
+			b.stop(w.now())
+			delete(w.listed, name)
+			changed[name] = nil
 		}
-		switch {
-		case l.State == feed.Up && b == nil:
-			w.list[l.Name] = &backend{Worker: w.pool.Worker(l.Addr), addr: l.Addr, born: l.Born}
-		case l.State == feed.Up:
-			b.Resume()
-		case b != nil:
-			b.Stop()
-			if l.State == feed.Removed {
-				delete(w.list, l.Name)
-			}
+	}
+	return func() { w.adopt(changed) }
+}
+
+// follow follows one line of the list; the lock is held.
+func (w *workers) follow(l feed.Worker) {
+	b := w.listed[l.Name]
+	if b != nil && l.State != feed.Removed && (b.addr != l.Addr || b.born != l.Born) { // another life, perhaps elsewhere
+		b.stop(w.now())
+		delete(w.listed, l.Name)
+		b = nil
+	}
+	switch {
+	case l.State == feed.Up && b == nil:
+		w.listed[l.Name] = &backend{Worker: w.pool.Worker(l.Addr), addr: l.Addr, born: l.Born}
+	case l.State == feed.Up:
+		b.resume()
+	case b != nil:
+		b.stop(w.now())
+		if l.State == feed.Removed {
+			delete(w.listed, l.Name)
 		}
 	}
-	for name, b := range w.list {
-		if e.List.Whole && !named[name] {
-			b.Stop()
-			delete(w.list, name)
+}
+
+// adopt has what the core decides from now on go to these; nil: the worker is gone.
+func (w *workers) adopt(changed map[string]*backend) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name, b := range changed {
+		if b == nil {
+			delete(w.adopted, name)
+		} else {
+			w.adopted[name] = b
 		}
 	}
 }
 
+// find finds the worker that the core has in mind.
 func (w *workers) find(name string) *backend {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.list[name]
+	return w.adopted[name]
+}
+
+// checkDeparture checks an attempt that has left.
+func (w *workers) checkDeparture(request, name string, b *backend) {
+	if stopped := time.Duration(b.stopped.Load()); stopped != 0 && w.now() > stopped+w.grace {
+		w.monitor.Violated(invariant.AttemptToDrained, request, "worker", name, "later", w.now()-stopped)
+	}
+	w.mu.Lock()
+	listed := w.listed[name]
+	w.mu.Unlock()
+	if listed != nil && listed != b && listed.addr == b.addr {
+		w.monitor.Violated(invariant.AttemptToOtherLife, request, "worker", name, "born", b.born, "now", listed.born)
+	}
 }
 
 // sent is what is under way at a worker, and the words that give it up there; none: an order stands, a probe is over.
@@ -81,31 +139,52 @@
 // Recall gives it up.
 func (s sent) Recall() { s.Call.Recall(s.kill) }
 
-// Send sends a launch to a worker.
-func (w *workers) Send(e *gate.Request, _ int, worker string, left time.Duration, done func(choice.Outcome, []byte)) gate.Sent {
+// Send sends an attempt to a worker.
+func (w *workers) Send(e *gate.Request, _ int, worker string, departure *gate.Departure, done func(choice.Outcome, []byte)) gate.Sent {
 	b := w.find(worker)
 	if b == nil {
 		done(choice.Outcome{Result: choice.Unreached}, nil)
 		return nil
 	}
 	id := e.Fact.ID
-	fields := "class=" + e.Fact.Type + ",key=" + spell(e.Fact.Function) + ",wait=" + strconv.FormatInt(max(1, left.Milliseconds()), 10)
-	if e.Call.Key != "" {
-		fields += ",once=" + e.Call.Key
-	}
 	var kill []byte
 	if w.cancel {
 		kill = resp.Append(nil, "KILL", id)
 	}
-	frame := resp.Append(make([]byte, 0, 160+len(e.Body)), "FN", id, fields, string(e.Body))
-	return sent{b.Call(id, frame, true, func(a resp.Answer) { done(w.outcome(a)) }), kill}
+	message := resp.Message{Within: mostWriting,
+		Compose: func() []byte {
+			left, leaves := departure.Left()
+			if !leaves {
+				return nil
+			}
+			return spellRequest(e, left)
+		},
+		Written: func() {
+			departure.Written()
+			w.checkDeparture(id, worker, b)
+		}}
+	return sent{b.Call(id, message, true, func(a resp.Answer) { done(w.outcome(a)) }), kill}
+}
+
+// spellRequest spells a request with the time that its client has left.
+func spellRequest(e *gate.Request, left time.Duration) []byte {
+	fields := "class=" + e.Fact.Type + ",key=" + spell(e.Fact.Function) + ",wait=" + strconv.FormatInt(max(1, left.Milliseconds()), 10)
+	if e.Call.Key != "" {
+		fields += ",once=" + e.Call.Key
+	}
+	return resp.Append(make([]byte, 0, mostFields+len(e.Body)), "FN", e.Fact.ID, fields, string(e.Body))
 }
 
+// mostFields is room for all of a request but its body.
+const mostFields = 160
+
 // outcome is how a launch ended, and its answer.
 func (w *workers) outcome(a resp.Answer) (o choice.Outcome, body []byte) {
 	switch a.Fate {
 	case resp.Unsent:
 		return choice.Outcome{Result: choice.Unreached}, nil
+	case resp.Withheld:
+		return choice.Outcome{Result: choice.TooLate}, nil
 	case resp.Broken:
 		return choice.Outcome{Result: choice.Broken}, nil
 	case resp.GivenUp:
@@ -152,7 +231,7 @@
 	}
 	tag := w.tag()
 	frame := resp.Append(nil, "SPAWN", tag, "key="+spell(o.Function)+",n="+strconv.Itoa(o.Replicas))
-	return sent{b.Call(tag, frame, false, func(a resp.Answer) {
+	return sent{b.Call(tag, resp.Fixed(frame), false, func(a resp.Answer) {
 		switch {
 		case a.Fate == resp.Unsent:
 			done(o.Replicas, choice.Unreached)
@@ -186,7 +265,7 @@
 		return nil
 	}
 	tag := w.tag()
-	return sent{b.Call(tag, resp.Append(nil, "TOP", tag), false, func(a resp.Answer) {
+	return sent{b.Call(tag, resp.Fixed(resp.Append(nil, "TOP", tag)), false, func(a resp.Answer) {
 		switch {
 		case a.Fate == resp.Unsent:
 			done(choice.Unreached, choice.Load{})
--- a/internal/resp/crossing_test.go
+++ b/internal/resp/crossing_test.go
@@ -16,7 +16,7 @@
 // big makes a call whose command is being written: the worker has read its beginning.
 func (r *rig) big(id string) (*script, *resp.Call, chan resp.Answer) {
 	done := make(chan resp.Answer, 2)
-	c := r.worker.Call(id, resp.Append(nil, "FN", id, huge), false, func(a resp.Answer) { done <- a })
+	c := r.worker.Call(id, resp.Fixed(resp.Append(nil, "FN", id, huge)), false, func(a resp.Answer) { done <- a })
 	s := r.accept()
 	s.have = make([]byte, 1)
 	if _, err := io.ReadFull(s, s.have); err != nil {
@@ -88,7 +88,7 @@
 	wants(t, a, resp.Answered, "ok")
 	for i := range int64(2) { // the first of them takes what the idle connection had, the second one the reserve
 		w, accept := r.other()
-		w.Call("b", resp.Append(nil, "FN", "b"), true, func(resp.Answer) {})
+		w.Call("b", resp.Fixed(resp.Append(nil, "FN", "b")), true, func(resp.Answer) {})
 		accept().next()
 		if _, err := io.Copy(io.Discard, first); err != nil {
 			t.Error("the idle connection stays:", err)
@@ -97,7 +97,7 @@
 	}
 	w, _ := r.other()
 	done := make(chan resp.Answer, 1)
-	w.Call("c", resp.Append(nil, "FN", "c"), true, func(a resp.Answer) { done <- a })
+	w.Call("c", resp.Fixed(resp.Append(nil, "FN", "c")), true, func(a resp.Answer) { done <- a })
 	wants(t, done, resp.Unsent, "")
 }
 
@@ -144,7 +144,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	pool := resp.NewPool(ctx, limits)
 	done := make(chan resp.Answer, 1)
-	pool.Worker(listener.Addr().String()).Call("a", resp.Append(nil, "FN", "a"), true, func(a resp.Answer) { done <- a })
+	pool.Worker(listener.Addr().String()).Call("a", resp.Fixed(resp.Append(nil, "FN", "a")), true, func(a resp.Answer) { done <- a })
 	conn, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -23,12 +23,14 @@
 // Fate is how a call ended.
 type Fate int
 
-// The fates. Unsent: its last byte never left, it never came whole to the worker. Broken and GivenUp: it may have.
+// The fates. Unsent: its last byte never left, it never came whole to the worker; Withheld: the same, as its sender said so
+// when it was about to leave. Broken and GivenUp: it may have.
 const (
 	Answered Fate = iota
 	Unsent
 	Broken
 	GivenUp
+	Withheld
 )
 
 // Answer ends a call: what came after its id.
@@ -113,15 +115,27 @@
 	ended
 )
 
+// Message is what a call sends.
+type Message struct {
+	// Compose spells it when it is about to be written, however long it waited for that; nil: it must not leave any more.
+	// It must not wait.
+	Compose func() []byte
+	Written func()        // called once its last byte has left; may be nil
+	Within  time.Duration // its writing takes no longer, else its connection ends; 0 or more than Limits.Dial: that
+}
+
+// Fixed is a message that does not change while it waits.
+func Fixed(frame []byte) Message { return Message{Compose: func() []byte { return frame }} }
+
 // Call is a request under way.
 type Call struct {
 	worker *Worker
 	conn   *conn
 	id     string
-	frame  []byte
-	state  state
-	kill   []byte // to be written when it is given up
-	done   func(Answer)
+	Message
+	state state
+	kill  []byte // to be written when it is given up
+	done  func(Answer)
 }
 
 // conn is one connection, also before it stands. Its worker's mu guards it.
@@ -137,14 +151,14 @@
 	kick    chan struct{}
 }
 
-// Call sends a frame; what comes under id ends it, and done is told once, perhaps at once. alone asks for a connection
+// Call sends a message; what comes under id ends it, and done is told once, perhaps at once. alone asks for a connection
 // that carries nothing else meanwhile, as what breaks one breaks all on it.
-func (w *Worker) Call(id string, frame []byte, alone bool, done func(Answer)) *Call {
+func (w *Worker) Call(id string, message Message, alone bool, done func(Answer)) *Call {
 	if w.pool.open.Load() >= int64(w.pool.limits.Conns) && w.bare() {
 		w.pool.yield()
 	}
 	w.mu.Lock()
-	c := &Call{worker: w, id: id, frame: frame, done: done}
+	c := &Call{worker: w, id: id, Message: message, done: done}
 	on := w.pick(id, alone)
 	if on == nil {
 		c.state = ended
@@ -217,7 +231,7 @@
 	w.mu.Lock()
 	switch c.state {
 	case queued:
-		c.conn.queue = slices.DeleteFunc(c.conn.queue, func(x *Call) bool { return x == c })
+		c.conn.unqueue(c)
 		c.conn.end(c)
 		w.mu.Unlock()
 		c.done(Answer{Fate: Unsent})
@@ -346,56 +360,95 @@
 }
 
 // next takes what is to be written, a call or its kill; nil and false: the connection has done its work.
-func (c *conn) next() (x *Call, frame []byte, kill, more bool) {
+func (c *conn) next() (x *Call, kill, more bool) {
 	c.worker.mu.Lock()
 	defer c.worker.mu.Unlock()
 	if c.gone || c.closing && len(c.calls) == 0 {
-		return nil, nil, false, false
+		return nil, false, false
 	}
 	if len(c.queue) == 0 {
-		return nil, nil, false, true
+		return nil, false, true
 	}
 	x, c.queue = c.queue[0], c.queue[1:]
 	if x.state == given {
-		return x, x.kill, true, true
+		return x, true, true
 	}
 	x.state = sent
-	return x, x.frame, false, true
+	return x, false, true
 }
 
 func (c *conn) write(nc net.Conn) {
 	idle := time.NewTicker(max(c.worker.pool.limits.Idle/4, time.Millisecond))
 	defer idle.Stop()
 	for {
-		x, frame, kill, more := c.next()
-		if !more {
+		x, kill, more := c.next()
+		switch {
+		case !more:
+			return
+		case x == nil:
+			c.await(idle.C)
+		case !c.put(nc, x, kill):
 			return
 		}
-		if x == nil {
-			select {
-			case <-c.kick:
-			case <-idle.C:
-				c.worker.mu.Lock()
-				if len(c.calls) == 0 && time.Since(c.used) > c.worker.pool.limits.Idle {
-					c.closing = true
-				}
-				c.worker.mu.Unlock()
-			}
-			continue
+	}
+}
+
+// await waits until there may be something to write. A connection that has been idle for too long ends.
+func (c *conn) await(idle <-chan time.Time) {
+	select {
+	case <-c.kick:
+	case <-idle:
+		c.worker.mu.Lock()
+		if len(c.calls) == 0 && time.Since(c.used) > c.worker.pool.limits.Idle {
+			c.closing = true
 		}
-		if nc.SetWriteDeadline(time.Now().Add(c.worker.pool.limits.Dial)) != nil {
-			c.unwritten(x)
-			return
+		c.worker.mu.Unlock()
+	}
+}
+
+// put writes a call or its kill; false: the connection ends.
+func (c *conn) put(nc net.Conn, x *Call, kill bool) bool {
+	frame, within := x.kill, c.worker.pool.limits.Dial
+	if !kill {
+		if frame = x.Compose(); frame == nil {
+			c.withheld(x)
+			return true
 		}
-		n, err := nc.Write(frame)
-		if err != nil {
-			if n < len(frame) {
-				c.unwritten(x)
-			}
-			return
+		if x.Within > 0 {
+			within = min(within, x.Within)
 		}
-		c.written(x, kill)
 	}
+	if nc.SetWriteDeadline(time.Now().Add(within)) != nil {
+		c.unwritten(x)
+		return false
+	}
+	n, err := nc.Write(frame)
+	if err != nil {
+		if n < len(frame) {
+			c.unwritten(x)
+		}
+		return false
+	}
+	c.written(x, kill)
+	return true
+}
+
+// withheld ends a call whose sender does not let it leave any more. Its kill is not needed.
+func (c *conn) withheld(x *Call) {
+	c.worker.mu.Lock()
+	if x.state == ended {
+		c.worker.mu.Unlock()
+		return
+	}
+	c.unqueue(x)
+	c.end(x)
+	c.worker.mu.Unlock()
+	x.done(Answer{Fate: Withheld})
+}
+
+// unqueue takes a call, or its kill, out of what is to be written.
+func (c *conn) unqueue(x *Call) {
+	c.queue = slices.DeleteFunc(c.queue, func(other *Call) bool { return other == x })
 }
 
 // unwritten takes back that a request was sent whose last byte never left: a worker can't have read it whole.
@@ -409,14 +462,13 @@
 
 // written ends a call whose kill has left. One that is given up while it is being written itself has its kill still to come.
 func (c *conn) written(x *Call, kill bool) {
-	c.worker.mu.Lock()
 	if kill {
+		c.worker.mu.Lock()
 		c.end(x)
-	}
-	x.frame = nil
-	c.worker.mu.Unlock()
-	if kill {
+		c.worker.mu.Unlock()
 		x.done(Answer{Fate: GivenUp})
+	} else if x.Written != nil {
+		x.Written()
 	}
 }
 
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -129,7 +129,7 @@
 // call makes a call and gives what ends it.
 func (r *rig) call(id string, alone bool) (*resp.Call, chan resp.Answer) {
 	done := make(chan resp.Answer, 2)
-	return r.worker.Call(id, resp.Append(nil, "FN", id), alone, func(a resp.Answer) { done <- a }), done
+	return r.worker.Call(id, resp.Fixed(resp.Append(nil, "FN", id)), alone, func(a resp.Answer) { done <- a }), done
 }
 
 func wants(t *testing.T, done chan resp.Answer, fate resp.Fate, word string) {
