A client's connection ends only when nothing is owed on it

Cause: thrift.Server.evict closed a connection without an open call though its answer was unwritten or a request on it read or about to be; any error of accept closed one a millisecond; a connection could end as idle while an answer waited for a slow reader, and what came meanwhile crossed a close later than 50 ms; half a message ended the connection with the calls that were open on it. One that gives way ends by itself, after a look at its socket; only EMFILE has one give way, other errors of accept pause.

--- a/internal/thrift/evict_test.go
+++ b/internal/thrift/evict_test.go
@@ -1,9 +1,15 @@
 package thrift_test
 
 import (
+	"context"
 	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
+
+	"lupinpond/internal/thrift"
 )
 
 // heldWrites is a connection whose writes wait until they are released, as with a client that does not read.
@@ -48,3 +54,146 @@
 		t.Error(err)
 	}
 }
+
+// heldReads is a connection whose reader stands still at its first read until it is released, as in a process without a processor.
+type heldReads struct {
+	net.Conn
+	held    chan struct{} // closed when it stands still
+	release chan struct{}
+	reads   atomic.Int32
+}
+
+func (c *heldReads) Read(b []byte) (int, error) {
+	if c.reads.Add(1) == 1 {
+		close(c.held)
+		<-c.release
+	}
+	return c.Conn.Read(b)
+}
+
+// SyscallConn is that of the connection itself.
+func (c *heldReads) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
+// A request that has come, but is not read yet when its connection is asked to give way, is read and answered.
+func TestGivesWayOnlyAfterALook(t *testing.T) {
+	l := limits
+	l.Conns = 1
+	held, release := make(chan struct{}), make(chan struct{})
+	first := true
+	d := newDrains(t, l, func(conn net.Conn) net.Conn {
+		if first {
+			first = false
+			return &heldReads{Conn: conn, held: held, release: release}
+		}
+		return conn
+	})
+	close(d.listener.opened)
+	conn := dial(t, d.listener.Addr().String())
+	<-held
+	write(t, conn, call(1, "a"))
+	closed(t, dial(t, d.listener.Addr().String())) // the first one was asked to give way, and has not looked yet
+	close(release)
+	d.answers("a")
+	if m := next(t, conn); m.Seq != 1 {
+		t.Errorf("%+v instead of the answer", m)
+	}
+	d.stop()
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// scripted is a listener whose next accepts a test words: an error to fail with, or nil to accept.
+type scripted struct {
+	net.Listener
+	next chan error
+}
+
+func (l *scripted) Accept() (net.Conn, error) {
+	if err := <-l.next; err != nil {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return l.Listener.Accept()
+}
+
+// Errors of accept that no connection of ours is a cause of cost no client its connection; where descriptors are short, an idle
+// one gives way.
+func TestErrorsOfAccept(t *testing.T) {
+	for _, c := range []struct {
+		err  syscall.Errno
+		left int // connections, of two
+	}{{syscall.ENFILE, 2}, {syscall.ENOBUFS, 2}, {syscall.ENOMEM, 2}, {syscall.EPERM, 2}, {syscall.ECONNABORTED, 2}, {syscall.EMFILE, 1}} {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listener := &scripted{inner, make(chan error)}
+		s := thrift.NewServer(listener, limits, func(*thrift.Conn, thrift.Message) {})
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- s.Run(ctx) }()
+		for range 2 {
+			dial(t, inner.Addr().String())
+			listener.next <- nil
+		}
+		listener.next <- c.err
+		listener.next <- nil // it has done with that
+		dial(t, inner.Addr().String())
+		listener.next <- nil // and serves that one
+		if n := s.Connections(); n != c.left+1 {
+			t.Errorf("%v: %d connections are left, want %d", c.err, n, c.left+1)
+		}
+		stop()
+		close(listener.next)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A client that stops in the middle of a message gets the answers to what it has asked before; then the connection ends.
+func TestHalfAMessageBesideOpenCalls(t *testing.T) {
+	l := limits
+	l.Mute = 50 * time.Millisecond
+	d := newDrains(t, l, nil)
+	close(d.listener.opened)
+	conn := dial(t, d.listener.Addr().String())
+	write(t, conn, call(1, "a"))
+	write(t, conn, call(2, "b")[:9])
+	came, m := (<-d.came)()
+	time.Sleep(4 * l.Mute)
+	came.Answer(m.Seq, reply(m.Seq, "late"))
+	wants(t, conn, 1)
+	d.stop()
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A client that reads slowly loses neither its answer nor a request that comes while the answer is written: the connection does not
+// end as idle meanwhile.
+func TestIdleWaitsForASlowReader(t *testing.T) {
+	l := limits
+	l.Idle, l.Rest = 20*time.Millisecond, time.Millisecond
+	release := make(chan struct{})
+	d := newDrains(t, l, func(conn net.Conn) net.Conn { return &heldWrites{conn, release} })
+	close(d.listener.opened)
+	conn := dial(t, d.listener.Addr().String())
+	write(t, conn, call(1, "a"))
+	d.answers("a")
+	time.Sleep(5 * l.Idle)
+	write(t, conn, call(2, "b"))
+	d.answers("b")
+	close(release)
+	for seq := range int32(2) {
+		if m := next(t, conn); m.Seq != seq+1 {
+			t.Error(m)
+		}
+	}
+	d.stop()
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+}
