Every request, attempt and end of a connection is logged with its reason, and counted

Need: neither a log nor a number told why a request was given up, an attempt withheld or a connection closed. Logs never make the front end wait (telemetry.Lossy), and a closed log does not end it (SIGPIPE). Also: a configuration that is being written at SIGHUP or at the start is read again, an address that another process has not let go is tried again for 8 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,7 +78,7 @@
 	f := c.functionOf(e, now)
 	c.arrive(e, f, t, now)
 	if !c.withinShare(e, now) {
-		return c.giveUp(e, now)
+		return c.giveUp(e, OverShare, now)
 	}
 	if len(f.queue) == 0 {
 		c.expireAssumptions(f, now)
@@ -182,8 +182,8 @@
 }
 
 // giveUp ends a request as its type allows: rejected where another try is harmless, else failed.
-func (c *Scheduler) giveUp(e *Request, now time.Duration) Decision {
-	e.ended = true
+func (c *Scheduler) giveUp(e *Request, reason Reason, now time.Duration) Decision {
+	e.ended, e.reason = true, reason
 	if c.mustNotRunAgain(e, now) || e.mayHaveRun != nil && !e.typ.anywhere() {
 		return Decision{Request: e, Verb: Fail}
 	}
@@ -215,9 +215,15 @@
 		return Decision{Request: e, Verb: Nothing}
 	}
 	e.avoid = w
-	hopeless := now+c.giveUpMargin(e) >= e.deadline || c.mustNotRunAgain(e, now)
-	if o.Result == TooLate || e.attempts >= c.maxAttempts || hopeless {
-		return c.giveUp(e, now)
+	switch {
+	case o.Result == TooLate:
+		return c.giveUp(e, NeverLeft, now)
+	case c.mustNotRunAgain(e, now):
+		return c.giveUp(e, MustNotRepeat, now)
+	case e.attempts >= c.maxAttempts:
+		return c.giveUp(e, NoAttemptsLeft, now)
+	case now+c.giveUpMargin(e) >= e.deadline:
+		return c.giveUp(e, NoTimeLeft, now)
 	}
 	return c.enqueue(e)
 }
@@ -305,6 +311,17 @@
 	return st
 }
 
+// hopeless tells why a held request can't be served any more, if it can't; last is when it is too late.
+func (c *Scheduler) hopeless(e *Request, last, now time.Duration) Reason {
+	switch {
+	case now >= last:
+		return NoTimeLeft
+	case c.mustNotRunAgain(e, now):
+		return MustNotRepeat
+	}
+	return NotGivenUp
+}
+
 // release releases a function's held requests, oldest first, and gives up those past hope (rule 1: in time).
 // Those that can't make their latency objective come after all that can: old must not make young late.
 func (c *Scheduler) release(f *function, late bool, now time.Duration, st *Steps) time.Duration {
@@ -316,18 +333,20 @@
 		}
 		var s *replicaSet
 		last := e.deadline - c.giveUpMargin(e)
-		give := now >= last || c.mustNotRunAgain(e, now)
-		if !give && late == (now+c.expected(f) > e.objectiveAt) {
+		reason := c.hopeless(e, last, now)
+		if reason == NotGivenUp && late == (now+c.expected(f) > e.objectiveAt) {
 			s = c.warmReplica(f, e, false, now) // where requests wait, a replica elsewhere may be heard of in a moment
 			if s != nil && (!c.reportFresh(s.w, now) || now < min(s.w.queuedUntil, e.submittedAt+firstLatency)) {
 				s, wake = nil, min(wake, now+firstLatency)
 			} else if s == nil && now >= e.submittedAt+part(overflowShare, e.typ.Objective) {
 				s = c.warmReplica(f, e, true, now)
-				give = s == nil && e.mayHaveRun == nil && (late || e.overShare) && c.overloaded
+				if s == nil && e.mayHaveRun == nil && (late || e.overShare) && c.overloaded {
+					reason = Overload
+				}
 			}
 		}
-		if give {
-			st.Decisions = append(st.Decisions, c.giveUp(e, now))
+		if reason != NotGivenUp {
+			st.Decisions = append(st.Decisions, c.giveUp(e, reason, now))
 		} else if s != nil {
 			st.Decisions = append(st.Decisions, c.send(e, s, false, now))
 		} else {
--- a/choice/types.go
+++ b/choice/types.go
@@ -67,6 +67,7 @@
 	queuedAhead     float64 // requests that waited there when it left, as far as was known
 	overShare       bool    // beyond its tenant's share when it came
 	ended           bool
+	reason          Reason // why it was given up
 }
 
 // InFlight tells whether an attempt of the request still has no outcome.
--- a/cmd/lpgate/main.go
+++ b/cmd/lpgate/main.go
@@ -23,7 +23,8 @@
 
 type flags struct {
 	telemetry.Flags
-	Config   string `help:"The platform's configuration: the front end speaks its protocol; no other flag counts then." env:"GW_CONFIG" type:"path"`
+	Config   string `help:"The platform's configuration: the front end speaks its protocol; no flag but --metrics and those of logs counts then." env:"GW_CONFIG" type:"path"`
+	Metrics  string `help:"Address where a front end of the platform serves its state to Prometheus; none by default." env:"LPGATE_METRICS"`
 	Settings string `help:"File of settings; without it the built-in defaults." type:"path"`
 	Listen   string `help:"Where clients come, instead of front.listen."`
 	Name     string `help:"Name of this front end in logs and events' ids."`
@@ -34,6 +35,9 @@
 	Record   string `help:"File for a recording of the core." type:"path"`
 }
 
+// logWithin is how long the end waits for who reads the log.
+const logWithin = 200 * time.Millisecond
+
 func main() {
 	var f flags
 	kong.Parse(&f, kong.Name("lpgate"), kong.Description("A front end of lupinpond: takes events over HTTP and has workers "+
@@ -45,9 +49,11 @@
 }
 
 func run(f flags) (err error) {
-	log := telemetry.New(os.Stderr, f.Flags)
+	signal.Ignore(syscall.SIGPIPE) // of a log that nobody reads any more: what is written there fails, and is dropped
+	log, lossy := telemetry.NewLossyLogger(os.Stderr, f.Flags)
+	defer lossy.Close(logWithin)
 	if f.Config != "" {
-		return platform.Run(f.Config, log)
+		return platform.Run(f.Config, log, platform.Options{Metrics: f.Metrics, Dropped: lossy.Dropped})
 	}
 	file, err := config.Default()
 	if f.Settings != "" {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -155,6 +155,9 @@
 	return &Feed{addr: addr, limits: limits, log: log, told: told, moved: make(chan struct{}, 1), answered: time.Now()}
 }
 
+// Position is the number of the last event that was told.
+func (f *Feed) Position() int64 { return f.at().last }
+
 // Tell takes news that came by another way, as at the start.
 func (f *Feed) Tell(n News) {
 	for _, e := range n.Events {
--- /dev/null
+++ b/internal/feed/slow_test.go
@@ -0,0 +1,86 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lupinpond/internal/feed"
+)
+
+// follow runs a feed of a service until the test ends; it tells the numbers of the events.
+func follow(t *testing.T, l feed.Limits, handle http.HandlerFunc) (told chan int64) {
+	service := httptest.NewServer(handle)
+	told = make(chan int64, 100)
+	f := feed.New(service.Listener.Addr().String(), l, slog.New(slog.DiscardHandler), func(e feed.Event) { told <- e.Number })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		service.Close()
+	})
+	return told
+}
+
+func wantsEvent(t *testing.T, told chan int64, number int64) {
+	t.Helper()
+	select {
+	case got := <-told:
+		if got != number {
+			t.Errorf("event %d instead of %d", got, number)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatalf("event %d is never told", number)
+	}
+}
+
+var slow = feed.Limits{Wait: 20 * time.Millisecond, Answer: 20 * time.Millisecond, Slow: 10 * time.Second, Bytes: 1 << 16}
+
+// A service that takes ten times as long as usual for every answer is heard all the same.
+func TestSlowService(t *testing.T) {
+	told := follow(t, slow, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(10 * (slow.Wait + slow.Answer)):
+		case <-r.Context().Done():
+			return
+		}
+		if r.URL.Query().Get("tail") == "0" {
+			fmt.Fprint(w, news(1))
+		} else {
+			fmt.Fprint(w, news(2))
+		}
+	})
+	wantsEvent(t, told, 1)
+	wantsEvent(t, told, 2)
+}
+
+// A service that leaves a question without an answer is asked again, though a slow answer could still come, and by no more
+// questions than a few.
+func TestSilentQuestion(t *testing.T) {
+	var asked, open, most atomic.Int64
+	told := follow(t, slow, func(w http.ResponseWriter, r *http.Request) {
+		n := open.Add(1)
+		defer open.Add(-1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+		}
+		if asked.Add(1) == 2 {
+			fmt.Fprint(w, news(1))
+			return
+		}
+		<-r.Context().Done()
+	})
+	wantsEvent(t, told, 1)
+	time.Sleep(20 * (slow.Wait + slow.Answer))
+	if n := most.Load(); n > 4 {
+		t.Error(n, "questions at a time")
+	}
+}
--- a/internal/gate/departure.go
+++ b/internal/gate/departure.go
@@ -28,11 +28,17 @@
 // when the attempt's bytes are about to be written, from any goroutine.
 func (d *Departure) Left() (time.Duration, bool) {
 	now := d.owner.Now()
-	if d.request.clientGone.Load() != 0 || now >= d.by {
+	if d.request.clientGone.Load() != 0 {
+		d.owner.stats.WithheldLeft.Add(1)
+		return 0, false
+	}
+	if now >= d.by {
+		d.owner.stats.WithheldLate.Add(1)
 		return 0, false
 	}
 	if behind := d.owner.stall.Behind(time.Now()); behind > 0 && now-d.decided >= behind {
-		return 0, false // the process did not run since: what was said meanwhile is not read yet
+		d.owner.stats.WithheldOld.Add(1) // what was said meanwhile is not read yet
+		return 0, false
 	}
 	d.told = d.by - now
 	return d.told, true
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -110,8 +110,9 @@
 		}
 		g.names[f.ID()] = f.Name
 	}
-	g.Owner = NewOwner(o.File.Core(o.Seed, o.Self, max(1, o.Peers)), links{g}, o.Record,
-		o.File.Fleet.Loading.OrderLimit.D(), o.File.Front.Link.Dial.D(), invariant.NewMonitor(g.log))
+	g.Owner = NewOwner(OwnerOptions{Core: o.File.Core(o.Seed, o.Self, max(1, o.Peers)), Workers: links{g}, Record: o.Record,
+		LoadTimeout: o.File.Fleet.Loading.OrderLimit.D(), ProbeLimit: o.File.Front.Link.Dial.D(),
+		Monitor: invariant.NewMonitor(g.log), Log: g.log})
 	g.births = g.NewBirths()
 	return g, nil
 }
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,8 @@
 	probeLimit  time.Duration // and a probe
 	stall       stall.Watcher
 	monitor     *invariant.Monitor
+	log         *slog.Logger
+	stats       Stats
 	loads       loadChecks
 	front       core.Settings
 
@@ -75,18 +78,30 @@
 	endBy    time.Duration // every request has its answer by then
 }
 
-// NewOwner makes the owner of a core; record gets a recording of it where it is not nil, and monitor is told of violated
-// invariants. Run runs it.
-func NewOwner(front core.Settings, workers Workers, record io.Writer, orderLimit, probeLimit time.Duration,
-	monitor *invariant.Monitor) *Owner {
-	o := &Owner{base: time.Now().Add(-time.Hour), workers: workers, loadTimeout: orderLimit, probeLimit: probeLimit,
+// OwnerOptions are what an Owner is made from.
+type OwnerOptions struct {
+	Core        core.Settings
+	Workers     Workers
+	Record      io.Writer          // gets a recording of the core; nil: none
+	LoadTimeout time.Duration      // a load request that is not answered by then is lost
+	ProbeLimit  time.Duration      // and a probe
+	Monitor     *invariant.Monitor // is told of violated invariants; may be nil
+	Log         *slog.Logger       // gets the life of every request at debug level; nil: nothing does
+}
+
+// NewOwner makes the owner of a core. Run runs it.
+func NewOwner(from OwnerOptions) *Owner {
+	if from.Log == nil {
+		from.Log = slog.New(slog.DiscardHandler)
+	}
+	o := &Owner{base: time.Now().Add(-time.Hour), workers: from.Workers, loadTimeout: from.LoadTimeout, probeLimit: from.ProbeLimit,
 		requests: map[string]*Request{}, twins: map[string]bool{}, started: make(chan struct{}), gone: make(chan struct{}),
-		endBy: math.MaxInt64, monitor: monitor, front: front, loads: newLoadChecks(front.Loading)}
+		endBy: math.MaxInt64, monitor: from.Monitor, log: from.Log, front: from.Core, loads: newLoadChecks(from.Core.Loading)}
 	o.box.kick = make(chan struct{}, 1)
-	if record != nil {
-		o.core, o.recorder = corelog.Start(front, o, record)
+	if from.Record != nil {
+		o.core, o.recorder = corelog.Start(from.Core, o, from.Record)
 	} else {
-		o.core = core.New(front, o)
+		o.core = core.New(from.Core, o)
 	}
 	return o
 }
@@ -128,6 +143,7 @@
 		return
 	}
 	// the process did not run: the client's time went on meanwhile, and that it has left may not be read yet
+	o.stats.Stalled.Add(1)
 	time.AfterFunc(stall.Settle, func() { o.submit(e, read-behind) })
 }
 
@@ -149,6 +165,7 @@
 		}
 		o.core.ClientGone(now, e.Fact.ID)
 		o.counts.Left++
+		o.trace("client left", e, "in_flight", len(e.inFlight))
 		for _, l := range e.inFlight {
 			l.Recall()
 		}
@@ -289,6 +306,7 @@
 	}
 	o.requests[e.Fact.ID] = e // the core may act on it at once
 	o.counts.Taken++
+	o.trace("request taken", e, "type", e.Fact.Type, "tenant", e.Fact.Tenant, "time_left", e.Fact.TimeLeft)
 	o.loads.submitted(now)
 	if err := o.core.Submit(now, e.Fact); err != nil {
 		delete(o.requests, e.Fact.ID)
@@ -310,7 +328,10 @@
 	}
 	o.checkAttempt(e, launch, worker)
 	o.counts.Launches++
-	e.sent++
+	if e.sent++; e.sent > 1 {
+		o.stats.Retries.Add(1)
+	}
+	o.trace("attempt", e, "attempt", launch, "worker", worker)
 	sent := time.Now()
 	departure := &Departure{owner: o, request: e, decided: o.Now(), by: min(e.submittedAt+fact.TimeLeft, o.endBy)}
 	l := o.workers.Send(e, launch, worker, departure, func(out choice.Outcome, body []byte) {
@@ -318,6 +339,7 @@
 			delete(e.inFlight, launch)
 			out.Worker, out.Took = worker, time.Since(sent)
 			e.checks.ended(launch, out.Result)
+			o.trace("attempt ended", e, "attempt", launch, "worker", worker, "result", out.Result.String(), "took", out.Took)
 			if out.Result == choice.Completed {
 				e.answer = body
 			}
@@ -355,9 +377,15 @@
 
 // reply gives a request its final answer, the only one.
 func (o *Owner) reply(e *Request, a invoke.Answer) {
-	if o.checkAnswer(e) {
-		e.Reply(a)
+	if !o.checkAnswer(e) {
+		return
+	}
+	reason := e.Fact.Reason()
+	if a.Ending != invoke.Handled {
+		o.stats.GivenUp[reason].Add(1)
 	}
+	o.trace("answered", e, "ending", a.Ending.String(), "reason", reason.String(), "attempts", e.sent)
+	e.Reply(a)
 }
 
 // Cancel gives an attempt up; its outcome is a fact of a moment to come.
--- a/internal/gate/owner_test.go
+++ b/internal/gate/owner_test.go
@@ -32,7 +32,7 @@
 // nowhereAt starts an owner whose workers are nowhere, with one worker listed.
 func nowhereAt(t *testing.T, orders bool) *nowhere {
 	out := &nowhere{launched: make(chan struct{}, 1), recalled: make(chan struct{}, 100)}
-	out.owner = gate.NewOwner(front(orders), out, nil, time.Millisecond, time.Second, nil)
+	out.owner = gate.NewOwner(gate.OwnerOptions{Core: front(orders), Workers: out, LoadTimeout: time.Millisecond, ProbeLimit: time.Second})
 	run(t, out.owner)
 	out.owner.UpdateMembership(true, []choice.Member{{Worker: "w"}}, nil)
 	return out
@@ -71,7 +71,7 @@
 // begins, and the event ends.
 func TestLeftBeforeItIsHeard(t *testing.T) {
 	out, gone := &ready{nowhere{launched: make(chan struct{}, 2)}}, make(chan struct{})
-	out.owner = gate.NewOwner(front(false), out, nil, time.Millisecond, time.Second, nil)
+	out.owner = gate.NewOwner(gate.OwnerOptions{Core: front(false), Workers: out, LoadTimeout: time.Millisecond, ProbeLimit: time.Second})
 	event := func(id string, reply func(invoke.Answer), gone func()) *gate.Request {
 		return &gate.Request{Fact: &choice.Request{ID: id, Type: "call", Function: 9, TimeLeft: 3 * time.Second, Concurrency: 1}, Reply: reply, Gone: gone}
 	}
--- /dev/null
+++ b/internal/gate/stats.go
@@ -0,0 +1,46 @@
+package gate
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+
+	"lupinpond/choice"
+	"lupinpond/internal/invariant"
+)
+
+// Stats are an owner's numbers that may be read at any time.
+type Stats struct {
+	Retries      atomic.Int64                 // attempts of requests that had one before
+	Stalled      atomic.Int64                 // requests that were read right after the process had not run
+	WithheldLeft atomic.Int64                 // attempts that did not leave as their client had left
+	WithheldLate atomic.Int64                 // or had no time left
+	WithheldOld  atomic.Int64                 // or the process had not run since the decision
+	GivenUp      [choice.Reasons]atomic.Int64 // requests answered without being served, by reason
+}
+
+// Stats gives the owner's numbers.
+func (o *Owner) Stats() *Stats { return &o.stats }
+
+// Monitor gives what counts violated invariants; nil where nothing does.
+func (o *Owner) Monitor() *invariant.Monitor { return o.monitor }
+
+// Counts asks the owner for its numbers, also once it has ended; zero where it does not tell them before ctx ends.
+func (o *Owner) Counts(ctx context.Context) (c Counts) {
+	if o.ask(ctx, func() { c = o.counts }) {
+		return c
+	}
+	select {
+	case <-o.gone:
+		return o.counts
+	default:
+		return Counts{}
+	}
+}
+
+// trace logs a step in the life of a request.
+func (o *Owner) trace(what string, e *Request, state ...any) {
+	if o.log.Enabled(context.Background(), slog.LevelDebug) {
+		o.log.Debug(what, append([]any{"request", e.Fact.ID}, state...)...)
+	}
+}
--- a/internal/invoke/invoke.go
+++ b/internal/invoke/invoke.go
@@ -189,6 +189,11 @@
 	InHand
 )
 
+var endingNames = [...]string{Handled: "completed", Deferred: "rejected", DeadLettered: "failed", NotTaken: "not_taken", InHand: "in_hand"}
+
+// String is the ending's name in logs and metrics.
+func (e Ending) String() string { return endingNames[e] }
+
 // Answer is what a client is told.
 type Answer struct {
 	Ending   Ending
--- a/internal/platform/deadline_test.go
+++ b/internal/platform/deadline_test.go
@@ -96,6 +96,29 @@
 	}
 }
 
+// A client that leaves while its attempt waits for a connection gets none, though the owner stands still and has not heard of it.
+func TestLeavesWhileConnectingAndTheOwnerStandsStill(t *testing.T) {
+	slow := newCrowdedListener(t)
+	r := start(t, `"dial_timeout":0.25`, `"dial_timeout":5`, `"orders":true`, `"orders":false`, `"probing":true`, `"probing":false`)
+	r.journal <- changes(2, false, host("slow", slow.addr, "up")+","+host("w", r.worker.Addr().String(), "removed"))
+	waited(t, r)
+	c := r.dial()
+	c.dispatch("a", fields(id(1))...)
+	time.Sleep(50 * time.Millisecond) // the first try to connect finds no room
+	r.front.Pause(3 * time.Second)
+	c.Close()
+	syscall.Close(slow.accept(t))
+	fd := slow.accept(t)
+	defer syscall.Close(fd)
+	if err := syscall.SetsockoptTimeval(fd, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &syscall.Timeval{Sec: 1}); err != nil {
+		t.Fatal(err)
+	}
+	have := make([]byte, 4096)
+	if n, _ := syscall.Read(fd, have); n > 0 {
+		t.Errorf("an attempt for a client that has left: %q", have[:n])
+	}
+}
+
 // waited returns when the front end has asked for what comes after the answers given so far.
 func waited(t *testing.T, r *rig) {
 	t.Helper()
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -43,7 +43,8 @@
 	if c.Settings["report.source"] != "off" {
 		e.workers.report = "pending"
 	}
-	e.Owner = gate.NewOwner(c.Front, e.workers, record, c.Front.Loading.Limit, dial, e.monitor)
+	e.Owner = gate.NewOwner(gate.OwnerOptions{Core: c.Front, Workers: e.workers, Record: record, LoadTimeout: c.Front.Loading.Limit,
+		ProbeLimit: dial, Monitor: e.monitor, Log: e.log})
 	e.births = e.NewBirths()
 	grace := c.Settings.Time("rules.stop_sending_within", 500*time.Millisecond)
 	e.workers.grace = grace
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -14,6 +14,7 @@
 
 	"lupinpond/choice"
 	"lupinpond/internal/gate"
+	"lupinpond/internal/invariant"
 	"lupinpond/internal/invoke"
 	"lupinpond/internal/thrift"
 )
@@ -50,6 +51,8 @@
 	bytes    atomic.Int64 // of bodies in hand
 	draining atomic.Bool
 	recent   recent
+	closings closings
+	dropped  func() int64 // log lines that found no reader; may be nil
 }
 
 // New makes a front end that serves on a listener; record gets a recording of the core where it is not nil.
@@ -66,6 +69,7 @@
 	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: mostOpen,
 		Conns: c.peerSockets() / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial,
 		Rest: max(dial/restDials, 1)}, f.handle)
+	f.server.OnClose(f.connectionClosed)
 	f.recent.keep, f.recent.most = f.longest, int(c.Memory/recentMemory)
 	return f
 }
@@ -110,6 +114,19 @@
 	}
 }
 
+// checkClosed checks that nothing was owed on a connection that this side has closed.
+func (f *Front) checkClosed(c thrift.Closed) {
+	if !c.Reason.Ours() {
+		return
+	}
+	if c.Open > 0 {
+		f.monitor.Violated(invariant.ClosedUnanswered, "", "reason", c.Reason.String(), "client", c.Client, "requests", c.Open)
+	}
+	if c.Unwritten > 0 {
+		f.monitor.Violated(invariant.ClosedUnwritten, "", "reason", c.Reason.String(), "client", c.Client, "bytes", c.Unwritten)
+	}
+}
+
 // handle takes one message of a client.
 func (f *Front) handle(c *thrift.Conn, m thrift.Message) {
 	args, err := thrift.ReadArgs(m.Args)
--- /dev/null
+++ b/internal/platform/lives_test.go
@@ -0,0 +1,43 @@
+package platform
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"lupinpond/internal/feed"
+	"lupinpond/internal/invariant"
+	"lupinpond/internal/resp"
+)
+
+// What the core decides is for the life of a worker that it has heard of. The next life at the same name is found only once the
+// core has heard of it, and then the one before is not.
+func TestNextLifeIsFoundOnceTheCoreHasHeard(t *testing.T) {
+	w := &workers{pool: resp.NewPool(context.Background(), resp.Limits{Streams: 1}), listed: map[string]*backend{},
+		adopted: map[string]*backend{}, monitor: invariant.NewMonitor(slog.New(slog.DiscardHandler))}
+	list := func(state string, born int64) feed.Event {
+		return feed.Event{List: &feed.List{Workers: []feed.Worker{{Name: "w", Addr: "127.0.0.1:1", State: state, Born: born}}}}
+	}
+	w.news(list(feed.Up, 1))()
+	first := w.find("w")
+	if first == nil {
+		t.Fatal("the first life is not found")
+	}
+	adopt := w.news(list(feed.Up, 2))
+	if w.find("w") != first || first.stopped.Load() == 0 {
+		t.Error("the next life is found before the core has heard of it, or the one before may still get something new")
+	}
+	adopt()
+	second := w.find("w")
+	if second == first || second.stopped.Load() != 0 {
+		t.Error("the next life is not found once the core has heard of it")
+	}
+	adopt = w.news(list(feed.Removed, 2))
+	if w.find("w") != second || second.stopped.Load() == 0 {
+		t.Error("a worker that is gone may still get something new")
+	}
+	adopt()
+	if w.find("w") != nil {
+		t.Error("a worker that is gone is found")
+	}
+}
--- /dev/null
+++ b/internal/platform/metrics.go
@@ -0,0 +1,153 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lupinpond/choice"
+	"lupinpond/internal/gate"
+	"lupinpond/internal/serve"
+	"lupinpond/internal/thrift"
+)
+
+// closings counts the ends of clients' connections by their reason.
+type closings [thrift.CloseReasons]atomic.Int64
+
+// status is the state of a front end at one moment, for logs and metrics.
+type status struct {
+	gate.Counts
+	Open, Connections          int64
+	ToWorkers, Stray, Position int64
+	LogLinesDropped            int64
+}
+
+// statusWithin is how long the owner may take to tell its numbers.
+const statusWithin = time.Second
+
+// status asks for the state; numbers that the owner does not tell in time are 0.
+func (f *Front) status() status {
+	ctx, stop := context.WithTimeout(context.Background(), statusWithin)
+	defer stop()
+	s := status{Counts: f.Counts(ctx), Open: f.server.Open(), Connections: int64(f.server.Connections()),
+		ToWorkers: f.workers.pool.Open(), Stray: f.workers.pool.Stray(), Position: f.feed.Position()}
+	if f.dropped != nil {
+		s.LogLinesDropped = f.dropped()
+	}
+	return s
+}
+
+// logStatus logs the state in one line: an error where an invariant was violated.
+func (f *Front) logStatus(level slog.Level) {
+	if f.monitor.Total() > 0 {
+		level = slog.LevelError
+	}
+	s, more := f.status(), f.Stats()
+	closed, givenUp := map[string]int64{}, map[string]int64{}
+	for r := range f.closings {
+		if n := f.closings[r].Load(); n > 0 {
+			closed[thrift.CloseReason(r).String()] = n
+		}
+	}
+	for r := range more.GivenUp {
+		if n := more.GivenUp[r].Load(); n > 0 {
+			givenUp[choice.Reason(r).String()] = n
+		}
+	}
+	f.log.Log(context.Background(), level, "status", "violations", f.monitor.Counts(), "requests", s.Taken, "completed", s.Handled,
+		"rejected", s.Deferred, "failed", s.DeadLettered, "clients_left", s.Left, "attempts", s.Launches, "retries", more.Retries.Load(),
+		"given_up", givenUp, "withheld_left", more.WithheldLeft.Load(), "withheld_late", more.WithheldLate.Load(),
+		"withheld_stalled", more.WithheldOld.Load(), "read_after_stall", more.Stalled.Load(), "load_requests", s.Orders, "probes", s.Probes,
+		"late_answers", s.LateAnswers, "closed", closed, "open", s.Open, "connections", s.Connections, "to_workers", s.ToWorkers,
+		"stray_answers", s.Stray, "list_position", s.Position, "log_lines_dropped", s.LogLinesDropped)
+}
+
+// connectionClosed counts and checks the end of a client's connection.
+func (f *Front) connectionClosed(c thrift.Closed) {
+	f.closings[c.Reason].Add(1)
+	f.log.Debug("connection closed", "reason", c.Reason.String(), "client", c.Client, "open", c.Open, "unwritten", c.Unwritten,
+		"lasted", c.Lasted)
+	f.checkClosed(c)
+}
+
+// collector tells the state to Prometheus.
+type collector struct{ front *Front }
+
+// Describe tells nothing: what is collected depends on the reasons and kinds seen.
+func (c collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect collects the state.
+func (c collector) Collect(out chan<- prometheus.Metric) {
+	f := c.front
+	s, more := f.status(), f.Stats()
+	counter := func(name, help string, n int64, labels ...string) {
+		collect(out, prometheus.CounterValue, name, help, n, labels...)
+	}
+	gauge := func(name, help string, n int64) { collect(out, prometheus.GaugeValue, name, help, n) }
+	requests := "Requests by how they ended."
+	counter("requests_total", requests, int64(s.Handled), "ending", "completed")
+	counter("requests_total", requests, int64(s.Deferred), "ending", "rejected")
+	counter("requests_total", requests, int64(s.DeadLettered), "ending", "failed")
+	counter("requests_total", requests, int64(s.Left), "ending", "client_left")
+	for r := range more.GivenUp {
+		counter("requests_given_up_total", "Requests answered without being served, by reason.", more.GivenUp[r].Load(), "reason", choice.Reason(r).String())
+	}
+	counter("attempts_total", "Attempts decided on.", int64(s.Launches))
+	counter("retries_total", "Attempts of requests that had one before.", more.Retries.Load())
+	withheld := "Attempts that did not leave, by reason."
+	counter("attempts_withheld_total", withheld, more.WithheldLeft.Load(), "reason", "client_left")
+	counter("attempts_withheld_total", withheld, more.WithheldLate.Load(), "reason", "no_time_left")
+	counter("attempts_withheld_total", withheld, more.WithheldOld.Load(), "reason", "stalled")
+	counter("requests_read_after_stall_total", "Requests read right after the process had not run.", more.Stalled.Load())
+	counter("load_requests_total", "Load requests sent.", int64(s.Orders))
+	counter("probes_total", "Probes sent.", int64(s.Probes))
+	counter("late_answers_total", "Answers to attempts that had ended.", int64(s.LateAnswers))
+	counter("stray_answers_total", "Answers that no call waited for.", s.Stray)
+	counter("log_lines_dropped_total", "Log lines that found no reader.", s.LogLinesDropped)
+	for r := range f.closings {
+		counter("connections_closed_total", "Clients' connections by why they ended.", f.closings[r].Load(), "reason", thrift.CloseReason(r).String())
+	}
+	for kind, n := range f.monitor.Counts() {
+		counter("invariant_violations_total", "Violated invariants; there must be none.", n, "kind", kind)
+	}
+	gauge("requests_open", "Requests without an answer.", s.Open)
+	gauge("connections", "Clients' connections.", s.Connections)
+	gauge("connections_to_workers", "Connections to workers.", s.ToWorkers)
+	gauge("list_position", "Number of the last event of the list service that was taken.", s.Position)
+}
+
+// collect tells one number; labels are a name and a value.
+func collect(out chan<- prometheus.Metric, kind prometheus.ValueType, name, help string, n int64, labels ...string) {
+	var names, values []string
+	for i := 0; i+1 < len(labels); i += 2 {
+		names, values = append(names, labels[i]), append(values, labels[i+1])
+	}
+	out <- prometheus.MustNewConstMetric(prometheus.NewDesc("lupinpond_"+name, help, names, nil), kind, float64(n), values...)
+}
+
+// metricsHeader is how long a scrape's header may take.
+const metricsHeader = 5 * time.Second
+
+// serveMetrics serves the state to Prometheus at an address until ctx ends.
+func (f *Front) serveMetrics(ctx context.Context, addr string) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	registry := prometheus.NewRegistry()
+	if err := registry.Register(collector{f}); err != nil {
+		return errors.Join(fmt.Errorf("metrics: %w", err), listener.Close())
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	f.log.Info("metrics are served", "address", listener.Addr().String())
+	return serve.Until(ctx, &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeader}, listener, 0)
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"io/fs"
 	"log/slog"
 	"math"
 	"net"
@@ -11,39 +15,134 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 )
 
-// Run runs a front end by a configuration file until SIGTERM, and reads the file again at SIGHUP.
-func Run(path string, log *slog.Logger) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// Times in which what another process has not finished yet is tried again.
+const (
+	tryPause     = 50 * time.Millisecond
+	startWithin  = 2 * time.Second  // a configuration that is being written, at the start
+	listenWithin = 8 * time.Second  // an address that the process before has not let go yet
+	reloadWithin = 10 * time.Second // a configuration that is being written, after SIGHUP
+)
+
+// Options are what a front end is run with beside its configuration.
+type Options struct {
+	Metrics string       // address where the state is served to Prometheus; empty: nowhere
+	Dropped func() int64 // log lines that found no reader; may be nil
+}
+
+// Run runs a front end by a configuration file until SIGTERM. At SIGHUP it reads the file again, at SIGUSR1 it logs its state.
+func Run(path string, log *slog.Logger, o Options) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
+	defer signal.Stop(signals)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	c, err := Read(path)
+	c, err := readAtStart(ctx, path)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(min(c.Cores, float64(runtime.NumCPU())))))
 	debug.SetMemoryLimit(c.Memory / 2) // the rest is for the program itself, stacks and what the system counts beside
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := listen(ctx, c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	f := New(c, listener, log, nil)
+	f.dropped = o.Dropped
+	if o.Metrics != "" {
+		go func() {
+			if err := f.serveMetrics(f.hard, o.Metrics); err != nil {
+				f.log.Error("metrics are not served", "err", err)
+			}
+		}()
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- f.Run(ctx) }()
+	return f.follow(path, signals, ended)
+}
+
+// follow does what signals ask for until the front end has ended.
+func (f *Front) follow(path string, signals <-chan os.Signal, ended <-chan error) error {
+	var again <-chan time.Time // a configuration that could not be read is to be read again
+	var until time.Time
 	for {
 		select {
 		case err := <-ended:
+			f.logStatus(slog.LevelInfo)
 			return err
-		case <-hup:
-			c, err := Read(path)
-			if err != nil { // the front end goes on with what it has
-				log.Error("the new configuration is not taken", "err", err)
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				f.logStatus(slog.LevelWarn) // asked for: it is logged at the usual level
 				continue
 			}
-			f.Reload(c)
+			until = time.Now().Add(reloadWithin)
+			again = f.reread(path, true, until)
+		case <-again:
+			again = f.reread(path, false, until)
+		}
+	}
+}
+
+// reread reads the configuration again. Where it can't be read the front end goes on with what it has, and reads it once more after
+// a pause, as it may be being written: the result tells when, nil: not any more.
+func (f *Front) reread(path string, first bool, until time.Time) <-chan time.Time {
+	c, err := Read(path)
+	if err == nil {
+		f.Reload(c)
+		return nil
+	}
+	if first {
+		f.log.Error("the new configuration is not taken", "err", err)
+	}
+	if time.Now().After(until) {
+		f.log.Error("the new configuration is given up", "err", err)
+		return nil
+	}
+	return time.After(tryPause)
+}
+
+// readAtStart reads the configuration, which may be being written.
+func readAtStart(ctx context.Context, path string) (c Config, err error) {
+	err = retry(ctx, startWithin, unfinished, func() (err error) {
+		c, err = Read(path)
+		return err
+	})
+	return c, err
+}
+
+// unfinished tells whether a configuration may be one that is being written, or could not be read for now.
+func unfinished(err error) bool {
+	var syntax *json.SyntaxError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &syntax) ||
+		errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// listen listens, also at an address that a process before this one has not let go yet.
+func listen(ctx context.Context, addr string) (listener net.Listener, err error) {
+	taken := func(err error) bool {
+		return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+	}
+	err = retry(ctx, listenWithin, taken, func() (err error) {
+		listener, err = net.Listen("tcp", addr)
+		return err
+	})
+	return listener, err
+}
+
+// retry calls f until it succeeds, fails for good, ctx ends, or some time has passed; the last error stands.
+func retry(ctx context.Context, within time.Duration, again func(error) bool, f func() error) error {
+	end := time.Now().Add(within)
+	for {
+		err := f()
+		if err == nil || !again(err) || time.Now().After(end) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(tryPause):
 		}
 	}
 }
--- a/internal/platform/run_test.go
+++ b/internal/platform/run_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"lupinpond/internal/platform"
 )
@@ -55,7 +56,7 @@
 		t.Fatal(err)
 	}
 	l, ended = &logs{kick: make(chan struct{})}, make(chan error, 1)
-	go func() { ended <- platform.Run(path, slog.New(slog.NewTextHandler(l, nil))) }()
+	go func() { ended <- platform.Run(path, slog.New(slog.NewTextHandler(l, nil)), platform.Options{}) }()
 	return path, l, ended
 }
 
@@ -125,7 +126,46 @@
 			t.Errorf("without %s: %v", names, err)
 		}
 	}
-	if err := platform.Run(filepath.Join(t.TempDir(), "none"), slog.New(slog.DiscardHandler)); err == nil {
+	if err := platform.Run(filepath.Join(t.TempDir(), "none"), slog.New(slog.DiscardHandler), platform.Options{}); err == nil {
 		t.Error("no file is taken")
 	}
 }
+
+// A configuration that is being written at SIGHUP is taken once it is whole, without another signal, and one that is being written
+// at the start too; an address that another process has not let go yet is taken once it has.
+func TestConfigurationBeingWritten(t *testing.T) {
+	r := start(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, path := listener.Addr().String(), filepath.Join(t.TempDir(), "config.json")
+	object := []byte(strings.Replace(r.config, `"listen":`, `"listen":"`+addr+`","was":`, 1))
+	if err := os.WriteFile(path, object[:len(object)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l, ended := &logs{kick: make(chan struct{})}, make(chan error, 1)
+	go func() { ended <- platform.Run(path, slog.New(slog.NewTextHandler(l, nil)), platform.Options{}) }()
+	time.Sleep(100 * time.Millisecond)
+	if err := os.WriteFile(path, object, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	listener.Close()
+	l.wait("front end listens", 1)
+	if err := os.WriteFile(path, object[:len(object)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	signal(t, syscall.SIGHUP)
+	l.wait("the new configuration is not taken", 1)
+	if err := os.WriteFile(path, object, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l.wait("msg=\"new configuration\"", 1)
+	signal(t, syscall.SIGUSR1)
+	l.wait("msg=status", 1)
+	signal(t, syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -89,6 +89,9 @@
 // Wait returns when every connection has ended.
 func (p *Pool) Wait() { p.done.Wait() }
 
+// Open is the number of connections, those that do not stand yet included.
+func (p *Pool) Open() int64 { return p.open.Load() }
+
 // Stray is the number of answers that no call waited for.
 func (p *Pool) Stray() int64 { return p.stray.Load() }
 
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -2,6 +2,7 @@
 package telemetry
 
 import (
+	"io"
 	"log/slog"
 	"os"
 
@@ -17,9 +18,19 @@
 
 // New makes a logger that writes to out, in colours only where that is a terminal.
 func New(out *os.File, f Flags) *slog.Logger {
+	return newLogger(out, term.IsTerminal(int(out.Fd())), f)
+}
+
+// NewLossyLogger makes a logger that never makes who logs wait; the second result ends it.
+func NewLossyLogger(out *os.File, f Flags) (*slog.Logger, *Lossy) {
+	lossy := NewLossy(out)
+	return newLogger(lossy, term.IsTerminal(int(out.Fd())), f), lossy
+}
+
+func newLogger(out io.Writer, terminal bool, f Flags) *slog.Logger {
 	if f.LogFormat == "json" {
 		return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: f.LogLevel}))
 	}
 	return slog.New(tint.NewTextHandler(out, &tint.Options{Level: f.LogLevel, TimeFormat: "15:04:05.000",
-		NoColor: !term.IsTerminal(int(out.Fd()))}))
+		NoColor: !terminal}))
 }
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -17,19 +17,19 @@
 
 // The reasons.
 const (
-	ClientLeft CloseReason = iota // its client closed or reset it
-	Idle                          // it was silent for too long
-	GaveWay                       // it was idle, and a new one needed its place
-	Drained                       // it was idle, and the server ends
-	Malformed                     // what came can't be read or is not allowed
-	Unfinished                    // a message began and did not go on
-	NotReading                    // its client does not read what it is sent
-	Stopped                       // the server ended at once
-	NoPlace                       // it was new, and there was no place for it
-	closeReasons
+	ClientLeft   CloseReason = iota // its client closed or reset it
+	Idle                            // it was silent for too long
+	GaveWay                         // it was idle, and a new one needed its place
+	Drained                         // it was idle, and the server ends
+	Malformed                       // what came can't be read or is not allowed
+	Unfinished                      // a message began and did not go on
+	NotReading                      // its client does not read what it is sent
+	Stopped                         // the server ended at once
+	NoPlace                         // it was new, and there was no place for it
+	CloseReasons                    // how many there are
 )
 
-var closeReasonNames = [closeReasons]string{"client_left", "idle", "gave_way", "drained", "malformed", "unfinished", "not_reading",
+var closeReasonNames = [CloseReasons]string{"client_left", "idle", "gave_way", "drained", "malformed", "unfinished", "not_reading",
 	"stopped", "no_place"}
 
 // String is the reason's name in logs and metrics.
