--- a/cmd/lpctl/main.go
+++ b/cmd/lpctl/main.go
@@ -39,6 +39,7 @@
 	Replay   replayCmd   `cmd:"" help:"Replay a recording of a core and compare what it does."`
 	Slopes   slopesCmd   `cmd:"" help:"Measure what the decision core costs as the fleet grows, and fit curves."`
 	Scale    scaleCmd    `cmd:"" help:"Run real and hollow front ends, emulated workers and a list service at a fleet's size on loopback."`
+	Soak     soakCmd     `cmd:"" help:"Play real front ends on loopback through overlapping troubles, and judge the rules from the sockets."`
 
 	ScaleChild scaleChildCmd `cmd:"" hidden:"" help:"A process of a scale run."`
 
--- /dev/null
+++ b/internal/faultproxy/proxy.go
@@ -0,0 +1,167 @@
+// Package faultproxy relays TCP connections on loopback and does to them what networks and machines do: it holds, delays, cuts and
+// resets.
+package faultproxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Fault is what is done to what passes. The zero value relays.
+type Fault struct {
+	Hold  bool          // nothing passes, nothing is closed: a machine that is cut off
+	Delay time.Duration // of each part that passes, both ways
+	Cut   int           // bytes of answers after which a connection ends; 0: none does
+}
+
+// Proxy relays connections to one address.
+type Proxy struct {
+	target   string
+	listener net.Listener
+	fault    atomic.Pointer[Fault]
+
+	mu    sync.Mutex
+	pairs map[*pair]bool
+	done  sync.WaitGroup
+}
+
+// pair is a connection and the one that it is relayed to.
+type pair struct {
+	client, server net.Conn
+	answered       atomic.Int64
+}
+
+const (
+	holdLook  = 2 * time.Millisecond
+	dialLimit = 2 * time.Second
+	partBytes = 16 << 10
+)
+
+// New makes a proxy at a free port of loopback.
+func New(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, listener: listener, pairs: map[*pair]bool{}}
+	p.fault.Store(&Fault{})
+	p.done.Add(1)
+	go p.accept()
+	return p, nil
+}
+
+// Addr is where it listens.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// Set has a fault from now on, on the connections that stand too.
+func (p *Proxy) Set(f Fault) { p.fault.Store(&f) }
+
+// Reset resets every connection, towards both ends.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for x := range p.pairs {
+		reset(x.client)
+		reset(x.server)
+	}
+}
+
+// Close ends the proxy and every connection.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.Set(Fault{})
+	p.Reset()
+	p.done.Wait()
+}
+
+func reset(conn net.Conn) {
+	if tcp, is := conn.(*net.TCPConn); is {
+		_ = tcp.SetLinger(0) // where it can't be a reset, an end serves as well
+	}
+	conn.Close()
+}
+
+func (p *Proxy) accept() {
+	defer p.done.Done()
+	for {
+		client, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(holdLook)
+			continue
+		}
+		p.done.Add(1)
+		go p.relay(client)
+	}
+}
+
+// relay relays one connection until both ways have ended.
+func (p *Proxy) relay(client net.Conn) {
+	defer p.done.Done()
+	server, err := net.DialTimeout("tcp", p.target, dialLimit)
+	if err != nil {
+		reset(client)
+		return
+	}
+	x := &pair{client: client, server: server}
+	p.mu.Lock()
+	p.pairs[x] = true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(x, server, client, false) })
+	both.Go(func() { p.copy(x, client, server, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.pairs, x)
+	p.mu.Unlock()
+}
+
+// copy passes one way until it ends, and ends the other end as this one has ended.
+func (p *Proxy) copy(x *pair, to, from net.Conn, answers bool) {
+	part := make([]byte, partBytes)
+	for {
+		n, err := from.Read(part)
+		if n > 0 && !p.pass(x, to, part[:n], answers) {
+			reset(to)
+			reset(from)
+			return
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			to.Close()
+			from.Close()
+		} else {
+			reset(to)
+			reset(from)
+		}
+		return
+	}
+}
+
+// pass passes a part; false: the connection ends.
+func (p *Proxy) pass(x *pair, to net.Conn, part []byte, answers bool) bool {
+	f := p.fault.Load()
+	if f.Delay > 0 {
+		time.Sleep(f.Delay)
+	}
+	for p.fault.Load().Hold {
+		time.Sleep(holdLook)
+	}
+	if answers && f.Cut > 0 {
+		room := f.Cut - int(x.answered.Add(int64(len(part)))) + len(part)
+		if room < len(part) {
+			_, _ = to.Write(part[:max(0, room)]) // it ends anyway
+			return false
+		}
+	}
+	_, err := to.Write(part)
+	return err == nil
+}
--- a/internal/gate/checks.go
+++ b/internal/gate/checks.go
@@ -73,7 +73,9 @@
 		return false
 	}
 	e.checks.answered = true
-	if by := e.submittedAt + e.Fact.TimeLeft; now > by+answerSlack && e.clientGone.Load() == 0 {
+	by := e.submittedAt + e.Fact.TimeLeft
+	late := now > by+answerSlack && e.clientGone.Load() == 0
+	if late && !o.stall.EndedAfter(o.base.Add(by), time.Now()) { // else the process did not run when the answer was due
 		o.monitor.Violated(invariant.AnsweredLate, e.Fact.ID, "later", now-by, "attempts", e.sent)
 	}
 	return true
--- a/internal/scale/list.go
+++ b/internal/listservice/service.go
@@ -1,4 +1,6 @@
-package scale
+// Package listservice emulates the service that tells the list of workers, in its published form: numbered events, asked for by
+// GET /journal?tail=N&max_wait=MS.
+package listservice
 
 import (
 	"context"
@@ -22,9 +24,11 @@
 // keptChanges are the changes that the list service answers one by one; who has missed more is told the whole list.
 const keptChanges = 1000
 
-// listService emulates the service that tells the list of workers, in its published form: numbered events, asked for by
-// GET /journal?tail=N&max_wait=MS.
-type listService struct {
+// headerLimit is how long the head of a question may take.
+const headerLimit = 5 * time.Second
+
+// Service is one list of workers and the HTTP interface to it.
+type Service struct {
 	mu      sync.Mutex
 	workers map[string]feed.Worker
 	changes []feed.Event // the last ones, without a gap up to the position
@@ -34,35 +38,37 @@
 
 	asked, wholes, bytes atomic.Int64
 
-	addr  string
+	// Addr is where it listens.
+	Addr  string
 	stop  context.CancelFunc // nil: away
 	ended chan error
 }
 
-func newListService(workers []feed.Worker) (*listService, error) {
-	s := &listService{workers: map[string]feed.Worker{}, pos: 1, changed: make(chan struct{})}
+// New makes a service that listens at a free port of loopback.
+func New(workers []feed.Worker) (*Service, error) {
+	s := &Service{workers: map[string]feed.Worker{}, pos: 1, changed: make(chan struct{})}
 	for _, w := range workers {
 		s.workers[w.Name] = w
 	}
 	return s, s.listen("127.0.0.1:0")
 }
 
-func (s *listService) listen(addr string) error {
+func (s *Service) listen(addr string) error {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	s.addr = listener.Addr().String()
+	s.Addr = listener.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop, s.ended = stop, make(chan error, 1)
 	go func() {
-		s.ended <- serve.Until(ctx, &http.Server{Handler: s, ReadHeaderTimeout: writeLimit}, counting{listener, &s.bytes}, 0)
+		s.ended <- serve.Until(ctx, &http.Server{Handler: s, ReadHeaderTimeout: headerLimit}, counting{listener, &s.bytes}, 0)
 	}()
 	return nil
 }
 
-// close stops the service with all that is under way.
-func (s *listService) close() error {
+// Close stops the service with all that is under way.
+func (s *Service) Close() error {
 	if s.stop == nil {
 		return nil
 	}
@@ -71,12 +77,12 @@
 	return <-s.ended
 }
 
-// away stops the service, or has it come back at its address.
-func (s *listService) away(away bool) error {
+// Away stops the service, or has it come back at its address.
+func (s *Service) Away(away bool) error {
 	if away {
-		return s.close()
+		return s.Close()
 	}
-	return s.listen(s.addr)
+	return s.listen(s.Addr)
 }
 
 // counting counts the bytes of all connections, both ways.
@@ -113,8 +119,8 @@
 	return n, err
 }
 
-// publish tells one change of some lines.
-func (s *listService) publish(lines []feed.Worker) (position int64, at time.Time) {
+// Publish tells one change of some lines.
+func (s *Service) Publish(lines []feed.Worker) (position int64, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range lines {
@@ -135,7 +141,7 @@
 }
 
 // wholeAnswer tells the list as it stands; s.mu is held.
-func (s *listService) wholeAnswer() ([]byte, error) {
+func (s *Service) wholeAnswer() ([]byte, error) {
 	if s.whole != nil {
 		return s.whole, nil
 	}
@@ -152,7 +158,7 @@
 }
 
 // after is the answer to who knows the events up to tail; nil: there is nothing new.
-func (s *listService) after(tail int64) (answer []byte, changed chan struct{}, err error) {
+func (s *Service) after(tail int64) (answer []byte, changed chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	oldest := s.pos - int64(len(s.changes)) // the last event that need not be known
@@ -171,7 +177,7 @@
 }
 
 // ServeHTTP answers a watcher.
-func (s *listService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.asked.Add(1)
 	tail, err := strconv.ParseInt(r.URL.Query().Get("tail"), 10, 64)
 	wait, werr := strconv.ParseInt(r.URL.Query().Get("max_wait"), 10, 64)
@@ -199,18 +205,19 @@
 	_, _ = w.Write(answer) // who does not read it asks again
 }
 
-func (s *listService) counts() *listCounts {
+// Counts tells what it did.
+func (s *Service) Counts() *Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	names := make(map[string]string, len(s.workers))
 	for name, w := range s.workers {
 		names[name] = w.State
 	}
-	return &listCounts{Asked: s.asked.Load(), Whole: s.wholes.Load(), Bytes: s.bytes.Load(), Position: s.pos, Digest: digest(names)}
+	return &Counts{Asked: s.asked.Load(), Whole: s.wholes.Load(), Bytes: s.bytes.Load(), Position: s.pos, Digest: Digest(names)}
 }
 
-// digest names a list by its workers and their states.
-func digest(states map[string]string) string {
+// Digest names a list by its workers and their states.
+func Digest(states map[string]string) string {
 	h := xxhash.New()
 	for _, name := range slices.Sorted(maps.Keys(states)) {
 		_, _ = h.WriteString(name + "=" + states[name] + "\n") // it never fails
@@ -218,7 +225,11 @@
 	return fmt.Sprintf("%016x", h.Sum64())
 }
 
-// loopback is an address of 127/8 by a number; each has its own ports.
-func loopback(net8, number int) string {
-	return net.IPv4(127, byte(net8), byte(number>>8), byte(number)).String()
+// Counts are a service's numbers.
+type Counts struct {
+	Asked    int64  `json:"asked"`
+	Whole    int64  `json:"whole"` // answers with the whole list
+	Bytes    int64  `json:"bytes"` // both ways, with the heads of HTTP
+	Position int64  `json:"position"`
+	Digest   string `json:"digest"`
 }
--- a/internal/scale/child.go
+++ b/internal/scale/child.go
@@ -8,6 +8,8 @@
 
 	"github.com/prometheus/procfs"
 	"golang.org/x/sys/unix"
+
+	"lupinpond/internal/listservice"
 )
 
 // Child plays a role for the process that started this one, until in ends: what the parent says comes by in, and what it is
@@ -27,26 +29,26 @@
 
 // runList plays the role of the list service.
 func runList(p *pipe) error {
-	var s *listService
+	var s *listservice.Service
 	defer func() {
 		if s != nil {
-			_ = s.close() // the process ends
+			_ = s.Close() // the process ends
 		}
 	}()
 	return p.answer(func(c command) (r reply, err error) {
 		switch {
 		case c.Setup != nil:
-			if s, err = newListService(c.Setup.List); err == nil {
-				r.Addr = s.addr
+			if s, err = listservice.New(c.Setup.List); err == nil {
+				r.Addr = s.Addr
 			}
 		case len(c.Publish) > 0:
-			position, at := s.publish(c.Publish)
+			position, at := s.Publish(c.Publish)
 			r.Position, r.At = position, at.UnixNano()
 		case c.Away != nil:
-			err = s.away(*c.Away)
+			err = s.Away(*c.Away)
 		case c.Report:
 			if r.Report, err = ownReport(); err == nil {
-				r.Report.List = s.counts()
+				r.Report.List = s.Counts()
 			}
 		}
 		return r, err
--- a/internal/scale/fronts.go
+++ b/internal/scale/fronts.go
@@ -18,6 +18,7 @@
 	"lupinpond/internal/catalog"
 	"lupinpond/internal/feed"
 	"lupinpond/internal/invoke"
+	"lupinpond/internal/listservice"
 	"lupinpond/internal/platform"
 )
 
@@ -248,7 +249,7 @@
 			states[m.Worker] = feed.Draining
 		}
 	}
-	return digest(states)
+	return listservice.Digest(states)
 }
 
 // runFrontEnds plays the role of hollow front ends.
--- a/internal/scale/messages.go
+++ b/internal/scale/messages.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"lupinpond/internal/feed"
+	"lupinpond/internal/listservice"
 )
 
 // Role is what a child process plays.
@@ -59,7 +60,7 @@
 	ProcessorNanos int64                   `json:"processor_ns"`
 	ResidentBytes  int64                   `json:"resident_bytes"`
 	Descriptors    int                     `json:"descriptors"`
-	List           *listCounts             `json:"list,omitempty"`
+	List           *listservice.Counts     `json:"list,omitempty"`
 	Workers        *workerCounts           `json:"workers,omitempty"`
 	FrontEnds      *frontEndCounts         `json:"front_ends,omitempty"`
 	Applied        map[int64][]application `json:"applied,omitempty"` // by change, since the last report
@@ -74,15 +75,6 @@
 	Since int64 `json:"since"` // when the front end was started
 }
 
-// listCounts are the list service's.
-type listCounts struct {
-	Asked    int64  `json:"asked"`
-	Whole    int64  `json:"whole"` // answers with the whole list
-	Bytes    int64  `json:"bytes"` // both ways, with the heads of HTTP
-	Position int64  `json:"position"`
-	Digest   string `json:"digest"`
-}
-
 // workerCounts are those of the workers of one process.
 type workerCounts struct {
 	Accepted     int64 `json:"accepted"` // connections
--- a/internal/scale/totals.go
+++ b/internal/scale/totals.go
@@ -6,6 +6,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/prometheus/procfs"
+
+	"lupinpond/internal/listservice"
 )
 
 // totals are the sums of what all processes have counted up to a moment.
@@ -22,7 +24,7 @@
 	gateBytes   int64
 	gateFiles   int
 	allBytes    int64 // resident, of all processes of the run
-	list        listCounts
+	list        listservice.Counts
 	workers     workerCounts
 	fronts      frontEndCounts
 	gates       frontEndCounts
--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -433,3 +433,8 @@
 	}
 	return number
 }
+
+// loopback is an address of 127/8 by a number; each has its own ports.
+func loopback(net8, number int) string {
+	return net.IPv4(127, byte(net8), byte(number>>8), byte(number)).String()
+}
--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,312 @@
+package soak
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"lupinpond/internal/thrift"
+)
+
+const (
+	functions    = 12
+	clientConns  = 4 // of a front end's usual clients
+	dialLimit    = time.Second
+	mostAnswer   = 64 << 10
+	restBetween  = 4 * time.Second // an idle connection is closed by its client then
+	cancelChance = 0.05
+	closeChance  = 0.01
+	leaveWithin  = 300 * time.Millisecond
+)
+
+// clients are the usual clients of one front end.
+type clients struct {
+	front  *front
+	ledger *ledger
+	random *rand.Rand
+	done   sync.WaitGroup
+
+	mu    sync.Mutex
+	conns []*clientConn
+}
+
+// clientConn is one connection with what is open on it.
+type clientConn struct {
+	net.Conn
+	clients *clients
+
+	mu     sync.Mutex
+	seq    int32
+	open   map[int32]*request
+	ended  bool
+	resent map[string]bool // requests that were sent before, on a connection that has ended
+	used   time.Time
+}
+
+// run sends requests at a rate until ctx ends, and waits for what is open.
+func (c *clients) run(ctx context.Context, rate float64) {
+	for next := time.Now(); ctx.Err() == nil; {
+		c.mu.Lock()
+		next = next.Add(time.Duration(c.random.ExpFloat64() / rate * float64(time.Second)))
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(next)):
+			if c.front.takes() {
+				c.send(c.draw(), false)
+			}
+		}
+	}
+	end := time.Now().Add(longest + 2*answerSlack)
+	for c.opens() > 0 && time.Now().Before(end) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.mu.Lock()
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+	c.mu.Unlock()
+	c.done.Wait()
+}
+
+// draw draws a request.
+func (c *clients) draw() *request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := &request{id: fmt.Sprintf("%016x", c.random.Uint64()), front: c.front, class: classCall,
+		wait: 200*time.Millisecond + time.Duration(c.random.Int64N(int64(longest-200*time.Millisecond))), body: fmt.Sprintf("body %x", c.random.Uint64())}
+	switch c.random.IntN(10) {
+	case 0, 1:
+		r.class = classOnce
+	case 2:
+		r.class, r.mark = classKey, fmt.Sprintf("m%x", c.random.Uint64())
+	}
+	r.wait = r.wait.Truncate(time.Millisecond)
+	return r
+}
+
+// send sends a request on a connection that has room, or on a new one.
+func (c *clients) send(r *request, again bool) {
+	conn := c.pick(again)
+	if conn == nil {
+		return // nobody listens
+	}
+	conn.send(r, again)
+	if again {
+		return
+	}
+	c.mu.Lock()
+	chance, after := c.random.Float64(), time.Duration(c.random.Int64N(int64(leaveWithin)))
+	c.mu.Unlock()
+	switch {
+	case chance < cancelChance:
+		time.AfterFunc(after, func() { conn.cancel(r) })
+	case chance < cancelChance+closeChance:
+		time.AfterFunc(after, conn.leave)
+	}
+}
+
+// pick finds a connection with room, or makes one; fresh asks for a new one.
+func (c *clients) pick(fresh bool) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.conns[:0]
+	var found *clientConn
+	for _, conn := range c.conns {
+		conn.mu.Lock()
+		idle := len(conn.open) == 0 && time.Since(conn.used) > restBetween
+		ended, room := conn.ended, len(conn.open) < mostOpen
+		conn.mu.Unlock()
+		switch {
+		case ended:
+			continue
+		case idle:
+			conn.Close()
+			continue
+		case room && (found == nil || c.random.IntN(2) == 0):
+			found = conn
+		}
+		kept = append(kept, conn)
+	}
+	c.conns = kept
+	if found != nil && !fresh && (len(c.conns) >= clientConns || c.random.IntN(4) > 0) {
+		return found
+	}
+	nc, err := net.DialTimeout("tcp", c.front.clients.Addr(), dialLimit)
+	if err != nil {
+		return nil
+	}
+	conn := &clientConn{Conn: nc, clients: c, open: map[int32]*request{}, resent: map[string]bool{}, used: time.Now()}
+	c.conns = append(c.conns, conn)
+	c.done.Go(conn.read)
+	return conn
+}
+
+// opens is the number of open requests.
+func (c *clients) opens() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		conn.mu.Lock()
+		n += len(conn.open)
+		conn.mu.Unlock()
+	}
+	return n
+}
+
+// send writes a request; one that can't be written whole was not taken.
+func (c *clientConn) send(r *request, again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seq++
+	w := thrift.NewWriter("dispatch", thrift.Call, c.seq)
+	key := fmt.Sprintf("%016x", uint64(len(r.id))*1000+uint64(r.id[0])%functions)
+	fields := []string{"class", r.class, "id", r.id, "wait", strconv.FormatInt(r.wait.Milliseconds(), 10), "key", key,
+		"facts", "memory_mb:64;lanes:4;load_ms:" + strconv.FormatInt(loadTime.Milliseconds(), 10)}
+	if r.mark != "" {
+		fields = append(fields, "once", r.mark)
+	}
+	w.Texts(1, fields...)
+	w.Binary(2, []byte(r.body))
+	c.open[c.seq], c.used = r, time.Now()
+	if again {
+		c.resent[r.id] = true
+	} else {
+		c.clients.ledger.begin(r)
+	}
+	if _, err := c.Write(w.Frame()); err != nil {
+		delete(c.open, c.seq)
+		c.clients.ledger.leave(r, time.Now()) // its last byte was not written
+	}
+}
+
+// cancel takes a request back.
+func (c *clientConn) cancel(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for seq, x := range c.open {
+		if x != r {
+			continue
+		}
+		w := thrift.NewWriter("cancelRequest", thrift.Oneway, seq)
+		w.I32(1, seq)
+		if _, err := c.Write(w.Frame()); err == nil {
+			c.clients.ledger.leave(r, time.Now())
+			delete(c.open, seq)
+		}
+		return
+	}
+}
+
+// leave closes the connection under what is open.
+func (c *clientConn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.Close()
+	for _, r := range c.open {
+		c.clients.ledger.leave(r, time.Now())
+	}
+	clear(c.open)
+}
+
+// read takes answers until the connection ends.
+func (c *clientConn) read() {
+	for {
+		m, err := readMessage(c)
+		at := time.Now()
+		if err != nil {
+			c.broke(at)
+			return
+		}
+		c.mu.Lock()
+		r := c.open[m.Seq]
+		delete(c.open, m.Seq)
+		c.used = at
+		resent := r != nil && c.resent[r.id]
+		c.mu.Unlock()
+		if r == nil {
+			continue // it crossed a cancel
+		}
+		ending, body := endingOf(m)
+		if resent && ending == exception {
+			c.clients.ledger.Violated(RefusedWhileIdle, c.clients.front.name, r.id, "it was read before its connection was closed")
+		}
+		c.clients.ledger.answer(r, ending, body, at)
+	}
+}
+
+// broke ends the connection: what crossed the close is sent again, once.
+func (c *clientConn) broke(at time.Time) {
+	c.Close()
+	c.mu.Lock()
+	c.ended = true
+	open := make([]*request, 0, len(c.open))
+	resent := map[string]bool{}
+	for _, r := range c.open {
+		open = append(open, r)
+		resent[r.id] = c.resent[r.id]
+	}
+	clear(c.open)
+	c.mu.Unlock()
+	for _, r := range open {
+		if !c.clients.ledger.broke(r, at, resent[r.id]) {
+			c.clients.done.Go(func() { c.clients.send(r, true) })
+		}
+	}
+}
+
+var errFrame = errors.New("soak: a frame of that length")
+
+// readMessage reads one message.
+func readMessage(from io.Reader) (thrift.Message, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(from, head[:]); err != nil {
+		return thrift.Message{}, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > mostAnswer {
+		return thrift.Message{}, errFrame
+	}
+	frame := make([]byte, n)
+	if _, err := io.ReadFull(from, frame); err != nil {
+		return thrift.Message{}, err
+	}
+	return thrift.Parse(frame)
+}
+
+// resultHead is what comes before the struct in the result of a call: its type and number.
+const resultHead = 3
+
+// endingOf reads how a request ended, and the body of an answer.
+func endingOf(m thrift.Message) (ending, body string) {
+	if m.Kind != thrift.Reply || len(m.Args) <= resultHead {
+		return exception, ""
+	}
+	switch m.Args[2] {
+	case 1:
+		return rejected, ""
+	case 2:
+		return failed, ""
+	}
+	args, err := thrift.ReadArgs(m.Args[resultHead : len(m.Args)-1])
+	if err != nil {
+		return exception, ""
+	}
+	return served, string(args.Bins[1])
+}
+
+func aliveFrame() []byte {
+	w := thrift.NewWriter("alive", thrift.Call, 1)
+	w.Bool(1, false)
+	return w.Frame()
+}
--- /dev/null
+++ b/internal/soak/worker.go
@@ -0,0 +1,361 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lupinpond/internal/feed"
+	"lupinpond/internal/resp"
+)
+
+// attempt is a request as it came to a worker.
+type attempt struct {
+	id, class, body, mark string
+	told                  time.Duration
+	came                  time.Time // its last byte was read
+	worker                string
+	drained               time.Time // when the list told that the worker drains; zero: it does not
+}
+
+// mood is how a worker misbehaves. The zero value is well.
+type mood struct {
+	mute    bool          // it reads and answers nothing
+	slow    time.Duration // every run takes that much more
+	fails   bool          // it answers with errors
+	refuses bool          // it is full
+	spoils  bool          // answers can't be read
+	twice   bool          // answers come a second time a little later
+	breaks  bool          // it runs the request, then resets the connection
+}
+
+// worker is one life of an emulated worker.
+type worker struct {
+	ledger   *ledger
+	line     feed.Worker
+	born     time.Time // zero: long ago
+	listener net.Listener
+	done     sync.WaitGroup
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	mood     mood
+	conns    map[net.Conn]bool
+	replicas map[string]time.Time // by function: when its load ends
+	running  int
+	queue    []*job
+	given    map[string]bool // requests given up, by connection and id
+	drained  time.Time       // when the list told that it drains or is gone; zero: it does not
+	lately   []time.Time     // requests of the last fallWithin
+}
+
+// job is a request at a worker.
+type job struct {
+	conn     net.Conn
+	id, name string
+	slow     bool // of a function whose runs are long
+	how      string
+	ready    time.Time
+}
+
+const (
+	slots      = 8
+	mostQueued = 32
+	meanRun    = 8 * time.Millisecond
+	longRun    = 200 * time.Millisecond // more, of a function whose runs are long
+	loadTime   = 60 * time.Millisecond
+	mostWord   = 64 << 10
+	writeLimit = 2 * time.Second
+)
+
+// newWorker starts a worker at an address; an empty one is a free port.
+func newWorker(l *ledger, name, addr string, zone int, born time.Time, seed uint64) (*worker, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("worker %s: %w", name, err)
+	}
+	w := &worker{ledger: l, born: born, listener: listener, random: rand.New(rand.NewPCG(seed, seed)), conns: map[net.Conn]bool{},
+		replicas: map[string]time.Time{}, given: map[string]bool{}}
+	w.line = feed.Worker{Name: name, Addr: listener.Addr().String(), Zone: fmt.Sprint("zone", zone), Kind: "std", State: feed.Up, Size: 1}
+	if !born.IsZero() {
+		w.line.Born = born.UnixMilli()
+	}
+	w.done.Add(1)
+	go w.accept()
+	return w, nil
+}
+
+// die ends it as a process that dies does: its connections are reset, new ones refused.
+func (w *worker) die() {
+	w.listener.Close()
+	w.resetAll()
+	w.done.Wait()
+}
+
+func (w *worker) resetAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for conn := range w.conns {
+		resetConn(conn)
+	}
+}
+
+func resetConn(conn net.Conn) {
+	if tcp, is := conn.(*net.TCPConn); is {
+		_ = tcp.SetLinger(0) // where it can't be a reset, an end serves as well
+	}
+	conn.Close()
+}
+
+func (w *worker) set(m mood) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mood = m
+}
+
+// drain notes that the list tells it as draining or gone.
+func (w *worker) drain(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.drained.IsZero() {
+		w.drained = at
+	}
+}
+
+func (w *worker) accept() {
+	defer w.done.Done()
+	for {
+		conn, err := w.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		w.mu.Lock()
+		w.conns[conn] = true
+		w.mu.Unlock()
+		w.done.Add(1)
+		go w.serve(conn)
+	}
+}
+
+func (w *worker) serve(conn net.Conn) {
+	defer w.done.Done()
+	_ = resp.ReadCommands(conn, mostWord, func(words []string, _ int) error { // whatever ends it, the connection is over
+		return w.take(conn, words)
+	})
+	conn.Close()
+	w.mu.Lock()
+	delete(w.conns, conn)
+	w.mu.Unlock()
+}
+
+var errCommand = errors.New("soak: no command")
+
+// take takes one command.
+func (w *worker) take(conn net.Conn, words []string) error {
+	now := time.Now()
+	switch {
+	case words[0] == "FN" && len(words) == 4:
+		fields := pairs(words[2])
+		w.mu.Lock()
+		drained := w.drained
+		w.mu.Unlock()
+		wait, _ := strconv.ParseInt(fields["wait"], 10, 64)
+		w.ledger.attempt(attempt{id: words[1], class: fields["class"], body: words[3], mark: fields["once"],
+			told: time.Duration(wait) * time.Millisecond, came: now, worker: w.line.Name, drained: drained})
+		w.request(conn, words[1], fields["key"], now)
+	case words[0] == "KILL" && len(words) == 2:
+		w.mu.Lock()
+		w.given[jobName(conn, words[1])] = true
+		w.mu.Unlock()
+	case words[0] == "SPAWN" && len(words) == 3:
+		w.ledger.count(func(s *Sums) { s.Orders++ })
+		w.order(conn, words[1], pairs(words[2])["key"], now)
+	case words[0] == "TOP" && len(words) == 2:
+		w.mu.Lock()
+		w.answer(conn, words[1], "yes", "stats="+w.stats(), "")
+		w.mu.Unlock()
+	case words[0] == "REAP":
+	default:
+		return errCommand
+	}
+	return nil
+}
+
+func jobName(conn net.Conn, id string) string { return conn.RemoteAddr().String() + " " + id }
+
+// pairs reads name=value,name=value.
+func pairs(text string) map[string]string {
+	all := map[string]string{}
+	for part := range strings.SplitSeq(text, ",") {
+		if name, value, is := strings.Cut(part, "="); is {
+			all[name] = value
+		}
+	}
+	return all
+}
+
+func (w *worker) stats() string {
+	return fmt.Sprintf("inflight:%d;pending:%d", w.running, len(w.queue))
+}
+
+// replica finds when a function is loaded, or begins to load it; the lock is held.
+func (w *worker) replica(key string, now time.Time) (ready time.Time, how string) {
+	ready, is := w.replicas[key]
+	switch {
+	case !is:
+		ready, how = now.Add(loadTime), "loaded"
+		w.replicas[key] = ready
+	case now.Before(ready):
+		how = "queued"
+	default:
+		how = "ready"
+	}
+	return ready, how
+}
+
+func (w *worker) order(conn net.Conn, tag, key string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ready, _ := w.replica(key, now)
+	time.AfterFunc(ready.Sub(now), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.answer(conn, tag, "ok", "n=1", "")
+	})
+}
+
+// request takes a request: it runs, waits, or is turned away.
+func (w *worker) request(conn net.Conn, id, key string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.judgeCold(now)
+	switch {
+	case w.mood.mute:
+		return
+	case w.mood.refuses || len(w.queue) >= mostQueued:
+		w.answer(conn, id, "refused", "stats="+w.stats(), "")
+		return
+	case w.mood.fails:
+		w.ledger.ran(id, w.line.Name)
+		w.answer(conn, id, "error", "stats="+w.stats(), "")
+		return
+	}
+	ready, how := w.replica(key, now)
+	j := &job{conn: conn, id: id, name: jobName(conn, id), slow: longRuns(key), how: how, ready: ready}
+	if w.running < slots {
+		w.run(j, now)
+	} else {
+		w.queue = append(w.queue, j)
+	}
+}
+
+// judgeCold judges what came to a worker that has just started; the lock is held.
+func (w *worker) judgeCold(now time.Time) {
+	w.lately = append(w.lately, now)
+	for len(w.lately) > 0 && now.Sub(w.lately[0]) > fallWithin {
+		w.lately = w.lately[1:]
+	}
+	age := now.Sub(w.born)
+	if w.born.IsZero() || age >= warmAfter {
+		return
+	}
+	warm := coldFrom + (1-coldFrom)*float64(age)/float64(warmAfter)
+	n := fallMultiple * warm * slots * float64(fallWithin) / float64(meanRun+loadTime/4)
+	most := n + 2*math.Sqrt(n) + 2
+	if got := float64(len(w.lately)); got > most {
+		w.ledger.Violated(ColdOverrun, "", "", "worker %s, %v old, got %v of %.0f requests", w.line.Name, age, got, most)
+		w.lately = nil
+	}
+}
+
+// longRuns tells whether the runs of a function are long: of one in four.
+func longRuns(key string) bool { return key != "" && (key[len(key)-1]-'0')%4 == 0 }
+
+// run runs a request; the lock is held.
+func (w *worker) run(j *job, now time.Time) {
+	w.running++
+	takes := max(0, j.ready.Sub(now)) + meanRun/2 + time.Duration(w.random.ExpFloat64()*float64(meanRun/2)) + w.mood.slow
+	if j.slow {
+		takes += longRun/2 + time.Duration(w.random.Int64N(int64(longRun)))
+	}
+	time.AfterFunc(max(0, j.ready.Sub(now)), func() {
+		w.mu.Lock()
+		over := w.given[j.name]
+		w.mu.Unlock()
+		if !over {
+			w.ledger.ran(j.id, w.line.Name)
+		}
+	})
+	time.AfterFunc(takes, func() { w.finish(j) })
+}
+
+// finish answers a request that has run, and runs the next.
+func (w *worker) finish(j *job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running--
+	if !w.given[j.name] {
+		w.reply(j)
+	}
+	delete(w.given, j.name)
+	for len(w.queue) > 0 && w.running < slots {
+		next := w.queue[0]
+		w.queue = w.queue[1:]
+		if !w.given[next.name] {
+			w.run(next, time.Now())
+		}
+		delete(w.given, next.name)
+	}
+}
+
+// reply answers a request as the mood is; the lock is held.
+func (w *worker) reply(j *job) {
+	words := []string{j.id, "ok", "how=" + j.how + ",stats=" + w.stats(), answerTo(j.id)}
+	switch {
+	case w.mood.mute:
+	case w.mood.breaks:
+		resetConn(j.conn)
+	case w.mood.spoils:
+		w.write(j.conn, []byte("*4\r\n$16\r\nnoise\r\n$-1\r\n"))
+	case w.mood.twice:
+		w.answer(j.conn, words...)
+		time.AfterFunc(3*time.Millisecond, func() { w.write(j.conn, resp.Append(nil, words...)) })
+	default:
+		w.answer(j.conn, words...)
+	}
+}
+
+func (w *worker) answer(conn net.Conn, words ...string) {
+	if !w.mood.mute {
+		w.write(conn, resp.Append(nil, words...))
+	}
+}
+
+// write writes an answer; one that can't be written ends its connection.
+func (w *worker) write(conn net.Conn, frame []byte) {
+	if conn.SetWriteDeadline(time.Now().Add(writeLimit)) != nil {
+		return
+	}
+	if _, err := conn.Write(frame); err != nil {
+		conn.Close()
+	}
+}
+
+// number is the number in its name, which orders workers.
+func (w *worker) number() (n int64) {
+	_, _ = fmt.Sscanf(w.line.Name, "w%d", &n) // names are given by the run
+	return n
+}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -65,3 +65,11 @@
 	}
 	return 0
 }
+
+// EndedAfter tells whether a stall has ended after a time: what was due then could not be done.
+func (w *Watcher) EndedAfter(t time.Time, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noteLocked(now)
+	return w.settled.After(t.Add(Settle))
+}
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -36,4 +36,7 @@
 	if d := w.Behind(at(2001)); d != time.Second {
 		t.Error("noticed by the tick:", d)
 	}
+	if !w.EndedAfter(at(1990), at(2001)) || w.EndedAfter(at(2010), at(2011)) {
+		t.Error("a stall that ended at 2000")
+	}
 }
