Each invariant is seen to count with its guard taken out by an overlay

Ten invariants of the owner and three of the platform, in twelve crossings; each crossing violates none, and with its guard taken out violates the one that it is for. closed_unwritten is held by two guards at a time, no single one out shows it.

--- /dev/null
+++ b/internal/gate/invariants_test.go
@@ -0,0 +1,303 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lupinpond/choice"
+	"lupinpond/internal/core"
+	"lupinpond/internal/gate"
+	"lupinpond/internal/invariant"
+	"lupinpond/internal/invoke"
+	"lupinpond/internal/overlays"
+)
+
+// sending is one attempt that came to the test's way out.
+type sending struct {
+	departure *gate.Departure
+	done      func(choice.Outcome, []byte)
+}
+
+// leaves has the attempt leave, if it may.
+func (s sending) leaves() {
+	if _, leaves := s.departure.Left(); leaves {
+		s.departure.Written()
+	}
+}
+
+// ends ends the attempt.
+func (s sending) ends(r choice.Result) { s.done(choice.Outcome{Result: r}, nil) }
+
+// manual is a way out whose attempts and load requests the test carries on.
+type manual struct {
+	sent  chan sending
+	loads chan choice.LoadRequest
+	fast  bool // load requests are carried out at once
+}
+
+func (m *manual) Send(_ *gate.Request, _ int, _ string, d *gate.Departure, done func(choice.Outcome, []byte)) gate.Sent {
+	m.sent <- sending{d, done}
+	return nil
+}
+
+func (m *manual) Load(o choice.LoadRequest, done func(int, choice.Result)) gate.Sent {
+	m.loads <- o
+	if m.fast {
+		done(o.Replicas, choice.Completed)
+	}
+	return nil
+}
+
+func (m *manual) Probe(string, func(choice.Result, choice.Load)) gate.Sent { return nil }
+func (m *manual) Subscribe()                                               {}
+
+// scene is an owner with a few workers and a way out that the test carries on.
+type scene struct {
+	*manual
+	t        *testing.T
+	owner    *gate.Owner
+	answered chan invoke.Answer
+	ended    sync.WaitGroup
+}
+
+func newScene(t *testing.T, kind choice.RequestType, loading core.Loading) *scene {
+	kind.Name, kind.Objective = "call", 100*time.Millisecond
+	s := &scene{manual: &manual{sent: make(chan sending, 100), loads: make(chan choice.LoadRequest, 100)}, t: t,
+		answered: make(chan invoke.Answer, 100)}
+	s.owner = gate.NewOwner(gate.OwnerOptions{Core: core.Settings{Seed: 1, FrontEnds: 1, Quantum: time.Millisecond, MaxAttempts: 5, Deadlines: true,
+		Loading: loading, Types: []choice.RequestType{kind}}, Workers: s, LoadTimeout: time.Minute, ProbeLimit: time.Minute,
+		Monitor: invariant.NewMonitor(slog.New(slog.DiscardHandler))})
+	run(t, s.owner)
+	s.owner.UpdateMembership(true, []choice.Member{{Worker: "a"}, {Worker: "b"}, {Worker: "c"}}, nil)
+	return s
+}
+
+// onMiss is loading by the requests themselves.
+var onMiss = core.Loading{OnMiss: true, Keep: time.Minute}
+
+// submit submits a request of a function.
+func (s *scene) submit(id string, function uint64, left time.Duration) *gate.Request {
+	e := &gate.Request{Fact: &choice.Request{ID: id, Type: "call", Function: function, TimeLeft: left, Concurrency: 1},
+		Reply: func(a invoke.Answer) { s.answered <- a }}
+	s.ended.Add(1)
+	e.Gone = s.ended.Done
+	s.owner.Submit(e)
+	return e
+}
+
+// next is the next attempt, if one comes within a time.
+func (s *scene) next(within time.Duration) (x sending, came bool) {
+	select {
+	case x = <-s.sent:
+		return x, true
+	case <-time.After(within):
+		return x, false
+	}
+}
+
+// first is the next attempt, which must come.
+func (s *scene) first() sending {
+	s.t.Helper()
+	x, came := s.next(20 * time.Second)
+	if !came {
+		s.t.Fatal("no attempt")
+	}
+	return x
+}
+
+// scenes are crossings in which a guard keeps an invariant. Each ends with all requests ended.
+var scenes = map[string]func(t *testing.T) *scene{
+	"ClientLeft": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{}, onMiss)
+		e := s.submit("e", 1, 10*time.Second)
+		x := s.first()
+		s.owner.ClientGone(e)
+		time.Sleep(150 * time.Millisecond)
+		x.leaves()
+		x.ends(choice.TooLate)
+		return s
+	},
+	"NoTimeLeft": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{}, onMiss)
+		s.submit("e", 1, 100*time.Millisecond)
+		x := s.first()
+		time.Sleep(400 * time.Millisecond)
+		x.leaves()
+		x.ends(choice.TooLate)
+		return s
+	},
+	"SlowDeparture": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{}, onMiss)
+		s.submit("e", 1, 10*time.Second)
+		x := s.first()
+		time.Sleep(250 * time.Millisecond)
+		x.leaves()
+		x.ends(choice.Completed)
+		return s
+	},
+	"SecondOutcome": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{}, core.Loading{Requests: true, Keep: time.Minute, Limit: time.Minute})
+		s.fast = true
+		const others = 6 // have replicas loaded at all workers
+		var all []sending
+		for i := range others {
+			s.submit(fmt.Sprint("e", i), 1, 10*time.Second)
+		}
+		for {
+			x, came := s.next(300 * time.Millisecond)
+			if !came {
+				break
+			}
+			all = append(all, x)
+		}
+		for _, x := range all {
+			x.ends(choice.Completed)
+		}
+		for range others - len(all) {
+			s.first().ends(choice.Completed)
+		}
+		s.submit("e", 1, 10*time.Second)
+		x := s.first()
+		x.ends(choice.Full)
+		y := s.first()
+		x.ends(choice.Full)
+		z, came := s.next(300 * time.Millisecond)
+		y.ends(choice.Completed)
+		if came {
+			z.ends(choice.Completed)
+		}
+		return s
+	},
+	"AtMostOnce": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{Effect: choice.AtMostOnce}, onMiss)
+		s.submit("e", 1, time.Second)
+		s.first().ends(choice.Broken)
+		if x, came := s.next(500 * time.Millisecond); came {
+			x.ends(choice.Completed)
+		}
+		return s
+	},
+	"WindowOver": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{Effect: choice.IdempotencyKey, Window: 100 * time.Millisecond}, onMiss)
+		s.submit("e", 1, 2*time.Second)
+		x := s.first()
+		time.Sleep(150 * time.Millisecond)
+		x.ends(choice.Broken)
+		if x, came := s.next(500 * time.Millisecond); came {
+			x.ends(choice.Completed)
+		}
+		return s
+	},
+	"NoOutcome": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{}, onMiss)
+		s.submit("e", 1, 100*time.Millisecond)
+		x := s.first()
+		time.Sleep(800 * time.Millisecond)
+		x.ends(choice.Full)
+		for {
+			y, came := s.next(200 * time.Millisecond)
+			if !came {
+				return s
+			}
+			y.ends(choice.Full)
+		}
+	},
+	"Rejected": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{}, onMiss)
+		s.submit("e", 1, 200*time.Millisecond)
+		for {
+			x, came := s.next(400 * time.Millisecond)
+			if !came {
+				return s
+			}
+			x.ends(choice.Full)
+		}
+	},
+	"ManyLoads": func(t *testing.T) *scene {
+		s := newScene(t, choice.RequestType{}, core.Loading{Requests: true, Keep: time.Minute, Limit: time.Minute, Within: 10 * time.Second, Free: 2})
+		for function := range uint64(10) {
+			s.submit(fmt.Sprint("e", function), function, 300*time.Millisecond)
+		}
+		return s
+	},
+}
+
+// No crossing violates an invariant.
+func TestInvariantsHold(t *testing.T) {
+	for name, play := range scenes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := play(t)
+			ended := make(chan struct{})
+			go func() {
+				s.ended.Wait()
+				close(ended)
+			}()
+			select {
+			case <-ended:
+			case <-time.After(20 * time.Second):
+				t.Error("a request does not end")
+			}
+			s.owner.Pause(0) // it has heard all
+			if counts := s.owner.Monitor().Counts(); len(counts) > 0 {
+				t.Errorf("violated: %v", counts)
+			}
+			if stats := s.owner.Counts(context.Background()); stats.Taken == 0 {
+				t.Error("nothing was taken")
+			}
+		})
+	}
+}
+
+// unguarded are guards taken out, by the scene in which that shows, and the invariant that counts it.
+var unguarded = []struct {
+	scene, file, text, instead string
+	kind                       invariant.Kind
+}{
+	{"ClientLeft", "departure.go", "if d.request.clientGone.Load() != 0 {", "if false {", invariant.AttemptAfterClientLeft},
+	{"NoTimeLeft", "departure.go", "if now >= d.by {", "if false {", invariant.AttemptPastDeadline},
+	{"SlowDeparture", "departure.go", "d.told = d.by - now", "d.told = d.by - d.decided", invariant.DeadlineOverstated},
+	{"SecondOutcome", "../core/core.go", "h == nil || launch != h.attempts-1 ||", "h == nil ||", invariant.AttemptInParallel},
+	{"AtMostOnce", "../../choice/choice.go", "(late || e.typ.Effect == AtMostOnce)", "late", invariant.RepeatOfAtMostOnce},
+	{"WindowOver", "../../choice/choice.go", "late := e.typ.Effect == IdempotencyKey &&", "late := false &&", invariant.RepeatOutsideOfWindow},
+	{"NoOutcome", "../core/core.go", "h := heap.Pop(&c.ends).(*tracked)\n\t\tif h.request.InFlight() {", "h := heap.Pop(&c.ends).(*tracked)\n\t\tif false {",
+		invariant.AnsweredLate},
+	{"Rejected", "../core/core.go", "c.actor.Reject(a.Request, a.RetryAfter, h.mayRun)", "c.actor.Reject(a.Request, a.RetryAfter, h.mayRun); c.actor.Reject(a.Request, 0, false)",
+		invariant.AnsweredTwice},
+	{"Rejected", "../core/core.go", "c.actor.Reject(a.Request, a.RetryAfter, h.mayRun)", "", invariant.NeverAnswered},
+	{"ManyLoads", "../../choice/loads.go", "return !c.loadsLimited ||", "return true ||", invariant.LoadOverLimit},
+}
+
+// With its guard taken out, each invariant is seen to be violated.
+func TestInvariantsCountWithoutTheirGuards(t *testing.T) {
+	for _, u := range unguarded {
+		t.Run(u.kind.String(), func(t *testing.T) {
+			t.Parallel()
+			file, err := filepath.Abs(u.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			source, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			overlay, err := overlays.Write(t.TempDir(), file, source, u.text, u.instead)
+			if err != nil {
+				t.Fatal(err)
+			}
+			out, err := exec.CommandContext(t.Context(), "go", "test", "-vet=off", "-count=1", "-overlay", overlay,
+				"-run", "^TestInvariantsHold$/^"+u.scene+"$", ".").CombinedOutput()
+			if err == nil || !strings.Contains(string(out), "violated: ") || !strings.Contains(string(out), u.kind.String()) {
+				t.Errorf("not counted: %v\n%s", err, out)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/platform/invariants_test.go
@@ -0,0 +1,109 @@
+package platform_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lupinpond/internal/invariant"
+	"lupinpond/internal/overlays"
+)
+
+// oneBorn is a line of the list of a worker that has started late.
+func oneBorn(name, addr, health, born string) string {
+	return strings.Replace(host(name, addr, health), `"born_ms":0`, `"born_ms":`+born, 1)
+}
+
+// scenes are crossings in which a guard of the front end on the platform keeps an invariant.
+var scenes = map[string]func(t *testing.T) *rig{
+	"DrainedWhileConnecting": func(t *testing.T) *rig {
+		slow := newCrowdedListener(t)
+		r := start(t, `"dial_timeout":0.25`, `"dial_timeout":5`, `"orders":true`, `"orders":false`, `"probing":true`, `"probing":false`)
+		r.journal <- changes(2, false, host("slow", slow.addr, "up")+","+host("w", r.worker.Addr().String(), "removed"))
+		waited(t, r)
+		c := r.dial()
+		c.dispatch("a", fields(id(1))...)
+		time.Sleep(50 * time.Millisecond) // the first try to connect finds no room
+		r.journal <- changes(3, false, host("slow", slow.addr, "draining"))
+		syscall.Close(slow.accept(t))
+		syscall.Close(slow.accept(t))
+		c.answer()
+		return r
+	},
+	"NextLife": func(t *testing.T) *rig {
+		next := newWorker(t)
+		r := start(t)
+		c := r.dial()
+		c.dispatch("a", fields(id(1))...)
+		c.wants("handled", "done a") // there is a warm replica
+		waited(t, r)
+		r.front.Pause(500 * time.Millisecond)
+		c.dispatch("b", fields(id(2))...)
+		time.Sleep(100 * time.Millisecond)
+		r.journal <- changes(2, false, oneBorn("w", next.Addr().String(), "up", "1"))
+		c.answer()
+		return r
+	},
+	"IdleUnderACall": func(t *testing.T) *rig {
+		r := start(t, `"conn_idle":15`, `"conn_idle":0.2`)
+		r.worker.say(func(_, _, body string) []string {
+			time.Sleep(500 * time.Millisecond)
+			return []string{"ok", "how=ready", body}
+		})
+		c := r.dial()
+		c.dispatch("a", fields(id(1))...)
+		time.Sleep(700 * time.Millisecond)
+		return r
+	},
+}
+
+// No crossing violates an invariant.
+func TestInvariantsHold(t *testing.T) {
+	for name, play := range scenes {
+		t.Run(name, func(t *testing.T) {
+			r := play(t)
+			if counts := r.front.Monitor().Counts(); len(counts) > 0 {
+				t.Errorf("violated: %v", counts)
+			}
+		})
+	}
+}
+
+// With its guard taken out, each invariant is seen to be violated.
+func TestInvariantsCountWithoutTheirGuards(t *testing.T) {
+	for _, u := range []struct {
+		scene, file, text, instead string
+		kind                       invariant.Kind
+	}{
+		{"DrainedWhileConnecting", "workers.go", "b.stopped.CompareAndSwap(0, int64(now))\n\tb.Stop()", "b.stopped.CompareAndSwap(0, int64(now))",
+			invariant.AttemptToDrained},
+		{"NextLife", "workers.go", "b, chosen := w.find(worker), w.chosen(worker)", "b, chosen := w.listed[worker], w.chosen(worker)",
+			invariant.AttemptToOtherLife},
+		{"IdleUnderACall", "../thrift/conn.go", "return len(c.calls) == 0 && len(c.out) == 0 && !c.writing", "return len(c.out) == 0 && !c.writing",
+			invariant.ClosedUnanswered},
+	} {
+		t.Run(u.kind.String(), func(t *testing.T) {
+			file, err := filepath.Abs(u.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			source, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			overlay, err := overlays.Write(t.TempDir(), file, source, u.text, u.instead)
+			if err != nil {
+				t.Fatal(err)
+			}
+			out, err := exec.CommandContext(t.Context(), "go", "test", "-vet=off", "-count=1", "-overlay", overlay,
+				"-run", "^TestInvariantsHold$/^"+u.scene+"$", ".").CombinedOutput()
+			if err == nil || !strings.Contains(string(out), "violated: ") || !strings.Contains(string(out), u.kind.String()) {
+				t.Errorf("not counted: %v\n%s", err, out)
+			}
+		})
+	}
+}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -117,16 +117,20 @@
 	return w.adopted[name]
 }
 
-// checkDeparture checks an attempt that has left.
-func (w *workers) checkDeparture(request, name string, b *backend) {
+// chosen is the worker that the core has in mind, as an attempt's check knows it.
+func (w *workers) chosen(name string) *backend {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.adopted[name]
+}
+
+// checkDeparture checks an attempt that has left for a worker, where another one was chosen perhaps.
+func (w *workers) checkDeparture(request, name string, b, chosen *backend) {
 	if stopped := time.Duration(b.stopped.Load()); stopped != 0 && w.now() > stopped+w.grace {
 		w.monitor.Violated(invariant.AttemptToDrained, request, "worker", name, "later", w.now()-stopped)
 	}
-	w.mu.Lock()
-	listed := w.listed[name]
-	w.mu.Unlock()
-	if listed != nil && listed != b && listed.addr == b.addr {
-		w.monitor.Violated(invariant.AttemptToOtherLife, request, "worker", name, "born", b.born, "now", listed.born)
+	if b != chosen {
+		w.monitor.Violated(invariant.AttemptToOtherLife, request, "worker", name, "address", b.addr, "born", b.born)
 	}
 }
 
@@ -141,7 +145,7 @@
 
 // Send sends an attempt to a worker.
 func (w *workers) Send(e *gate.Request, _ int, worker string, departure *gate.Departure, done func(choice.Outcome, []byte)) gate.Sent {
-	b := w.find(worker)
+	b, chosen := w.find(worker), w.chosen(worker)
 	if b == nil {
 		done(choice.Outcome{Result: choice.Unreached}, nil)
 		return nil
@@ -161,7 +165,7 @@
 		},
 		Written: func() {
 			departure.Written()
-			w.checkDeparture(id, worker, b)
+			w.checkDeparture(id, worker, b, chosen)
 		}}
 	return sent{b.Call(id, message, true, func(a resp.Answer) { done(w.outcome(a)) }), kill}
 }
