A paused process and a log that nobody reads, tested on lpgate itself

On both fail: after a pause of 0.7 s the worker is told 2490 ms where the client has 1788 ms left; with the reader of its log gone the program ends by SIGPIPE (a crash).

--- a/cmd/lpgate/main_test.go
+++ b/cmd/lpgate/main_test.go
@@ -19,12 +19,12 @@
 	"lupinpond/internal/thrift"
 )
 
-// The test's own program is lpgate where this is set.
+// The test's own program is lpgate where this is set, to its name and arguments.
 const asProgram = "LPGATE_TEST_PROGRAM"
 
 func TestMain(m *testing.M) {
-	if os.Getenv(asProgram) != "" {
-		os.Args = os.Args[:1]
+	if args := os.Getenv(asProgram); args != "" {
+		os.Args = strings.Fields(args)
 		main()
 		os.Exit(0)
 	}
@@ -122,7 +122,7 @@
 		t.Fatal(err)
 	}
 	program := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %q", sockets, os.Args[0]))
-	program.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+path)
+	program.Env = append(os.Environ(), asProgram+"=lpgate", "GW_CONFIG="+path)
 	program.Stderr = os.Stderr
 	if err := program.Start(); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/cmd/lpgate/process_test.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"lupinpond/internal/resp"
+	"lupinpond/internal/thrift"
+)
+
+// program is lpgate as a process of its own, with one worker that a test reads.
+type program struct {
+	*exec.Cmd
+	t        *testing.T
+	addr     string
+	attempts chan []string // requests as they came to the worker, with when
+	came     chan time.Time
+}
+
+// startProgram starts lpgate with arguments and waits until it is ready; log gets its log.
+func startProgram(t *testing.T, log *os.File, args ...string) *program {
+	t.Helper()
+	p := &program{t: t, attempts: make(chan []string, 10000), came: make(chan time.Time, 10000)}
+	at := p.worker()
+	journal := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(journal.Close)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.addr = listener.Addr().String()
+	listener.Close()
+	config := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","journal":%q,"limits":{"cores":1,"memory_mb":64,"sockets":128},
+		"known":{"pos":1,"entries":[{"pos":1,"hosts":{"whole":true,"hosts":[{"host":"w","dial":%q,"site":"z","class":"k","block":0,"health":"up","share":4,"born_ms":0}]}}]},
+		"settings":{"index":0,"instances":1,"quantum":0.001,"family_info":{"keep":5,"orders":false,"miss_mode":"load"},
+		"policy_limits":{"conn_idle":15,"dial_timeout":0.25,"max_streams":32,"send_cap":3},
+		"rules":{"stop_sending_within":0.5},"request_classes":[{"name":"call","effect":"pure","aim":0.5,"give_up":3}]}}`,
+		p.addr, journal.Listener.Addr(), at)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.Cmd = exec.Command(os.Args[0], args...)
+	p.Env = append(os.Environ(), asProgram+"="+strings.Join(append([]string{"lpgate"}, args...), " "), "GW_CONFIG="+path)
+	p.Stderr = log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.Process.Kill() // it may have ended
+		_ = p.Wait()
+	})
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", p.addr); err == nil {
+			conn.Close()
+			return p
+		}
+		if time.Now().After(end) {
+			t.Fatal("nobody listens")
+		}
+	}
+}
+
+// worker answers every request and tells it to the test.
+func (p *program) worker() (addr string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_ = resp.ReadCommands(conn, 1<<20, func(words []string, _ int) error { // until the front end ends it
+					if words[0] == "FN" {
+						p.came <- time.Now()
+						p.attempts <- words
+					}
+					_, err := conn.Write(resp.Append(nil, words[1], "ok", "how=ready", "body"))
+					return err
+				})
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// request is a request under a number that its client waits for so long.
+func request(n int, wait time.Duration) []byte {
+	w := thrift.NewWriter("dispatch", thrift.Call, 1)
+	w.Texts(1, "class", "call", "id", fmt.Sprintf("%016x", n), "key", fmt.Sprintf("%016x", 1), "wait", strconv.FormatInt(wait.Milliseconds(), 10))
+	w.Binary(2, nil)
+	return w.Frame()
+}
+
+// send connects and sends a request.
+func (p *program) send(frame []byte) net.Conn {
+	p.t.Helper()
+	conn, err := net.Dial("tcp", p.addr)
+	if err == nil {
+		_, err = conn.Write(frame)
+	}
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return conn
+}
+
+// A request that waits in the kernel while the process stands still is older than it looks: its worker is told no more time than its
+// client has left, and one whose client has left meanwhile is not sent at all, though its end is read later.
+func TestPausedWhileRequestsWait(t *testing.T) {
+	const paused, wait = 700 * time.Millisecond, 2500 * time.Millisecond
+	p := startProgram(t, os.Stderr)
+	first := p.send(request(1, wait)) // the replica is warm from now on
+	defer first.Close()
+	<-p.attempts
+	<-p.came
+	if err := p.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	sent := time.Now()
+	const left = 20
+	for n := range left {
+		p.send(request(100+n, wait)).Close()
+	}
+	waiting := p.send(request(2, wait))
+	defer waiting.Close()
+	time.Sleep(paused)
+	if err := p.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	if good, err := call(waiting, nil); err != nil || !good {
+		t.Error("the request that is waited for:", good, err)
+	}
+	for len(p.attempts) > 0 {
+		words, came := <-p.attempts, <-p.came
+		if words[1] != fmt.Sprintf("%016x", 2) {
+			t.Errorf("request %s was sent %v after its client had left", words[1], came.Sub(sent))
+			continue
+		}
+		_, told, _ := strings.Cut(words[2], "wait=")
+		ms, err := strconv.Atoi(told)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if has := wait - came.Sub(sent); time.Duration(ms)*time.Millisecond > has+150*time.Millisecond {
+			t.Errorf("the worker is told %d ms, the client has %v left", ms, has)
+		}
+	}
+}
+
+// Nobody reads the log: first its reader stands still until the pipe is full, then it is gone. Requests are served all the same.
+func TestNobodyReadsTheLog(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := startProgram(t, writer, "--log-level", "debug")
+	writer.Close()
+	number := atomic.Int64{}
+	serve := func(times int) {
+		t.Helper()
+		for range times {
+			conn := p.send(nil)
+			if good, err := call(conn, request(int(number.Add(1)), 2*time.Second)); err != nil || !good {
+				t.Fatal("request", number.Load(), good, err)
+			}
+			conn.Close()
+		}
+	}
+	serve(300) // a pipe holds 64 KiB
+	reader.Close()
+	serve(300)
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Wait(); err != nil {
+		t.Error("it does not end well:", err)
+	}
+}
