A launch over the link is withheld too when its client has left or its time is up

The same mistake elsewhere: link.Peer spelled the time left when it wrote, but asked nobody whether the launch may still leave. TestWithheldLaunch, -race -count=20 clean; internal/gate and internal/link -race clean.

--- a/internal/gate/act.go
+++ b/internal/gate/act.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
@@ -50,8 +51,12 @@
 	if c.Key != "" {
 		window = c.Type.Window.D()
 	}
-	return recaller{p.Launch(link.Launch{Event: e.Fact.ID, Number: launch, Function: c.Function.Name, Type: c.Type.Name,
-		Tenant: c.Tenant, Key: c.Key, Window: window, Client: c.Source + "\n" + c.ID, Body: e.Body}, left,
+	stillLeaves := func() bool {
+		_, leaves := departure.Left()
+		return leaves
+	}
+	return recaller{p.LaunchIf(link.Launch{Event: e.Fact.ID, Number: launch, Function: c.Function.Name, Type: c.Type.Name,
+		Tenant: c.Tenant, Key: c.Key, Window: window, Client: c.Source + "\n" + c.ID, Body: e.Body}, left, stillLeaves,
 		func(o link.Outcome) { done(l.outcome(o)) }), l.cancel}
 }
 
@@ -60,6 +65,9 @@
 	switch o.Fate {
 	case link.Unsent:
 		out.Result = choice.Unreached
+		if errors.Is(o.Err, link.ErrWithheld) {
+			out.Result = choice.TooLate
+		}
 	case link.Broken:
 		out.Result = choice.Broken
 	case link.Recalled:
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -122,6 +122,26 @@
 	p.Goodbye()
 }
 
+// A launch that must not leave any more when it is about to be written is withheld, and the one behind it is sent.
+func TestWithheldLaunch(t *testing.T) {
+	p := peer(t, limits, func(s *script) {
+		b := s.next().(*link.Launch)
+		if b.Event != "b" {
+			t.Error(b.Event, "was sent")
+		}
+		s.send(&link.Answer{Seq: b.Seq, Event: b.Event, Code: link.Done})
+		s.rest()
+	})
+	withheld := make(chan link.Outcome, 2)
+	p.LaunchIf(link.Launch{Event: "a"}, time.Minute, func() bool { return false }, func(o link.Outcome) { withheld <- o })
+	_, got := launch(p, "b")
+	if o := want(t, withheld, link.Unsent, true); !errors.Is(o.Err, link.ErrWithheld) {
+		t.Error(o.Err)
+	}
+	want(t, got, link.Answered, false)
+	p.Goodbye()
+}
+
 // A launch half written when the connection breaks may have run; one behind it, still in the queue, never did. Nothing
 // is sent a second time.
 func TestHalfWrittenLaunch(t *testing.T) {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -69,7 +69,8 @@
 	seq     uint64
 	launch  *Launch
 	order   *Order
-	until   time.Time // of a launch: the client's time is up
+	until   time.Time   // of a launch: the client's time is up
+	leaves  func() bool // of a launch: whether it may, asked when it is about to be written; nil: it may
 	state   callState
 	expires *time.Timer
 	done    func(Outcome)
@@ -117,6 +118,7 @@
 	ErrBackoff  = errors.New("a connection failed a moment ago")
 	ErrGoodbye  = errors.New("the worker said goodbye")
 	ErrRecalled = errors.New("given up")
+	ErrWithheld = errors.New("its sender does not let it leave any more")
 )
 
 // NewPeer makes a Peer of worker name at addr for the front end self. Run serves it.
@@ -129,7 +131,12 @@
 
 // Launch sends a launch; left is what is left of the client's time. done is called once.
 func (p *Peer) Launch(l Launch, left time.Duration, done func(Outcome)) *Call {
-	return p.add(&Call{launch: &l, until: time.Now().Add(left), done: done})
+	return p.LaunchIf(l, left, nil, done)
+}
+
+// LaunchIf is Launch, but the launch is withheld where leaves, which must not wait, says no when it is about to be written.
+func (p *Peer) LaunchIf(l Launch, left time.Duration, leaves func() bool, done func(Outcome)) *Call {
+	return p.add(&Call{launch: &l, until: time.Now().Add(left), leaves: leaves, done: done})
 }
 
 // Order sends a load order.
@@ -502,10 +509,24 @@
 	}
 }
 
+// withhold ends the launches at the front of the queue that must not leave any more; the lock is held.
+func (p *Peer) withhold() {
+	for len(p.launches) > 0 && p.out < p.window {
+		c := p.launches[0]
+		if c.leaves == nil || c.leaves() {
+			return
+		}
+		p.take(c)
+		p.finish(c)
+		go c.done(Outcome{Fate: Unsent, Err: ErrWithheld})
+	}
+}
+
 // next takes what is to be written, or nothing.
 func (p *Peer) next() (c *Call, body any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.withhold()
 	switch {
 	case len(p.cancels) > 0:
 		c, p.cancels = p.cancels[0], p.cancels[1:]
