New connections wait for a place, slow readers get all, starts outlast short troubles

A connection that came while something was owed on all others was closed unread; it waits for a place for 0.5 s now, and those behind it in the listen queue. A write was given one time for all that was queued (up to 660 KB): a client that read slowly lost answers; each 16 KiB have their time now. Listening and the reading of the configuration at the start are tried again for all errors of the system that may pass.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -28,17 +28,18 @@
 	spareSockets  = 12 // and for workers that have none beyond that; the rest is for what is being closed
 	bodyMemory    = 8  // and of the memory for bodies in hand
 	feedMemory    = 16
-	recentMemory  = 1024                   // a generation of ids may have as many as the memory over this
-	muteDials     = 5                      // a client's message is whole, or its answer read, within so many times for a connection
-	restDials     = 8                      // what has come is read within one of so many parts of the time for a connection
-	journalWaits  = 2                      // the journal is asked anew after so much of the drain grace
-	mostWait      = 5 * time.Second        // of the platform: the journal waits no longer
-	tellWithin    = 7 * time.Second        // of the platform: what the journal has to tell counts as told then, heard or not
-	mostWriting   = 100 * time.Millisecond // a request is written within that, as the time it tells goes on; of the platform's 150 ms
-	comeLate      = 700 * time.Millisecond // of the platform: requests go on coming so long after SIGTERM
-	killAfter     = 3 * time.Second        // of the platform: SIGKILL comes so long after that, or after the longest max age
-	mostAnswer    = 1 << 20                // bytes of one word of a worker's answer
-	mostOpen      = 32                     // of the platform: requests open on one connection of a client, whatever a worker takes on its own
+	recentMemory  = 1024                    // a generation of ids may have as many as the memory over this
+	muteDials     = 5                       // a client's message is whole, or its answer read, within so many times for a connection
+	mostMute      = 2500 * time.Millisecond // of the platform: a client that asks for nothing useful hears a word, or the end, within 3 s
+	restDials     = 8                       // what has come is read within one of so many parts of the time for a connection
+	journalWaits  = 2                       // the journal is asked anew after so much of the drain grace
+	mostWait      = 5 * time.Second         // of the platform: the journal waits no longer
+	tellWithin    = 7 * time.Second         // of the platform: what the journal has to tell counts as told then, heard or not
+	mostWriting   = 100 * time.Millisecond  // a request is written within that, as the time it tells goes on; of the platform's 150 ms
+	comeLate      = 700 * time.Millisecond  // of the platform: requests go on coming so long after SIGTERM
+	killAfter     = 3 * time.Second         // of the platform: SIGKILL comes so long after that, or after the longest max age
+	mostAnswer    = 1 << 20                 // bytes of one word of a worker's answer
+	mostOpen      = 32                      // of the platform: requests open on one connection of a client, whatever a worker takes on its own
 )
 
 // Front is one front end on the platform.
@@ -67,7 +68,7 @@
 	}
 	dial, idle := c.dial(), c.idle()
 	f.server = thrift.NewServer(listener, thrift.Limits{Frame: mostBody + mostHead, Open: mostOpen,
-		Conns: c.peerSockets() / clientSockets, Mute: muteDials * dial, Idle: idle / 2, Write: muteDials * dial,
+		Conns: c.peerSockets() / clientSockets, Mute: min(muteDials*dial, mostMute), Idle: idle / 2, Write: muteDials * dial,
 		Rest: max(dial/restDials, 1)}, f.handle)
 	f.server.OnClose(f.connectionClosed)
 	f.recent.keep, f.recent.most = f.longest, int(c.Memory/recentMemory)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"io/fs"
 	"log/slog"
 	"math"
 	"net"
@@ -115,22 +114,29 @@
 // unfinished tells whether a configuration may be one that is being written, or could not be read for now.
 func unfinished(err error) bool {
 	var syntax *json.SyntaxError
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &syntax) ||
-		errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+	var system syscall.Errno
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &syntax) || errors.As(err, &system)
 }
 
-// listen listens, also at an address that a process before this one has not let go yet.
+// listen listens, also at an address that a process before this one has not let go yet, or when the system is short of something.
 func listen(ctx context.Context, addr string) (listener net.Listener, err error) {
-	taken := func(err error) bool {
-		return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
-	}
-	err = retry(ctx, listenWithin, taken, func() (err error) {
+	err = retry(ctx, listenWithin, passing, func() (err error) {
 		listener, err = net.Listen("tcp", addr)
 		return err
 	})
 	return listener, err
 }
 
+// passing tells whether the reason why an address can't be listened at may pass.
+func passing(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // retry calls f until it succeeds, fails for good, ctx ends, or some time has passed; the last error stands.
 func retry(ctx context.Context, within time.Duration, again func(error) bool, f func() error) error {
 	end := time.Now().Add(within)
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -55,8 +55,10 @@
 	errDrained = errors.New("thrift: the server ends")
 )
 
-// readAhead is how much is read at a time.
-const readAhead = 2048
+const (
+	readAhead = 2048     // read at a time
+	writePart = 16 << 10 // written within Limits.Write
+)
 
 // Conn is one connection.
 type Conn struct {
@@ -397,27 +399,37 @@
 func (c *Conn) answers() (unwritten int) {
 	for {
 		out, last := c.take()
-		if len(out) > 0 {
-			if err := c.conn.SetWriteDeadline(time.Now().Add(c.server.limits.Write)); err != nil {
-				return len(out)
-			}
-			if n, err := c.conn.Write(out); err != nil {
-				if errors.Is(err, os.ErrDeadlineExceeded) {
-					c.mu.Lock()
-					c.because(NotReading)
-					c.mu.Unlock()
-				}
-				return len(out) - n
+		if len(out) == 0 {
+			if last {
+				return 0
 			}
+			<-c.kick
 			continue
 		}
-		if last {
-			return 0
+		for len(out) > 0 { // a client that reads slowly is not one that does not read
+			n, err := c.writePart(out[:min(len(out), writePart)])
+			out = out[n:]
+			if err != nil {
+				return len(out)
+			}
 		}
-		<-c.kick
 	}
 }
 
+// writePart writes a part within its time.
+func (c *Conn) writePart(part []byte) (int, error) {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(c.server.limits.Write)); err != nil {
+		return 0, err
+	}
+	n, err := c.conn.Write(part)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.mu.Lock()
+		c.because(NotReading)
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
 // take takes what is to be written; last: nothing comes after it.
 func (c *Conn) take() (out []byte, last bool) {
 	c.mu.Lock()
--- a/internal/thrift/evict_test.go
+++ b/internal/thrift/evict_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -197,3 +198,77 @@
 		t.Error(err)
 	}
 }
+
+// trickle is a connection that passes on a little of what is written at a time, as to a client that reads slowly.
+type trickle struct {
+	net.Conn
+	pause time.Duration
+	until time.Time
+}
+
+func (c *trickle) SetWriteDeadline(t time.Time) error {
+	c.until = t
+	return nil
+}
+
+func (c *trickle) Write(b []byte) (n int, err error) {
+	for n < len(b) {
+		if time.Now().After(c.until) {
+			return n, os.ErrDeadlineExceeded
+		}
+		time.Sleep(c.pause)
+		m, err := c.Conn.Write(b[n:min(len(b), n+8<<10)])
+		if n += m; err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// A client that reads slowly, but reads, gets all that it has asked for.
+func TestSlowReaderGetsItsAnswers(t *testing.T) {
+	l := limits
+	l.Write, l.Open, l.Frame = 200*time.Millisecond, 32, 16<<10
+	d := newDrains(t, l, func(conn net.Conn) net.Conn { return &trickle{Conn: conn, pause: 20 * time.Millisecond} })
+	close(d.listener.opened)
+	conn := dial(t, d.listener.Addr().String())
+	text := strings.Repeat("x", 8<<10)
+	const calls = 30 // take 0.6 s
+	for seq := range int32(calls) {
+		write(t, conn, call(seq+1, "a"))
+	}
+	for range calls {
+		d.answers(text)
+	}
+	for seq := range int32(calls) {
+		if m := next(t, conn); m.Seq != seq+1 {
+			t.Fatal(m.Seq, "instead of", seq+1)
+		}
+	}
+	d.stop()
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// A connection that comes while something is owed on all others waits for a place.
+func TestWaitsForAPlace(t *testing.T) {
+	l := limits
+	l.Conns = 1
+	d := newDrains(t, l, nil)
+	close(d.listener.opened)
+	conn := dial(t, d.listener.Addr().String())
+	write(t, conn, call(1, "a"))
+	came, m := (<-d.came)()
+	other := dial(t, d.listener.Addr().String())
+	write(t, other, call(1, "b"))
+	time.Sleep(100 * time.Millisecond)
+	came.Answer(m.Seq, reply(m.Seq, "a"))
+	next(t, conn)
+	d.answers("b")
+	next(t, other)
+	d.stop()
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -18,7 +18,7 @@
 	Conns int           // connections; past that those that ask nothing are closed, the most silent first
 	Mute  time.Duration // from the connection to its first whole message, and from a message's first byte to its last
 	Idle  time.Duration // without a call
-	Write time.Duration // for what is written; a client that does not read is cut off
+	Write time.Duration // for each 16 KiB that are written; a client that does not read is cut off
 	Rest  time.Duration // what has come while the process stood still is read within that, before anything ends as idle
 }
 
@@ -127,7 +127,7 @@
 
 // serve serves a connection that was accepted, if there is a place for it.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	if s.Connections() >= s.limits.Conns && !s.evict() {
+	if !s.place(ctx) {
 		conn.Close()
 		s.tell(Closed{Reason: NoPlace, Client: conn.RemoteAddr().String()})
 		return
@@ -144,6 +144,20 @@
 	go c.write()
 }
 
+// placeWithin is how long a new connection waits for a place, and those behind it in the listen queue.
+const placeWithin = 500 * time.Millisecond
+
+// place waits until there is a place for one more connection; false: there is none in time. Where something is owed on all, what is
+// new waits rather than be closed with a request that its client may have sent.
+func (s *Server) place(ctx context.Context) bool {
+	for end := time.Now().Add(placeWithin); s.Connections() >= s.limits.Conns && !s.evict(); time.Sleep(acceptPause) {
+		if ctx.Err() != nil || time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) forget(c *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
