--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -253,12 +253,16 @@
 	at := place{f.addr, f.last}
 	f.cancel = cancel
 	f.mu.Unlock()
+	after := at.last
+	if f.anew {
+		after = 0
+	}
 	answers := make(chan answer, mostPolls)
 	open := 0
 	ask := func() {
 		if open < mostPolls {
 			open++
-			f.polls.Go(func() { answers <- f.ask(ctx, client, at) })
+			f.polls.Go(func() { answers <- f.ask(ctx, client, at.addr, after) })
 		}
 	}
 	ask()
@@ -287,15 +291,11 @@
 	err  error
 }
 
-// ask asks once.
-func (f *Feed) ask(ctx context.Context, client *http.Client, at place) (a answer) {
+// ask asks once for what came after an event.
+func (f *Feed) ask(ctx context.Context, client *http.Client, addr string, after int64) (a answer) {
 	ctx, cancel := context.WithTimeout(ctx, f.limits.Wait+max(f.limits.Answer, f.limits.Slow))
 	defer cancel()
-	after := at.last
-	if f.anew {
-		after = 0
-	}
-	url := "http://" + at.addr + "/journal?tail=" + strconv.FormatInt(after, 10) +
+	url := "http://" + addr + "/journal?tail=" + strconv.FormatInt(after, 10) +
 		"&max_wait=" + strconv.FormatInt(f.limits.Wait.Milliseconds(), 10)
 	asked := time.Now()
 	b, err := ask.Do(ctx, client, http.MethodGet, url, nil, f.limits.Bytes)
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -290,20 +290,25 @@
 	return false
 }
 
+// accept takes a request into hand, unless its client has left already.
 func (o *Owner) accept(now time.Duration, e *Request) {
-	if e.Twin != "" { // the client's own name of it: two at once might both run
-		if o.twins[e.Twin] {
-			e.Reply(invoke.Answer{Ending: invoke.InHand, Reason: "an event of this id is in hand"})
-			return
-		}
-		o.twins[e.Twin] = true
+	if e.clientGone.Load() != 0 {
+		o.counts.Left++
+		e.gone()
+		return
+	}
+	if e.Twin != "" && o.twins[e.Twin] { // the client's own name of it: two at once might both run
+		e.refuse(invoke.Answer{Ending: invoke.InHand, Reason: "an event of this id is in hand"})
+		return
 	}
 	e.submittedAt, e.inFlight = now, map[int]Sent{}
 	if o.requests[e.Fact.ID] != nil {
-		delete(o.twins, e.Twin)
-		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: core.ErrDuplicate.Error()})
+		e.refuse(invoke.Answer{Ending: invoke.NotTaken, Reason: core.ErrDuplicate.Error()})
 		return
 	}
+	if e.Twin != "" {
+		o.twins[e.Twin] = true
+	}
 	o.requests[e.Fact.ID] = e // the core may act on it at once
 	o.counts.Taken++
 	o.trace("request taken", e, "type", e.Fact.Type, "tenant", e.Fact.Tenant, "time_left", e.Fact.TimeLeft)
@@ -311,7 +316,20 @@
 	if err := o.core.Submit(now, e.Fact); err != nil {
 		delete(o.requests, e.Fact.ID)
 		delete(o.twins, e.Twin)
-		e.Reply(invoke.Answer{Ending: invoke.NotTaken, Reason: err.Error()})
+		e.refuse(invoke.Answer{Ending: invoke.NotTaken, Reason: err.Error()})
+	}
+}
+
+// refuse answers a request that is not taken into hand.
+func (e *Request) refuse(a invoke.Answer) {
+	e.Reply(a)
+	e.gone()
+}
+
+// gone tells that nothing follows for the request.
+func (e *Request) gone() {
+	if e.Gone != nil {
+		e.Gone()
 	}
 }
 
@@ -404,9 +422,7 @@
 	}
 	delete(o.twins, e.Twin)
 	delete(o.requests, fact.ID)
-	if e.Gone != nil {
-		e.Gone()
-	}
+	e.gone()
 }
 
 // Load sends a load request.
--- a/internal/gate/owner_test.go
+++ b/internal/gate/owner_test.go
@@ -104,3 +104,25 @@
 		Reply: func(invoke.Answer) {}})
 	<-out.recalled
 }
+
+// A request that is not taken, as one of its id is in hand, lets go of what was kept for it, as every other does.
+func TestRequestThatIsNotTakenIsLetGo(t *testing.T) {
+	out := &manual{sent: make(chan sending, 10), loads: make(chan choice.LoadRequest, 10)}
+	owner := gate.NewOwner(gate.OwnerOptions{Core: front(false), Workers: out, LoadTimeout: time.Millisecond, ProbeLimit: time.Second})
+	answers, gone := make(chan invoke.Answer, 2), make(chan struct{}, 2)
+	for range 2 {
+		owner.Submit(&gate.Request{Fact: &choice.Request{ID: "e", Type: "call", Function: 9, TimeLeft: 3 * time.Second, Concurrency: 1},
+			Reply: func(a invoke.Answer) { answers <- a }, Gone: func() { gone <- struct{}{} }})
+	}
+	run(t, owner)
+	if a := <-answers; a.Ending != invoke.NotTaken {
+		t.Errorf("%+v", a)
+	}
+	for range 2 { // the one that was taken ends with its time
+		select {
+		case <-gone:
+		case <-time.After(20 * time.Second):
+			t.Fatal("one of them is kept for good")
+		}
+	}
+}
--- a/internal/telemetry/lossy_test.go
+++ b/internal/telemetry/lossy_test.go
@@ -37,6 +37,9 @@
 	}
 	close(out.release)
 	l.Close(20 * time.Second)
+	if _, err := l.Write([]byte("too late\n")); err != nil {
+		t.Error(err)
+	}
 	out.mu.Lock()
 	defer out.mu.Unlock()
 	text := out.have.String()
