--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -362,22 +362,22 @@
 	}
 }
 
-// next takes what is to be written, a call or its kill; nil and false: the connection has done its work.
-func (c *conn) next() (x *Call, kill, more bool) {
+// next takes what is to be written, a call, or what gives it up (kill); nil and false: the connection has done its work.
+func (c *conn) next() (x *Call, kill []byte, more bool) {
 	c.worker.mu.Lock()
 	defer c.worker.mu.Unlock()
 	if c.gone || c.closing && len(c.calls) == 0 {
-		return nil, false, false
+		return nil, nil, false
 	}
 	if len(c.queue) == 0 {
-		return nil, false, true
+		return nil, nil, true
 	}
 	x, c.queue = c.queue[0], c.queue[1:]
 	if x.state == given {
-		return x, true, true
+		return x, x.kill, true
 	}
 	x.state = sent
-	return x, false, true
+	return x, nil, true
 }
 
 func (c *conn) write(nc net.Conn) {
@@ -409,10 +409,10 @@
 	}
 }
 
-// put writes a call or its kill; false: the connection ends.
-func (c *conn) put(nc net.Conn, x *Call, kill bool) bool {
-	frame, within := x.kill, c.worker.pool.limits.Dial
-	if !kill {
+// put writes a call, or what gives it up; false: the connection ends.
+func (c *conn) put(nc net.Conn, x *Call, kill []byte) bool {
+	frame, within := kill, c.worker.pool.limits.Dial
+	if kill == nil {
 		if frame = x.Compose(); frame == nil {
 			c.withheld(x)
 			return true
@@ -432,7 +432,7 @@
 		}
 		return false
 	}
-	c.written(x, kill)
+	c.written(x, kill != nil)
 	return true
 }
 
