--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -221,13 +221,14 @@
 		l.violated(Changed, r.front.name, r.id, "class %q, body %q, mark %q came as %q, %q, %q", r.class, r.body, r.mark, a.class, a.body, a.mark)
 	}
 	_, delayed := r.front.network.meets(r.sent, a.came)
+	delayed = delayed || a.readLate
 	if !delayed && !r.left.IsZero() && a.came.Sub(r.left) > leftSlack {
 		l.violated(SentAfterLeaving, r.front.name, r.id, "%v after its client had left, %v after it was sent", a.came.Sub(r.left), a.came.Sub(r.sent))
 	}
 	if left := r.wait - a.came.Sub(r.sent); !delayed && a.told > max(left, 0)+deadlineSlack {
 		l.violated(Overstated, r.front.name, r.id, "told %v, the client has %v of %v left", a.told, left, r.wait)
 	}
-	if a.drained.IsZero() {
+	if a.drained.IsZero() || a.readLate {
 		return
 	}
 	if late := a.came.Sub(r.front.toldAt(a.drained)); late > drainSlack {
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -25,6 +25,7 @@
 		{"stop", 3, (*run).stopFront},
 		{"kill", 2, (*run).killFront},
 		{"pause", 4, (*run).pauseFront},
+		{"stutter", 2, (*run).stutterFront},
 		{"move the list", 3, (*run).moveList},
 		{"stop under reloads", 2, (*run).stopUnderReloads},
 		{"list service", 4, (*run).listTrouble},
@@ -33,6 +34,7 @@
 		{"drain under a pause", 2, (*run).drainUnderPause},
 		{"worker misbehaves", 5, (*run).workerMisbehaves},
 		{"worker connections", 3, (*run).workerConnections},
+		{"late connections", 3, (*run).lateConnections},
 		{"client network", 3, (*run).clientNetwork},
 		{"idle clients", 2, (*run).idleClients},
 		{"bad clients", 3, (*run).badClients},
@@ -131,6 +133,19 @@
 	over()
 }
 
+// stutterFront has a front end stand still for moments that are too short to be noticed as a pause, one after the other.
+func (r *run) stutterFront(ctx context.Context, random *rand.Rand) {
+	f := r.free(random)
+	if f == nil {
+		return
+	}
+	defer f.release()
+	for range 10 {
+		r.pause(ctx, f, between(random, 20*time.Millisecond, 90*time.Millisecond))
+		sleep(ctx, between(random, 5*time.Millisecond, 100*time.Millisecond))
+	}
+}
+
 // moveList moves the list service's address in a front end's configuration: once, in quick succession, there and back, and in a file
 // that is being written as the signal comes.
 func (r *run) moveList(ctx context.Context, random *rand.Rand) {
@@ -290,6 +305,16 @@
 	}
 }
 
+// lateConnections has connections to a worker come up late, or not in time.
+func (r *run) lateConnections(ctx context.Context, random *rand.Rand) {
+	workers := r.fleet()
+	w := workers[random.IntN(len(workers))]
+	w.hold(true)
+	w.resetAll()
+	sleep(ctx, between(random, 100*time.Millisecond, 1500*time.Millisecond))
+	w.hold(false)
+}
+
 // clientNetwork has what passes between a front end and its clients stand still, come late, or be reset.
 func (r *run) clientNetwork(ctx context.Context, random *rand.Rand) {
 	f := r.free(random)
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -6,9 +6,12 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"lupinpond/internal/feed"
@@ -22,6 +25,7 @@
 	came                  time.Time // its last byte was read
 	worker                string
 	drained               time.Time // when the list told that the worker drains; zero: it does not
+	readLate              bool      // the worker let the connection wait: it can't judge when the request was written
 }
 
 // mood is how a worker misbehaves. The zero value is well.
@@ -53,6 +57,8 @@
 	given    map[string]bool // requests given up, by connection and id
 	drained  time.Time       // when the list told that it drains or is gone; zero: it does not
 	lately   []time.Time     // requests of the last fallWithin
+	held     bool            // no connection is accepted
+	freed    time.Time       // when that ended last
 }
 
 // job is a request at a worker.
@@ -79,7 +85,7 @@
 	if addr == "" {
 		addr = "127.0.0.1:0"
 	}
-	listener, err := net.Listen("tcp", addr)
+	listener, err := listenCrowded(addr)
 	if err != nil {
 		return nil, fmt.Errorf("worker %s: %w", name, err)
 	}
@@ -94,8 +100,36 @@
 	return w, nil
 }
 
+// listenQueue is how many connections wait to be accepted.
+const listenQueue = 4
+
+// listenCrowded listens at an address of loopback with a short queue.
+func listenCrowded(addr string) (net.Listener, error) {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, os.NewSyscallError("socket", err)
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer file.Close() // the listener has its own descriptor
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return nil, os.NewSyscallError("setsockopt", err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}); err != nil {
+		return nil, os.NewSyscallError("bind", err)
+	}
+	if err := syscall.Listen(fd, listenQueue); err != nil {
+		return nil, os.NewSyscallError("listen", err)
+	}
+	return net.FileListener(file)
+}
+
 // die ends it as a process that dies does: its connections are reset, new ones refused.
 func (w *worker) die() {
+	w.hold(false)
 	w.listener.Close()
 	w.resetAll()
 	w.done.Wait()
@@ -131,9 +165,28 @@
 	}
 }
 
+// hold has it accept no connection: those that find no room in its short queue come up late, or never.
+func (w *worker) hold(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = on
+	if !on {
+		w.freed = time.Now()
+	}
+}
+
+func (w *worker) holds() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.held
+}
+
 func (w *worker) accept() {
 	defer w.done.Done()
 	for {
+		for w.holds() {
+			time.Sleep(5 * time.Millisecond)
+		}
 		conn, err := w.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -144,16 +197,21 @@
 		}
 		w.mu.Lock()
 		w.conns[conn] = true
+		waited := !w.freed.IsZero() && time.Since(w.freed) < freedWithin
 		w.mu.Unlock()
 		w.done.Add(1)
-		go w.serve(conn)
+		go w.serve(conn, waited)
 	}
 }
 
-func (w *worker) serve(conn net.Conn) {
+// freedWithin is how long after it accepts again connections come that may have waited.
+const freedWithin = 100 * time.Millisecond
+
+func (w *worker) serve(conn net.Conn, waited bool) {
 	defer w.done.Done()
+	accepted := time.Now()
 	_ = resp.ReadCommands(conn, mostWord, func(words []string, _ int) error { // whatever ends it, the connection is over
-		return w.take(conn, words)
+		return w.take(conn, words, waited && time.Since(accepted) < freedWithin)
 	})
 	conn.Close()
 	w.mu.Lock()
@@ -164,7 +222,7 @@
 var errCommand = errors.New("soak: no command")
 
 // take takes one command.
-func (w *worker) take(conn net.Conn, words []string) error {
+func (w *worker) take(conn net.Conn, words []string, readLate bool) error {
 	now := time.Now()
 	switch {
 	case words[0] == "FN" && len(words) == 4:
@@ -174,7 +232,7 @@
 		w.mu.Unlock()
 		wait, _ := strconv.ParseInt(fields["wait"], 10, 64)
 		w.ledger.attempt(attempt{id: words[1], class: fields["class"], body: words[3], mark: fields["once"],
-			told: time.Duration(wait) * time.Millisecond, came: now, worker: w.line.Name, drained: drained})
+			told: time.Duration(wait) * time.Millisecond, came: now, worker: w.line.Name, drained: drained, readLate: readLate})
 		w.request(conn, words[1], fields["key"], now)
 	case words[0] == "KILL" && len(words) == 2:
 		w.mu.Lock()
