What the core makes of its fleet, and each change of the list, are told to operators

choice.FleetState (workers, ejected, with room, in flight, overloaded) reads counts that stand; the status line and metrics tell it, list changes are logged at info.

--- a/choice/reasons.go
+++ b/choice/observe.go
@@ -28,3 +28,18 @@
 
 // String is the result's name in logs and metrics.
 func (r Result) String() string { return resultNames[r] }
+
+// FleetState is what the Scheduler makes of its fleet at its last decision.
+type FleetState struct {
+	Workers    int  // that may get something new, by the list
+	Ejected    int  // of these, ejected or half-open
+	WithRoom   int  // of these, with room for an attempt
+	InFlight   int  // attempts
+	Overloaded bool // few workers have room
+}
+
+// FleetState tells it.
+func (c *Scheduler) FleetState() FleetState {
+	t := &c.tally
+	return FleetState{Workers: int(t[inUse]), Ejected: int(t[ejected]), WithRoom: int(t[free]), InFlight: int(t[inFlight]), Overloaded: c.overloaded}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -149,6 +149,9 @@
 // Members is the list of workers as the module knows it, in the order of their names.
 func (c *Core) Members() []choice.Member { return c.scheduler.Members() }
 
+// FleetState is what the scheduler makes of its fleet.
+func (c *Core) FleetState() choice.FleetState { return c.scheduler.FleetState() }
+
 // UpdateMembership tells news of the list; where it is whole, workers that it does not name are gone.
 func (c *Core) UpdateMembership(now time.Duration, whole bool, news []choice.Member) {
 	c.record(Entry{Op: OpListed, Now: now, Flag: whole, News: news})
--- a/internal/gate/stats.go
+++ b/internal/gate/stats.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// FleetState asks the owner what the core makes of its fleet; zero where it does not tell before ctx ends.
+func (o *Owner) FleetState(ctx context.Context) (f choice.FleetState) {
+	if !o.ask(ctx, func() { f = o.core.FleetState() }) {
+		return choice.FleetState{}
+	}
+	return f
+}
+
 // trace logs a step in the life of a request.
 func (o *Owner) trace(what string, e *Request, state ...any) {
 	if o.log.Enabled(context.Background(), slog.LevelDebug) {
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -126,10 +126,21 @@
 	if event.List.Whole {
 		e.births.Keep(named)
 	}
+	e.logList(event)
 	e.UpdateMembership(event.List.Whole, listings, adopt)
 	e.told(event)
 }
 
+// logList logs an event of the list with how many workers it tells in each state.
+func (e *engine) logList(event feed.Event) {
+	states := map[string]int{}
+	for _, w := range event.List.Workers {
+		states[w.State]++
+	}
+	e.log.Info("list changed", "event", event.Number, "whole", event.List.Whole, "up", states[feed.Up], "draining", states[feed.Draining],
+		"removed", states[feed.Removed])
+}
+
 // told has the owner tell that the core has taken an event.
 func (e *engine) told(event feed.Event) {
 	if e.applied != nil {
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -25,6 +25,7 @@
 // status is the state of a front end at one moment, for logs and metrics.
 type status struct {
 	gate.Counts
+	Fleet choice.FleetState
 	Open, Connections          int64
 	ToWorkers, Stray, Position int64
 	LogLinesDropped            int64
@@ -37,7 +38,7 @@
 func (f *Front) status() status {
 	ctx, stop := context.WithTimeout(context.Background(), statusWithin)
 	defer stop()
-	s := status{Counts: f.Counts(ctx), Open: f.server.Open(), Connections: int64(f.server.Connections()),
+	s := status{Counts: f.Counts(ctx), Fleet: f.FleetState(ctx), Open: f.server.Open(), Connections: int64(f.server.Connections()),
 		ToWorkers: f.workers.pool.Open(), Stray: f.workers.pool.Stray(), Position: f.feed.Position()}
 	if f.dropped != nil {
 		s.LogLinesDropped = f.dropped()
@@ -67,7 +68,8 @@
 		"given_up", givenUp, "withheld_left", more.WithheldLeft.Load(), "withheld_late", more.WithheldLate.Load(),
 		"withheld_stalled", more.WithheldOld.Load(), "read_after_stall", more.Stalled.Load(), "load_requests", s.LoadRequests, "probes", s.Probes,
 		"late_answers", s.LateAnswers, "closed", closed, "open", s.Open, "connections", s.Connections, "to_workers", s.ToWorkers,
-		"stray_answers", s.Stray, "list_position", s.Position, "log_lines_dropped", s.LogLinesDropped)
+		"stray_answers", s.Stray, "workers", s.Fleet.Workers, "ejected", s.Fleet.Ejected, "with_room", s.Fleet.WithRoom,
+		"in_flight", s.Fleet.InFlight, "overloaded", s.Fleet.Overloaded, "list_position", s.Position, "log_lines_dropped", s.LogLinesDropped)
 }
 
 // connectionClosed counts and checks the end of a client's connection.
@@ -121,6 +123,15 @@
 	gauge("requests_open", "Requests without an answer.", s.Open)
 	gauge("connections", "Clients' connections.", s.Connections)
 	gauge("connections_to_workers", "Connections to workers.", s.ToWorkers)
+	gauge("workers", "Workers that may get something new, by the list.", int64(s.Fleet.Workers))
+	gauge("workers_ejected", "Of these, ejected or half-open.", int64(s.Fleet.Ejected))
+	gauge("workers_with_room", "Of these, with room for an attempt.", int64(s.Fleet.WithRoom))
+	gauge("attempts_in_flight", "Attempts without an outcome.", int64(s.Fleet.InFlight))
+	overloaded := int64(0)
+	if s.Fleet.Overloaded {
+		overloaded = 1
+	}
+	gauge("overloaded", "1 while few workers have room.", overloaded)
 	gauge("list_position", "Number of the last event of the list service that was taken.", s.Position)
 }
 
