--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -25,7 +25,7 @@
 // status is the state of a front end at one moment, for logs and metrics.
 type status struct {
 	gate.Counts
-	Fleet choice.FleetState
+	Fleet                      choice.FleetState
 	Open, Connections          int64
 	ToWorkers, Stray, Position int64
 	LogLinesDropped            int64
