--- a/internal/gate/departure.go
+++ b/internal/gate/departure.go
@@ -22,6 +22,7 @@
 	decided time.Duration
 	by      time.Duration // the client's time is up
 	told    time.Duration // how much of it the worker was told
+	asked   time.Time     // when
 }
 
 // Left is what the client has left now, to be told to the worker; false: the attempt must not leave any more. It is asked
@@ -41,11 +42,15 @@
 		return 0, false
 	}
 	d.told = d.by - now
+	d.asked = time.Now()
 	return d.told, true
 }
 
-// Written checks what has left, once its last byte has.
+// Written checks what has left, once its last byte has. Where the process did not run in between it can't be told when that was.
 func (d *Departure) Written() {
+	if d.owner.stall.EndedAfter(d.asked, time.Now()) {
+		return
+	}
 	now := d.owner.Now()
 	id := d.request.Fact.ID
 	if gone := time.Duration(d.request.clientGone.Load()); gone != 0 && now > gone+clientLeftSlack {
