Reread: messages, pairs, resets and children's starts are written once

Tests of lpgate share one worker and one spelling of a request, those of the platform one front end behind a crowded listener. rest and follow lose a step.

--- a/cmd/lpgate/main_test.go
+++ b/cmd/lpgate/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -31,8 +32,8 @@
 	os.Exit(m.Run())
 }
 
-// worker answers every command well; it tells its address.
-func worker(t *testing.T) string {
+// worker answers every command well, after saw, which may be nil, was told of it; it tells its address.
+func worker(t *testing.T, saw func(words []string)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -47,6 +48,9 @@
 			go func() {
 				defer conn.Close()
 				_ = resp.ReadCommands(conn, 1<<20, func(words []string, _ int) error { // until the front end ends it
+					if saw != nil {
+						saw(words)
+					}
 					_, err := conn.Write(resp.Append(nil, words[1], "ok", "n=1,how=ready", "body"))
 					return err
 				})
@@ -82,9 +86,12 @@
 	return w.Frame()
 }
 
-func dispatch(n int) []byte {
+func dispatch(n int) []byte { return request(n, n, 900*time.Millisecond) }
+
+// request is a request of a function under an id that its client waits for so long.
+func request(id, function int, wait time.Duration) []byte {
 	w := thrift.NewWriter("dispatch", thrift.Call, 1)
-	w.Texts(1, "class", "call", "id", fmt.Sprintf("%016x", n), "key", fmt.Sprintf("%016x", n), "wait", "900")
+	w.Texts(1, "class", "call", "id", fmt.Sprintf("%016x", id), "key", fmt.Sprintf("%016x", function), "wait", strconv.FormatInt(wait.Milliseconds(), 10))
 	w.Binary(2, nil)
 	return w.Frame()
 }
@@ -108,7 +115,7 @@
 	}
 	var known, gone []string
 	for i := range workers {
-		addr := worker(t)
+		addr := worker(t, nil)
 		known, gone = append(known, host(fmt.Sprint("w", i), addr, "up")), append(gone, host(fmt.Sprint("w", i), addr, "removed"))
 	}
 	config := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","journal":%q,"limits":{"cores":1,"memory_mb":64,"sockets":%d},
@@ -162,7 +169,7 @@
 	}
 	idle()
 	heard := make(chan struct{}, 1000)
-	last := worker(t)
+	last := worker(t, nil)
 	service := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("tail") == "1" {
 			fmt.Fprintf(w, `{"pos":2,"entries":[{"pos":2,"hosts":{"whole":false,"hosts":[%s,%s]}}]}`, strings.Join(gone, ","), host("new", last, "up"))
--- a/cmd/lpgate/process_test.go
+++ b/cmd/lpgate/process_test.go
@@ -14,9 +14,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"lupinpond/internal/resp"
-	"lupinpond/internal/thrift"
 )
 
 // program is lpgate as a process of its own, with one worker that a test reads.
@@ -32,7 +29,12 @@
 func startProgram(t *testing.T, log *os.File, args ...string) *program {
 	t.Helper()
 	p := &program{t: t, attempts: make(chan []string, 10000), came: make(chan time.Time, 10000)}
-	at := p.worker()
+	at := worker(t, func(words []string) {
+		if words[0] == "FN" {
+			p.came <- time.Now()
+			p.attempts <- words
+		}
+	})
 	journal := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	t.Cleanup(journal.Close)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -72,43 +74,6 @@
 	}
 }
 
-// worker answers every request and tells it to the test.
-func (p *program) worker() (addr string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	p.t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_ = resp.ReadCommands(conn, 1<<20, func(words []string, _ int) error { // until the front end ends it
-					if words[0] == "FN" {
-						p.came <- time.Now()
-						p.attempts <- words
-					}
-					_, err := conn.Write(resp.Append(nil, words[1], "ok", "how=ready", "body"))
-					return err
-				})
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
-// request is a request under a number that its client waits for so long.
-func request(n int, wait time.Duration) []byte {
-	w := thrift.NewWriter("dispatch", thrift.Call, 1)
-	w.Texts(1, "class", "call", "id", fmt.Sprintf("%016x", n), "key", fmt.Sprintf("%016x", 1), "wait", strconv.FormatInt(wait.Milliseconds(), 10))
-	w.Binary(2, nil)
-	return w.Frame()
-}
-
 // send connects and sends a request.
 func (p *program) send(frame []byte) net.Conn {
 	p.t.Helper()
@@ -127,7 +92,7 @@
 func TestPausedWhileRequestsWait(t *testing.T) {
 	const paused, wait = 700 * time.Millisecond, 2500 * time.Millisecond
 	p := startProgram(t, os.Stderr)
-	first := p.send(request(1, wait)) // the replica is warm from now on
+	first := p.send(request(1, 1, wait)) // the replica is warm from now on
 	defer first.Close()
 	<-p.attempts
 	<-p.came
@@ -137,9 +102,9 @@
 	sent := time.Now()
 	const left = 20
 	for n := range left {
-		p.send(request(100+n, wait)).Close()
+		p.send(request(100+n, 1, wait)).Close()
 	}
-	waiting := p.send(request(2, wait))
+	waiting := p.send(request(2, 1, wait))
 	defer waiting.Close()
 	time.Sleep(paused)
 	if err := p.Process.Signal(syscall.SIGCONT); err != nil {
@@ -178,7 +143,7 @@
 		t.Helper()
 		for range times {
 			conn := p.send(nil)
-			if good, err := call(conn, request(int(number.Add(1)), 2*time.Second)); err != nil || !good {
+			if good, err := call(conn, request(int(number.Add(1)), 1, 2*time.Second)); err != nil || !good {
 				t.Fatal("request", number.Load(), good, err)
 			}
 			conn.Close()
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -65,8 +65,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for x := range p.pairs {
-		reset(x.client)
-		reset(x.server)
+		ResetConn(x.client)
+		ResetConn(x.server)
 	}
 }
 
@@ -78,7 +78,8 @@
 	p.done.Wait()
 }
 
-func reset(conn net.Conn) {
+// ResetConn ends a connection with a reset.
+func ResetConn(conn net.Conn) {
 	if tcp, is := conn.(*net.TCPConn); is {
 		_ = tcp.SetLinger(0) // where it can't be a reset, an end serves as well
 	}
@@ -106,7 +107,7 @@
 	defer p.done.Done()
 	server, err := net.DialTimeout("tcp", p.target, dialLimit)
 	if err != nil {
-		reset(client)
+		ResetConn(client)
 		return
 	}
 	x := &pair{client: client, server: server}
@@ -128,8 +129,8 @@
 	for {
 		n, err := from.Read(part)
 		if n > 0 && !p.pass(x, to, part[:n], answers) {
-			reset(to)
-			reset(from)
+			ResetConn(to)
+			ResetConn(from)
 			return
 		}
 		if err == nil {
@@ -139,8 +140,8 @@
 			to.Close()
 			from.Close()
 		} else {
-			reset(to)
-			reset(from)
+			ResetConn(to)
+			ResetConn(from)
 		}
 		return
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -174,9 +174,9 @@
 // follow takes an answer. Where events are missing in it none is told: what they changed would be lost for good. The whole
 // list is asked for then.
 func (f *Feed) follow(n News, last int64, took time.Duration) error {
-	within := time.Since(f.answered)
+	within := max(1, time.Since(f.answered))
 	for i := range n.Events {
-		n.Events[i].Within = max(1, within)
+		n.Events[i].Within = within
 	}
 	switch {
 	case f.anew:
@@ -185,7 +185,7 @@
 			return fmt.Errorf("journal: asked for all events, it told no whole list as new as event %d", f.last)
 		}
 		f.anew = false
-		e.Within = max(1, within)
+		e.Within = within
 		f.answered = time.Now()
 		f.Tell(News{Events: []Event{e}})
 		return nil
--- a/internal/platform/deadline_test.go
+++ b/internal/platform/deadline_test.go
@@ -55,13 +55,19 @@
 	return fd
 }
 
-// The time that a worker is told is what the client has left when the request leaves, however long the connection took to
-// come up.
-func TestDeadlineAfterASlowConnection(t *testing.T) {
+// startBehindCrowd starts a front end whose only worker is at a crowded listener: what goes there is requests alone.
+func startBehindCrowd(t *testing.T) (*crowdedListener, *rig) {
 	slow := newCrowdedListener(t)
 	r := start(t, `"dial_timeout":0.25`, `"dial_timeout":5`, `"orders":true`, `"orders":false`, `"probing":true`, `"probing":false`)
 	r.journal <- changes(2, false, host("slow", slow.addr, "up")+","+host("w", r.worker.Addr().String(), "removed"))
 	waited(t, r)
+	return slow, r
+}
+
+// The time that a worker is told is what the client has left when the request leaves, however long the connection took to
+// come up.
+func TestDeadlineAfterASlowConnection(t *testing.T) {
+	slow, r := startBehindCrowd(t)
 	c := r.dial()
 	sent := time.Now()
 	c.dispatch("a", fields(id(1))...)
@@ -98,10 +104,7 @@
 
 // A client that leaves while its attempt waits for a connection gets none, though the owner stands still and has not heard of it.
 func TestLeavesWhileConnectingAndTheOwnerStandsStill(t *testing.T) {
-	slow := newCrowdedListener(t)
-	r := start(t, `"dial_timeout":0.25`, `"dial_timeout":5`, `"orders":true`, `"orders":false`, `"probing":true`, `"probing":false`)
-	r.journal <- changes(2, false, host("slow", slow.addr, "up")+","+host("w", r.worker.Addr().String(), "removed"))
-	waited(t, r)
+	slow, r := startBehindCrowd(t)
 	c := r.dial()
 	c.dispatch("a", fields(id(1))...)
 	time.Sleep(50 * time.Millisecond) // the first try to connect finds no room
--- a/internal/platform/invariants_test.go
+++ b/internal/platform/invariants_test.go
@@ -18,10 +18,7 @@
 // scenes are crossings in which a guard of the front end on the platform keeps an invariant.
 var scenes = map[string]func(t *testing.T) *rig{
 	"DrainedWhileConnecting": func(t *testing.T) *rig {
-		slow := newCrowdedListener(t)
-		r := start(t, `"dial_timeout":0.25`, `"dial_timeout":5`, `"orders":true`, `"orders":false`, `"probing":true`, `"probing":false`)
-		r.journal <- changes(2, false, host("slow", slow.addr, "up")+","+host("w", r.worker.Addr().String(), "removed"))
-		waited(t, r)
+		slow, r := startBehindCrowd(t)
 		c := r.dial()
 		c.dispatch("a", fields(id(1))...)
 		time.Sleep(50 * time.Millisecond) // the first try to connect finds no room
@@ -78,7 +75,7 @@
 	}{
 		{"DrainedWhileConnecting", "workers.go", "b.stopped.CompareAndSwap(0, int64(now))\n\tb.Stop()", "b.stopped.CompareAndSwap(0, int64(now))",
 			invariant.AttemptToDrained},
-		{"NextLife", "workers.go", "b, chosen := w.find(worker), w.chosen(worker)", "b, chosen := w.listed[worker], w.chosen(worker)",
+		{"NextLife", "workers.go", "b := w.find(worker)\n\tif b == nil {\n\t\tdone(choice.Outcome{", "b := w.listed[worker]\n\tif b == nil {\n\t\tdone(choice.Outcome{",
 			invariant.AttemptToOtherLife},
 		{"IdleUnderACall", "../thrift/conn.go", "return len(c.calls) == 0 && len(c.out) == 0 && !c.writing", "return len(c.out) == 0 && !c.writing",
 			invariant.ClosedUnanswered},
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -117,21 +117,21 @@
 	return w.adopted[name]
 }
 
-// chosen is the worker that the core has in mind, as an attempt's check knows it.
-func (w *workers) chosen(name string) *backend {
+// checkLife checks that the worker that was found for an attempt is the one that the core has in mind.
+func (w *workers) checkLife(request, name string, b *backend) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.adopted[name]
+	chosen := w.adopted[name]
+	w.mu.Unlock()
+	if b != chosen {
+		w.monitor.Violated(invariant.AttemptToOtherLife, request, "worker", name, "address", b.addr, "born", b.born)
+	}
 }
 
-// checkDeparture checks an attempt that has left for a worker, where another one was chosen perhaps.
-func (w *workers) checkDeparture(request, name string, b, chosen *backend) {
+// checkDrained checks that an attempt that has left did not go to a worker that has drained for too long.
+func (w *workers) checkDrained(request, name string, b *backend) {
 	if stopped := time.Duration(b.stopped.Load()); stopped != 0 && w.now() > stopped+w.grace {
 		w.monitor.Violated(invariant.AttemptToDrained, request, "worker", name, "later", w.now()-stopped)
 	}
-	if b != chosen {
-		w.monitor.Violated(invariant.AttemptToOtherLife, request, "worker", name, "address", b.addr, "born", b.born)
-	}
 }
 
 // sent is what is under way at a worker, and the words that give it up there; none: an order stands, a probe is over.
@@ -145,12 +145,13 @@
 
 // Send sends an attempt to a worker.
 func (w *workers) Send(e *gate.Request, _ int, worker string, departure *gate.Departure, done func(choice.Outcome, []byte)) gate.Sent {
-	b, chosen := w.find(worker), w.chosen(worker)
+	b := w.find(worker)
 	if b == nil {
 		done(choice.Outcome{Result: choice.Unreached}, nil)
 		return nil
 	}
 	id := e.Fact.ID
+	w.checkLife(id, worker, b)
 	var kill []byte
 	if w.cancel {
 		kill = resp.Append(nil, "KILL", id)
@@ -165,7 +166,7 @@
 		},
 		Written: func() {
 			departure.Written()
-			w.checkDeparture(id, worker, b, chosen)
+			w.checkDrained(id, worker, b)
 		}}
 	return sent{b.Call(id, message, true, func(a resp.Answer) { done(w.outcome(a)) }), kill}
 }
@@ -197,7 +198,7 @@
 	if len(a.Words) != 3 { // the request has run, and what came of it can't be told
 		return choice.Outcome{Result: choice.Broken}, nil
 	}
-	fields := pairs(string(a.Words[1]))
+	fields := resp.Pairs(string(a.Words[1]))
 	o.Load = w.load(fields["stats"])
 	switch fields["how"] {
 	case "ready":
@@ -244,7 +245,7 @@
 			done(o.Replicas, choice.Broken)
 			return
 		}
-		copies, err := strconv.Atoi(pairs(string(a.Words[1]))["n"])
+		copies, err := strconv.Atoi(resp.Pairs(string(a.Words[1]))["n"])
 		result := choice.Broken
 		switch string(a.Words[0]) {
 		case "ok":
@@ -278,7 +279,7 @@
 		case string(a.Words[0]) == "yes":
 			load := choice.Load{}
 			if len(a.Words) > 1 {
-				load = w.load(pairs(string(a.Words[1]))["stats"])
+				load = w.load(resp.Pairs(string(a.Words[1]))["stats"])
 			}
 			done(choice.Completed, load)
 		case string(a.Words[0]) == "no":
@@ -313,14 +314,3 @@
 	}
 	return choice.Load{}
 }
-
-// pairs reads name=value pairs; the wire writes none as a dash.
-func pairs(text string) map[string]string {
-	m := map[string]string{}
-	for part := range strings.SplitSeq(text, ",") {
-		if name, value, found := strings.Cut(part, "="); found {
-			m[name] = value
-		}
-	}
-	return m
-}
--- a/internal/resp/codec.go
+++ b/internal/resp/codec.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // ErrMalformed says that bytes are no array of bulk strings.
@@ -90,3 +91,14 @@
 	}
 	return n, at + end + 1, nil
 }
+
+// Pairs reads a list of name=value pairs, as commands and answers have them; a dash is none.
+func Pairs(text string) map[string]string {
+	m := map[string]string{}
+	for part := range strings.SplitSeq(text, ",") {
+		if name, value, found := strings.Cut(part, "="); found {
+			m[name] = value
+		}
+	}
+	return m
+}
--- a/internal/scale/gates.go
+++ b/internal/scale/gates.go
@@ -3,11 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -185,16 +183,8 @@
 // read takes answers until the connection ends.
 func (c *clients) read() error {
 	in := bufio.NewReader(c.conn)
-	var head [4]byte
 	for {
-		if _, err := io.ReadFull(in, head[:]); err != nil {
-			return err
-		}
-		frame := make([]byte, min(binary.BigEndian.Uint32(head[:]), mostWord))
-		if _, err := io.ReadFull(in, frame); err != nil {
-			return err
-		}
-		m, err := thrift.Parse(frame)
+		m, err := thrift.ReadMessage(in, mostWord)
 		if err != nil {
 			return err
 		}
@@ -202,9 +192,6 @@
 	}
 }
 
-// The result of a call is a struct of one field: its type, its number, and the struct in it.
-const resultHead = 3
-
 func (c *clients) answered(m thrift.Message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -213,17 +200,14 @@
 	if !open {
 		return
 	}
-	if m.Kind != thrift.Reply || len(m.Args) <= resultHead {
+	field, args, err := m.Result()
+	if err != nil {
 		c.failed.Add(1)
 		return
 	}
-	switch m.Args[2] {
+	switch field {
 	case 0:
 		c.served.Add(1)
-		args, err := thrift.ReadArgs(m.Args[resultHead : len(m.Args)-1])
-		if err != nil {
-			return
-		}
 		h := c.warm
 		if ready, err := strconv.ParseInt(string(args.Bins[1]), 10, 64); err == nil && ready > came.UnixNano() {
 			c.coldServed.Add(1)
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -7,10 +7,11 @@
 	"fmt"
 	"io"
 	"os/exec"
-	"runtime"
 	"sync"
 	"syscall"
 	"time"
+
+	"lupinpond/internal/children"
 )
 
 // endLimit is how long a process has to end by itself before it is killed.
@@ -33,28 +34,8 @@
 	stopping bool
 }
 
-// starter starts children from one thread, which lives as long as it does.
-type starter struct {
-	jobs chan func()
-	done chan struct{}
-}
-
-func newStarter() *starter {
-	s := &starter{jobs: make(chan func()), done: make(chan struct{})}
-	go func() {
-		runtime.LockOSThread() // never unlocked: the thread ends with the goroutine, and with it the children that are left
-		defer close(s.done)
-		for job := range s.jobs {
-			job()
-		}
-	}()
-	return s
-}
-
-func (s *starter) close() {
-	close(s.jobs)
-	<-s.done
-}
+// starter starts the children of a run.
+type starter struct{ *children.Starter }
 
 // tail keeps the last bytes of what is written to it.
 type tail struct {
@@ -83,7 +64,6 @@
 // start starts a child; crashed is told when it ends without having been stopped.
 func (s *starter) start(name string, cmd *exec.Cmd, commands bool, crashed func(error)) (*process, error) {
 	p := &process{name: name, cmd: cmd, tail: &tail{}, ended: make(chan struct{})}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Stderr = p.tail
 	if commands {
 		in, err := cmd.StdinPipe()
@@ -96,9 +76,7 @@
 		}
 		p.in, p.pipe = in, newPipe(out, in)
 	}
-	started := make(chan error)
-	s.jobs <- func() { started <- cmd.Start() }
-	if err := <-started; err != nil {
+	if err := s.Start(cmd); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
 	go func() {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
+	"lupinpond/internal/children"
 	"lupinpond/internal/feed"
 )
 
@@ -80,10 +81,10 @@
 	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r := &run{plan: plan, options: options, starter: newStarter(), dir: dir, random: rand.New(rand.NewPCG(plan.Seed, 0)), began: began,
+	r := &run{plan: plan, options: options, starter: &starter{children.NewStarter()}, dir: dir, random: rand.New(rand.NewPCG(plan.Seed, 0)), began: began,
 		cancel: cancel, published: map[int64]published{}, applied: map[string]*hdrhistogram.Histogram{}, last: map[int64]time.Duration{}, early: map[int64][]application{},
 		warm: newHistogram(), cold: newHistogram(), leastIdle: 1}
-	defer r.starter.close()
+	defer r.starter.Close()
 	defer r.stop()
 	result, err = r.play(ctx)
 	result.Seconds = time.Since(began).Seconds()
--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"lupinpond/internal/faultproxy"
 	"lupinpond/internal/feed"
 	"lupinpond/internal/resp"
 )
@@ -153,10 +153,7 @@
 	w.listener.Close()
 	w.listener = nil
 	for conn := range w.conns {
-		if tcp, is := conn.(*net.TCPConn); is {
-			_ = tcp.SetLinger(0) // a reset; where it can't be one, an end serves as well
-		}
-		conn.Close()
+		faultproxy.ResetConn(conn)
 	}
 	for _, j := range w.jobs {
 		j.over = true
@@ -222,7 +219,7 @@
 	case words[0] == "FN" && len(words) == 4:
 		w.pool.requests.Add(1)
 		w.pool.requestBytes.Add(size)
-		w.request(conn, words[1], field(words[2], "key"))
+		w.request(conn, words[1], resp.Pairs(words[2])["key"])
 	case words[0] == "KILL" && len(words) == 2:
 		w.pool.kills.Add(1)
 		w.pool.requestBytes.Add(size)
@@ -232,7 +229,8 @@
 	case words[0] == "SPAWN" && len(words) == 3:
 		w.pool.orders.Add(1)
 		w.pool.controlBytes.Add(size)
-		w.order(conn, words[1], field(words[2], "key"), field(words[2], "n"))
+		fields := resp.Pairs(words[2])
+		w.order(conn, words[1], fields["key"], fields["n"])
 	case words[0] == "TOP" && len(words) == 2:
 		w.pool.probes.Add(1)
 		w.pool.controlBytes.Add(size)
@@ -246,16 +244,6 @@
 
 func jobName(conn net.Conn, id string) string { return conn.RemoteAddr().String() + " " + id }
 
-// field finds the value of a name in name=value,name=value.
-func field(text, name string) string {
-	for part := range strings.SplitSeq(text, ",") {
-		if key, value, _ := strings.Cut(part, "="); key == name {
-			return value
-		}
-	}
-	return ""
-}
-
 func (w *emulatedWorker) stats() string {
 	return fmt.Sprintf("inflight:%d;pending:%d", w.running, len(w.queue))
 }
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -222,7 +219,7 @@
 // read takes answers until the connection ends.
 func (c *clientConn) read() {
 	for {
-		m, err := readMessage(c)
+		m, err := thrift.ReadMessage(c, mostAnswer)
 		at := time.Now()
 		if err != nil {
 			c.broke(at)
@@ -265,43 +262,17 @@
 	}
 }
 
-var errFrame = errors.New("soak: a frame of that length")
-
-// readMessage reads one message.
-func readMessage(from io.Reader) (thrift.Message, error) {
-	var head [4]byte
-	if _, err := io.ReadFull(from, head[:]); err != nil {
-		return thrift.Message{}, err
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > mostAnswer {
-		return thrift.Message{}, errFrame
-	}
-	frame := make([]byte, n)
-	if _, err := io.ReadFull(from, frame); err != nil {
-		return thrift.Message{}, err
-	}
-	return thrift.Parse(frame)
-}
-
-// resultHead is what comes before the struct in the result of a call: its type and number.
-const resultHead = 3
-
 // endingOf reads how a request ended, and the body of an answer.
 func endingOf(m thrift.Message) (ending, body string) {
-	if m.Kind != thrift.Reply || len(m.Args) <= resultHead {
+	field, args, err := m.Result()
+	switch {
+	case err != nil:
 		return exception, ""
-	}
-	switch m.Args[2] {
-	case 1:
+	case field == 1:
 		return rejected, ""
-	case 2:
+	case field == 2:
 		return failed, ""
 	}
-	args, err := thrift.ReadArgs(m.Args[resultHead : len(m.Args)-1])
-	if err != nil {
-		return exception, ""
-	}
 	return served, string(args.Bins[1])
 }
 
--- a/internal/soak/front.go
+++ b/internal/soak/front.go
@@ -15,6 +15,7 @@
 
 	"lupinpond/internal/faultproxy"
 	"lupinpond/internal/feed"
+	"lupinpond/internal/thrift"
 )
 
 // front is one front end over its lives: a process, the ways to it, and what excuses it.
@@ -120,7 +121,6 @@
 	cmd := exec.Command(words[0], words[1:]...)
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+f.o.path(f.name+".json"), "GW_NAME="+f.name, "GW_LISTEN="+f.listen)
 	cmd.Stderr, cmd.Stdout = f.log, f.log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	ended := make(chan struct{})
 	f.process, f.ended, f.stopping = cmd, ended, false
 	f.mu.Unlock()
@@ -182,7 +182,7 @@
 	if _, err := conn.Write(aliveFrame()); err != nil {
 		return false
 	}
-	m, err := readMessage(conn)
+	m, err := thrift.ReadMessage(conn, mostAnswer)
 	return err == nil && strings.HasPrefix(m.Name, "alive")
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,13 +6,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os/exec"
-	"runtime"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"lupinpond/internal/children"
 	"lupinpond/internal/faultproxy"
 	"lupinpond/internal/feed"
 	"lupinpond/internal/listservice"
@@ -27,11 +26,11 @@
 
 // run is one run.
 type run struct {
-	o      Options
-	ledger *ledger
-	list   *listservice.Service
-	fronts []*front
-	starts chan func()
+	o       Options
+	ledger  *ledger
+	list    *listservice.Service
+	fronts  []*front
+	starter *children.Starter
 
 	mu      sync.Mutex
 	workers []*worker
@@ -58,9 +57,8 @@
 
 // Run plays a run. The error is one of the run itself; broken rules are in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
-	r := &run{o: o, ledger: newLedger(), starts: make(chan func())}
-	go r.starter()
-	defer close(r.starts)
+	r := &run{o: o, ledger: newLedger(), starter: children.NewStarter()}
+	defer r.starter.Close()
 	watching, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
 	go r.ledger.stalls.watch(watching)
@@ -86,20 +84,6 @@
 	return report, nil
 }
 
-// starter starts processes from one thread, which lives as long as the run: the kernel ends them with it.
-func (r *run) starter() {
-	runtime.LockOSThread()
-	for start := range r.starts {
-		start()
-	}
-}
-
-func (r *run) spawn(cmd *exec.Cmd) error {
-	started := make(chan error)
-	r.starts <- func() { started <- cmd.Start() }
-	return <-started
-}
-
 // say tells a line of the run.
 func (r *run) say(format string, args ...any) {
 	if r.o.Out == nil {
@@ -153,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &front{o: r.o, index: index, name: fmt.Sprintf("f%d", index), listen: listener.Addr().String(), ledger: r.ledger, spawn: r.spawn, known: r.known}
+	f := &front{o: r.o, index: index, name: fmt.Sprintf("f%d", index), listen: listener.Addr().String(), ledger: r.ledger, spawn: r.starter.Start, known: r.known}
 	if err := listener.Close(); err != nil {
 		return nil, err
 	}
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -9,11 +9,11 @@
 	"net/netip"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"lupinpond/internal/faultproxy"
 	"lupinpond/internal/feed"
 	"lupinpond/internal/resp"
 )
@@ -139,17 +139,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for conn := range w.conns {
-		resetConn(conn)
+		faultproxy.ResetConn(conn)
 	}
 }
 
-func resetConn(conn net.Conn) {
-	if tcp, is := conn.(*net.TCPConn); is {
-		_ = tcp.SetLinger(0) // where it can't be a reset, an end serves as well
-	}
-	conn.Close()
-}
-
 func (w *worker) set(m mood) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -226,7 +219,7 @@
 	now := time.Now()
 	switch {
 	case words[0] == "FN" && len(words) == 4:
-		fields := pairs(words[2])
+		fields := resp.Pairs(words[2])
 		w.mu.Lock()
 		drained := w.drained
 		w.mu.Unlock()
@@ -240,7 +233,7 @@
 		w.mu.Unlock()
 	case words[0] == "SPAWN" && len(words) == 3:
 		w.ledger.count(func(s *Sums) { s.Orders++ })
-		w.order(conn, words[1], pairs(words[2])["key"], now)
+		w.order(conn, words[1], resp.Pairs(words[2])["key"], now)
 	case words[0] == "TOP" && len(words) == 2:
 		w.mu.Lock()
 		w.answer(conn, words[1], "yes", "stats="+w.stats(), "")
@@ -254,17 +247,6 @@
 
 func jobName(conn net.Conn, id string) string { return conn.RemoteAddr().String() + " " + id }
 
-// pairs reads name=value,name=value.
-func pairs(text string) map[string]string {
-	all := map[string]string{}
-	for part := range strings.SplitSeq(text, ",") {
-		if name, value, is := strings.Cut(part, "="); is {
-			all[name] = value
-		}
-	}
-	return all
-}
-
 func (w *worker) stats() string {
 	return fmt.Sprintf("inflight:%d;pending:%d", w.running, len(w.queue))
 }
@@ -385,7 +367,7 @@
 	switch {
 	case w.mood.mute:
 	case w.mood.breaks:
-		resetConn(j.conn)
+		faultproxy.ResetConn(j.conn)
 	case w.mood.spoils:
 		w.write(j.conn, []byte("*4\r\n$16\r\nnoise\r\n$-1\r\n"))
 	case w.mood.twice:
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -309,11 +309,11 @@
 func (c *Conn) rest(in *bufio.Reader) error {
 	for {
 		until, end := c.restUntil()
-		if end == errGaveWay && c.source.look() {
-			end, until = nil, time.Now().Add(c.server.limits.Mute)
-		}
 		if end == errGaveWay {
-			return end
+			if !c.source.look() {
+				return end
+			}
+			end, until = nil, time.Now().Add(c.server.limits.Mute)
 		}
 		if err := c.conn.SetReadDeadline(until); err != nil {
 			return err
