--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -22,23 +22,33 @@
 // troubles are all kinds.
 func troubles() []trouble {
 	return []trouble{
-		{"stop", 3, (*run).stopFront},
-		{"kill", 2, (*run).killFront},
-		{"pause", 4, (*run).pauseFront},
-		{"stutter", 2, (*run).stutterFront},
-		{"move the list", 3, (*run).moveList},
-		{"stop under reloads", 2, (*run).stopUnderReloads},
-		{"list service", 4, (*run).listTrouble},
+		{"stop", 3, atFront((*run).plannedStop)},
+		{"kill", 2, atFront((*run).killFront)},
+		{"pause", 4, atFront((*run).pauseFront)},
+		{"stutter", 2, atFront((*run).stutterFront)},
+		{"move the list", 3, atFront((*run).moveList)},
+		{"stop under reloads", 2, atFront((*run).stopUnderReloads)},
+		{"list service", 4, atFront((*run).listTrouble)},
 		{"replace a worker", 4, (*run).replaceWorker},
 		{"replace many workers", 1, (*run).replaceMany},
-		{"drain under a pause", 2, (*run).drainUnderPause},
+		{"drain under a pause", 2, atFront((*run).drainUnderPause)},
 		{"worker misbehaves", 5, (*run).workerMisbehaves},
 		{"worker connections", 3, (*run).workerConnections},
 		{"late connections", 3, (*run).lateConnections},
-		{"client network", 3, (*run).clientNetwork},
-		{"idle clients", 2, (*run).idleClients},
-		{"bad clients", 3, (*run).badClients},
-		{"slow readers", 2, (*run).slowReaders},
+		{"client network", 3, atFront((*run).clientNetwork)},
+		{"idle clients", 2, atFront((*run).idleClients)},
+		{"bad clients", 3, atFront((*run).badClients)},
+		{"slow readers", 2, atFront((*run).slowReaders)},
+	}
+}
+
+// atFront plays a trouble at a front end that no other trouble has in hand, if there is one.
+func atFront(play func(r *run, ctx context.Context, f *front, random *rand.Rand)) func(*run, context.Context, *rand.Rand) {
+	return func(r *run, ctx context.Context, random *rand.Rand) {
+		if f := r.free(random); f != nil {
+			defer f.release()
+			play(r, ctx, f, random)
+		}
 	}
 }
 
@@ -74,17 +84,8 @@
 	excused()
 }
 
-// stopFront ends a front end as planned: requests come a little longer, then it has its time to end.
-func (r *run) stopFront(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
-	r.plannedStop(ctx, f, random)
-}
-
-// plannedStop sends SIGTERM, goes on sending requests for some time, and starts the front end again once it has ended.
+// plannedStop ends a front end as planned: it sends SIGTERM, goes on sending requests for some time, and starts the front end again
+// once it has ended.
 func (r *run) plannedStop(ctx context.Context, f *front, random *rand.Rand) {
 	f.mu.Lock()
 	f.stopping = true
@@ -100,12 +101,7 @@
 }
 
 // killFront kills a front end and starts it again.
-func (r *run) killFront(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) killFront(ctx context.Context, f *front, random *rand.Rand) {
 	over := f.excuse("killed")
 	f.rest()
 	f.stop(syscall.SIGKILL, time.Second)
@@ -115,12 +111,7 @@
 }
 
 // pauseFront has a front end stand still.
-func (r *run) pauseFront(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) pauseFront(ctx context.Context, f *front, random *rand.Rand) {
 	r.pause(ctx, f, between(random, 120*time.Millisecond, 1500*time.Millisecond))
 }
 
@@ -134,12 +125,7 @@
 }
 
 // stutterFront has a front end stand still for moments that are too short to be noticed as a pause, one after the other.
-func (r *run) stutterFront(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) stutterFront(ctx context.Context, f *front, random *rand.Rand) {
 	for range 10 {
 		r.pause(ctx, f, between(random, 20*time.Millisecond, 90*time.Millisecond))
 		sleep(ctx, between(random, 5*time.Millisecond, 100*time.Millisecond))
@@ -148,12 +134,7 @@
 
 // moveList moves the list service's address in a front end's configuration: once, in quick succession, there and back, and in a file
 // that is being written as the signal comes.
-func (r *run) moveList(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) moveList(ctx context.Context, f *front, random *rand.Rand) {
 	moves := 1 + random.IntN(3)
 	for range moves {
 		r.move(ctx, f, random.IntN(3) == 0)
@@ -189,12 +170,7 @@
 }
 
 // stopUnderReloads has SIGHUP and SIGTERM come in any order, and twice.
-func (r *run) stopUnderReloads(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) stopUnderReloads(ctx context.Context, f *front, random *rand.Rand) {
 	f.mu.Lock()
 	f.stopping = true
 	f.mu.Unlock()
@@ -207,12 +183,7 @@
 }
 
 // listTrouble has a front end's way to the list service hang, be slow, cut answers or reset connections.
-func (r *run) listTrouble(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) listTrouble(ctx context.Context, f *front, random *rand.Rand) {
 	over := f.lateList("list service")
 	f.mu.Lock()
 	way := f.journal
@@ -245,12 +216,7 @@
 }
 
 // drainUnderPause has a worker drain while a front end stands still.
-func (r *run) drainUnderPause(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) drainUnderPause(ctx context.Context, f *front, random *rand.Rand) {
 	paused := make(chan struct{})
 	go func() {
 		defer close(paused)
@@ -316,12 +282,7 @@
 }
 
 // clientNetwork has what passes between a front end and its clients stand still, come late, or be reset.
-func (r *run) clientNetwork(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) clientNetwork(ctx context.Context, f *front, random *rand.Rand) {
 	over, arrived := f.excuse("client network"), f.lateNetwork("client network")
 	switch random.IntN(3) {
 	case 0:
@@ -337,12 +298,7 @@
 }
 
 // idleClients has connections come that ask whether the front end is alive and then rest, more than it can hold.
-func (r *run) idleClients(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) idleClients(ctx context.Context, f *front, random *rand.Rand) {
 	var conns []net.Conn
 	for range sockets {
 		conn, err := net.DialTimeout("tcp", f.listen, dialLimit)
@@ -361,12 +317,7 @@
 }
 
 // badClients sends what can't be read, stops in the middle, and closes under what it has asked.
-func (r *run) badClients(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) badClients(ctx context.Context, f *front, random *rand.Rand) {
 	for range 20 {
 		conn, err := net.DialTimeout("tcp", f.listen, dialLimit)
 		if err != nil {
@@ -401,12 +352,7 @@
 }
 
 // slowReaders has the answers of a front end pass to its clients a little at a time.
-func (r *run) slowReaders(ctx context.Context, random *rand.Rand) {
-	f := r.free(random)
-	if f == nil {
-		return
-	}
-	defer f.release()
+func (r *run) slowReaders(ctx context.Context, f *front, random *rand.Rand) {
 	over, arrived := f.excuse("slow readers"), f.lateNetwork("slow readers")
 	f.clients.Set(faultproxy.Fault{Delay: between(random, 20*time.Millisecond, 120*time.Millisecond)})
 	sleep(ctx, between(random, 200*time.Millisecond, 1500*time.Millisecond))
