--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,7 @@
 
 var cases = map[string]func(*harness) []string{
 	"keyed-twice": playKeyedTwice,
+	"drain-told":  playDrainTold,
 }
 
 func main() {
