review: the stand-ins move to a testdata folder

Change: the folder and the path in build.sh, no text of the programs. Result: go test ./internal passes.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
-go build -o bin/standin ./standin
+go build -o bin/standin ./testdata/standin
 cd ..
 go build -o review/bin/payroll ./examples/payroll
