review: a run ends when the replicas of its workers have ended

Cause: replicas are killed by the kernel with their worker; a run could end some milliseconds before them. Change: the harness waits for their end.

--- a/review/testdata/standin/harness.go
+++ b/review/testdata/standin/harness.go
@@ -89,6 +89,7 @@
 		for _, p := range procs {
 			p.kill()
 		}
+		h.awaitReplicas()
 		os.RemoveAll(h.folder)
 		h.record.Close()
 	}()
@@ -105,6 +106,24 @@
 	return ruleHeld
 }
 
+// awaitReplicas waits until the replicas of the killed workers have ended, which the kernel kills with their workers. A
+// replica's program is in the temporary folder.
+func (h *harness) awaitReplicas() {
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		left := 0
+		links, _ := filepath.Glob("/proc/[0-9]*/exe") // the pattern is valid
+		for _, link := range links {
+			if program, err := os.Readlink(link); err == nil && strings.HasPrefix(program, h.folder) {
+				left++
+			}
+		}
+		if left == 0 {
+			return
+		}
+	}
+	h.logf("replicas are left")
+}
+
 // startProgram starts a program in the root of the repository. Its output goes to a log file in the temporary folder.
 func (h *harness) startProgram(name string, env []string, command ...string) *process {
 	log, err := os.OpenFile(filepath.Join(h.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
