--- a/review/testdata/standin/harness.go
+++ b/review/testdata/standin/harness.go
@@ -23,6 +23,9 @@
 	couldNotRun = 2
 )
 
+// maxRun is the time after which a run ends by itself.
+const maxRun = 110 * time.Second
+
 // Bounds of the rule on drains.
 const (
 	drainGrace  = 500 * time.Millisecond // rules.stop_sending_within, or stop-sending-within in our own settings
@@ -93,6 +96,16 @@
 		os.RemoveAll(h.folder)
 		h.record.Close()
 	}()
+	watchdog := time.AfterFunc(maxRun, func() {
+		h.logf("could not run: not over after %v", maxRun)
+		h.mu.Lock()
+		for _, p := range h.procs {
+			_ = syscall.Kill(-p.cmd.Process.Pid, syscall.SIGKILL)
+		}
+		os.RemoveAll(h.folder)
+		os.Exit(couldNotRun)
+	})
+	defer watchdog.Stop()
 	broken := play(h)
 	for _, line := range broken {
 		h.logf("BROKEN: %s", line)
