--- a/review/testdata/standin/draintold.go
+++ b/review/testdata/standin/draintold.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -79,10 +80,14 @@
 	for n := range payouts {
 		functions[fmt.Sprintf("payout-%d", n)] = "payout"
 	}
-	f := startOwnFleet(h, payoutSettings, functions)
+	f := startOwnFleet(h, payoutSettings, 4, functions)
 	workers, logs := map[string]*process{}, []*effectLog(nil)
+	flags := []string{"--running", "9", "--waiting", "33"}
+	if lease := os.Getenv("LEASE"); lease != "" { // a long one shows that the renewals undo the drain
+		flags = append(flags, "--lease", lease)
+	}
 	for _, name := range []string{"w1", "w2", "w3"} {
-		p, log := f.startWorker(name, freeAddr(), "--running", "9", "--waiting", "33")
+		p, log := f.startWorker(name, freeAddr(), flags...)
 		workers[name], logs = p, append(logs, log)
 	}
 	gateway := f.startFrontEnd(0, 1)
--- a/review/testdata/standin/keyedtwice.go
+++ b/review/testdata/standin/keyedtwice.go
@@ -68,7 +68,7 @@
 					c.times[name] = append(c.times[name], time.Now())
 					c.where[name] = append(c.where[name], l.worker)
 					c.mu.Unlock()
-					h.logf("effect %s at %s", name, l.worker)
+					h.logf("effect %s at %s", shorten(name), l.worker)
 				}
 			}
 			select {
@@ -124,7 +124,7 @@
 	for n := range previews {
 		functions[fmt.Sprintf("preview-%d", n)] = "pay-preview"
 	}
-	f := startOwnFleet(h, keyedSettings, functions)
+	f := startOwnFleet(h, keyedSettings, 4, functions)
 	workers, addrs, logs := map[string]*process{}, map[string]string{}, []*effectLog(nil)
 	flags := []string{"--running", "4", "--waiting", "33"}
 	for _, name := range []string{"w1", "w2"} {
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -8,9 +8,11 @@
 )
 
 var cases = map[string]func(*harness) []string{
-	"keyed-twice": playKeyedTwice,
-	"drain-pause": playDrainPause,
-	"drain-told":  playDrainTold,
+	"keyed-twice":     playKeyedTwice,
+	"drain-pause":     playDrainPause,
+	"drain-told":      playDrainTold,
+	"long-answer":     playLongAnswer,
+	"late-connection": playLateConnection,
 }
 
 func main() {
--- a/review/testdata/standin/ownfleet.go
+++ b/review/testdata/standin/ownfleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -17,8 +18,8 @@
 	answers                    map[string]string // by name of the request
 }
 
-// startOwnFleet starts the registry, the store with one package, a register and a gateway.
-func startOwnFleet(h *harness, settings string, functions map[string]string) *ownFleet {
+// startOwnFleet starts the registry, a register, and the store with the packages of functions, by their types.
+func startOwnFleet(h *harness, settings string, lanes int, functions map[string]string) *ownFleet {
 	f := &ownFleet{harness: h, answers: map[string]string{}, registry: freeAddr(), store: freeAddr(), registers: freeAddr()}
 	f.settings = filepath.Join(h.folder, "settings.yaml")
 	check(os.WriteFile(f.settings, []byte(strings.ReplaceAll(settings, "REGISTRY", f.registry)), 0o644))
@@ -37,7 +38,7 @@
 		check(os.MkdirAll(pack, 0o755))
 		check(os.WriteFile(filepath.Join(pack, "payroll"), program, 0o755))
 		h.runTool("bin/worker", "pack", pack, "--name", function, "--version", "1", "--type", requestType,
-			"--kind", "process", "--entry", "payroll", "--lanes", "4", "--memory", "64")
+			"--kind", "process", "--entry", "payroll", "--lanes", strconv.Itoa(lanes), "--memory", "64")
 		h.runTool("bin/lpctl", "publish", "--store", "http://"+f.store, pack)
 	}
 	return f
