--- a/review/testdata/standin/longanswer.go
+++ b/review/testdata/standin/longanswer.go
@@ -41,6 +41,7 @@
 	longWork   = "200ms"
 	longBytes  = 100 << 10 // of the long names, and so of the answers to them
 	shortBytes = 10 << 10
+	answerHeld = 150 * time.Millisecond // from the first bytes of an answer to the reset
 )
 
 // answerCutter resets the connection on which the first answer with a marked name comes.
@@ -64,6 +65,7 @@
 		for marker, pending := range c.markers {
 			if pending && sent.contains(marker) {
 				c.markers[marker] = false
+				time.Sleep(answerHeld) // the connection waits, no other one is watched meanwhile
 				c.logf("the connection to %s is reset under its answer to %s", worker, marker)
 				return true
 			}
