--- /dev/null
+++ b/review/standins-2/cases.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// cases are the plays by name. A play returns whether the rule was broken.
+var cases = map[string]func(rec *record, trouble bool) bool{
+	"ask":   askCase,
+	"break": breakCase,
+}
+
+// drainSlack is what the protocol page adds to each time limit of the rules.
+const drainSlack = 50 * time.Millisecond
+
+func functionKey(i int) string {
+	return fmt.Sprintf("%016x", 0x1111111111111111+uint64(i)*0x0101010101)
+}
+
+// send sends requests for the given functions, one each pause, until the time is over. It returns them.
+func send(c *client, class string, functions int, pause, length time.Duration) []*request {
+	var all []*request
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(pause) {
+		q := &request{id: newID(), class: class, tenant: []string{"indus-textiles", "ravi-pharmacy"}[len(all)%2],
+			wait: 2500 * time.Millisecond, body: "b", key: functionKey(rand.IntN(functions))}
+		if c.dispatch(q) != nil {
+			break
+		}
+		all = append(all, q)
+	}
+	return all
+}
+
+// lateWork reports what is new work at a worker after a time.
+func lateWork(rec *record, w *worker, limit time.Time) (late int) {
+	for _, a := range w.all() {
+		if (a.command == "FN" || a.command == "SPAWN" && a.n > 0) && a.at.After(limit) {
+			late++
+			rec.line("LATE: %s n=%d %s came to %s at %v, %v after the limit", a.command, a.n, a.id, w.name,
+				rec.since(a.at), a.at.Sub(limit).Round(time.Millisecond))
+		}
+	}
+	return late
+}
+
+func startFleet(rec *record, d deployment, n int) (workers []*worker, j *journal, f *front) {
+	var hosts []host
+	for i := range n {
+		w := newWorker(rec, fmt.Sprintf("s-%08x", 0xc41f7a+i*0x9e3779), 300*time.Millisecond, 60*time.Millisecond)
+		workers = append(workers, w)
+		hosts = append(hosts, w.host("up"))
+	}
+	j = newJournal(rec, hosts)
+	f = newFront(rec)
+	f.write(d, j.addr, j.known())
+	f.start()
+	return workers, j, f
+}
+
+func mustDial(rec *record, f *front) *client {
+	c, err := dialClient(rec, f.addr)
+	if err != nil {
+		cannotRun("client: %v", err)
+	}
+	return c
+}
+
+// outage is for how long the journal service is down, as on the fleet page's day "herd+mass".
+const outage = 8 * time.Second
+
+// askCase: the journal service is down for 8 s after a quiet time, and a worker drains meanwhile. The front end counts as
+// told 7 s after the beginning. It is played with the settings of lahore-payroll, and with the same settings when orders
+// to load are not allowed.
+func askCase(rec *record, trouble bool) bool {
+	noOrders := lahore()
+	noOrders.orders = false
+	var broken [2]bool
+	var plays sync.WaitGroup
+	plays.Go(func() { broken[0] = askPlay(rec, "orders allowed", lahore(), trouble) })
+	plays.Go(func() { broken[1] = askPlay(rec, "no orders allowed", noOrders, trouble) })
+	plays.Wait()
+	return broken[0] || broken[1]
+}
+
+func askPlay(rec *record, name string, d deployment, trouble bool) bool {
+	rec = rec.named(name + ": ")
+	workers, j, f := startFleet(rec, d, 3)
+	send(mustDial(rec, f), "pay-preview", 4, 50*time.Millisecond, time.Second)
+	time.Sleep(10 * time.Second) // quiet, longer than idle copies are kept
+	began := time.Now()
+	if trouble {
+		j.down()
+	}
+	time.Sleep(time.Second)
+	told := time.Now()
+	if trouble {
+		told = began.Add(7 * time.Second)
+	}
+	j.change(workers[0].host("draining"))
+	workers[0].drain()
+	limit := told.Add(500*time.Millisecond + drainSlack)
+	time.Sleep(time.Until(began.Add(7*time.Second + 500*time.Millisecond + drainSlack + 20*time.Millisecond)))
+	c := mustDial(rec, f)
+	send(c, "pay-preview", 24, 10*time.Millisecond, time.Until(began.Add(outage)))
+	if trouble {
+		j.up()
+	}
+	send(c, "pay-preview", 24, 50*time.Millisecond, time.Second)
+	time.Sleep(2 * time.Second)
+	late := lateWork(rec, workers[0], limit)
+	f.copyLog()
+	return late > 0
+}
+
+// breakCase: the journal service breaks off in the middle of the event that a worker drains, and is down for 8 s. What it
+// would have told counts as told 2 s after the break.
+func breakCase(rec *record, trouble bool) bool {
+	workers, j, f := startFleet(rec, lahore(), 3)
+	c := mustDial(rec, f)
+	var clients sync.WaitGroup
+	clients.Go(func() { send(c, "pay-preview", 12, 20*time.Millisecond, 13*time.Second) })
+	time.Sleep(4 * time.Second)
+	told := time.Now()
+	if trouble {
+		j.breakOff()
+		told = told.Add(2 * time.Second)
+	}
+	j.change(workers[0].host("draining"))
+	workers[0].drain()
+	time.Sleep(outage)
+	if trouble {
+		j.up()
+	}
+	clients.Wait()
+	late := lateWork(rec, workers[0], told.Add(500*time.Millisecond+drainSlack))
+	f.copyLog()
+	return late > 0
+}
