--- a/review/standins-2/exploreown.go
+++ b/review/standins-2/exploreown.go
@@ -32,7 +32,7 @@
 	if trouble {
 		go func() {
 			for time.Now().Before(end.Add(-5 * time.Second)) {
-				switch k := rand.IntN(10); {
+				switch k := rand.IntN(13); {
 				case k < 2:
 					go fl.workers[rand.IntN(4)].restart(syscall.SIGKILL)
 				case k < 5:
@@ -50,8 +50,14 @@
 					p.signal(syscall.SIGSTOP)
 					time.Sleep(time.Duration(400+rand.IntN(580)) * time.Millisecond)
 					p.signal(syscall.SIGCONT)
-				default:
+				case k < 10:
 					fl.registry.restart(syscall.SIGKILL)
+				case k < 12:
+					go fl.workers[rand.IntN(4)].restart(syscall.SIGTERM)
+				default:
+					p := fl.registry
+					p.signal(syscall.SIGSTOP)
+					time.AfterFunc(time.Duration(500+rand.IntN(7000))*time.Millisecond, func() { p.signal(syscall.SIGCONT) })
 				}
 				time.Sleep(time.Duration(1000+rand.IntN(2500)) * time.Millisecond)
 			}
