--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -4,13 +4,16 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // cases are the plays by name. A play returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) bool{
+	"queue": queueCase,
 	"ask":   askCase,
 	"break": breakCase,
+	"pause": pauseCase,
 }
 
 // drainSlack is what the protocol page adds to each time limit of the rules.
@@ -21,10 +24,16 @@
 }
 
 // send sends requests for the given functions, one each pause, until the time is over. It returns them.
-func send(c *client, class string, functions int, pause, length time.Duration) []*request {
+func send(c *client, d deployment, functions int, pause, length time.Duration) []*request {
 	var all []*request
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(pause) {
-		q := &request{id: newID(), class: class, tenant: []string{"indus-textiles", "ravi-pharmacy"}[len(all)%2],
+		c.mu.Lock()
+		crowded := len(c.open) >= 30 // a connection may have 32 open requests
+		c.mu.Unlock()
+		if crowded {
+			continue
+		}
+		q := &request{id: newID(), class: d.classes[0].name, tenant: d.tenants[len(all)%len(d.tenants)],
 			wait: 2500 * time.Millisecond, body: "b", key: functionKey(rand.IntN(functions))}
 		if c.dispatch(q) != nil {
 			break
@@ -50,6 +59,7 @@
 	var hosts []host
 	for i := range n {
 		w := newWorker(rec, fmt.Sprintf("s-%08x", 0xc41f7a+i*0x9e3779), 300*time.Millisecond, 60*time.Millisecond)
+		w.miss, w.site = d.miss, d.zones
 		workers = append(workers, w)
 		hosts = append(hosts, w.host("up"))
 	}
@@ -88,7 +98,7 @@
 func askPlay(rec *record, name string, d deployment, trouble bool) bool {
 	rec = rec.named(name + ": ")
 	workers, j, f := startFleet(rec, d, 3)
-	send(mustDial(rec, f), "pay-preview", 4, 50*time.Millisecond, time.Second)
+	send(mustDial(rec, f), d, 4, 50*time.Millisecond, time.Second)
 	time.Sleep(10 * time.Second) // quiet, longer than idle copies are kept
 	began := time.Now()
 	if trouble {
@@ -104,11 +114,11 @@
 	limit := told.Add(500*time.Millisecond + drainSlack)
 	time.Sleep(time.Until(began.Add(7*time.Second + 500*time.Millisecond + drainSlack + 20*time.Millisecond)))
 	c := mustDial(rec, f)
-	send(c, "pay-preview", 24, 10*time.Millisecond, time.Until(began.Add(outage)))
+	send(c, d, 24, 10*time.Millisecond, time.Until(began.Add(outage)))
 	if trouble {
 		j.up()
 	}
-	send(c, "pay-preview", 24, 50*time.Millisecond, time.Second)
+	send(c, d, 24, 50*time.Millisecond, time.Second)
 	time.Sleep(2 * time.Second)
 	late := lateWork(rec, workers[0], limit)
 	f.copyLog()
@@ -118,10 +128,11 @@
 // breakCase: the journal service breaks off in the middle of the event that a worker drains, and is down for 8 s. What it
 // would have told counts as told 2 s after the break.
 func breakCase(rec *record, trouble bool) bool {
-	workers, j, f := startFleet(rec, lahore(), 3)
+	d := lahore()
+	workers, j, f := startFleet(rec, d, 3)
 	c := mustDial(rec, f)
 	var clients sync.WaitGroup
-	clients.Go(func() { send(c, "pay-preview", 12, 20*time.Millisecond, 13*time.Second) })
+	clients.Go(func() { send(c, d, 12, 20*time.Millisecond, 13*time.Second) })
 	time.Sleep(4 * time.Second)
 	told := time.Now()
 	if trouble {
@@ -139,3 +150,66 @@
 	f.copyLog()
 	return late > 0
 }
+
+// Figures of pauseCase. Front ends of ktm-notify stand still for 400 to 980 ms every 2.2 to 3.5 s.
+const (
+	pauseLength = 980 * time.Millisecond
+	pauseEach   = 3 * time.Second
+	slowAnswer  = 100 * time.Millisecond // by which the journal service is slow
+	pauseRounds = 5
+)
+
+// pauseCase: the front end stands still for 980 ms every 3 s, and the journal service answers 100 ms late. Each pause
+// begins shortly before a poll is answered without an event, and a worker drains right after that.
+func pauseCase(rec *record, trouble bool) bool {
+	d := ktm()
+	workers, j, f := startFleet(rec, d, 10)
+	j.mu.Lock()
+	j.delay = slowAnswer
+	j.mu.Unlock()
+	var clients sync.WaitGroup
+	end := time.Now().Add(4*time.Second + (pauseRounds+1)*(pauseEach+2*time.Second))
+	for range 6 {
+		c := mustDial(rec, f)
+		clients.Go(func() { send(c, d, 24, 40*time.Millisecond, time.Until(end)) })
+	}
+	time.Sleep(4 * time.Second)
+	late := 0
+	for round := range pauseRounds {
+		w := busiest(workers)
+		poll := j.awaitPoll()
+		time.Sleep(time.Until(poll.Add(time.Second + slowAnswer - 30*time.Millisecond)))
+		if trouble {
+			f.signal(syscall.SIGSTOP)
+		}
+		stopped := time.Now()
+		time.Sleep(50 * time.Millisecond)
+		told := time.Now()
+		j.change(w.host("draining"))
+		w.drain()
+		time.Sleep(time.Until(stopped.Add(pauseLength)))
+		if trouble {
+			f.signal(syscall.SIGCONT)
+		}
+		time.Sleep(time.Until(stopped.Add(pauseEach)))
+		n := lateWork(rec, w, told.Add(500*time.Millisecond+drainSlack))
+		rec.line("round %d: %d late at %s", round, n, w.name)
+		late += n
+	}
+	clients.Wait()
+	f.copyLog()
+	return late > 0
+}
+
+// busiest returns the worker that got the most requests of those that don't drain.
+func busiest(workers []*worker) (busiest *worker) {
+	most := -1
+	for _, w := range workers {
+		w.mu.Lock()
+		if !w.draining && len(w.arrivals) > most {
+			busiest, most = w, len(w.arrivals)
+		}
+		w.mu.Unlock()
+	}
+	return busiest
+}
--- a/review/standins-2/exploreown.go
+++ b/review/standins-2/exploreown.go
@@ -21,7 +21,8 @@
 		cannotRun("settings: %v", err)
 	}
 	settings := strings.ReplaceAll(string(defaults), "http://127.0.0.1:8710", "REGISTRY")
-	fl := startOwnFleet(rec, settings, 2, 4, 3)
+	fl := startOwnFleet(rec, temporary(), settings,
+		"gross-salary:salary-release transfer:bank-transfer tax-slab:tax-check preview:pay-preview", 2, 4, 3)
 	time.Sleep(2 * time.Second)
 	end := time.Now().Add(70 * time.Second)
 	kinds := []struct {
--- a/review/standins-2/explorestall.go
+++ b/review/standins-2/explorestall.go
@@ -142,7 +142,7 @@
 	workers, j, f := startFleet(rec, d, 3)
 	known := j.known()
 	c := mustDial(rec, f)
-	send(c, "pay-preview", 12, 30*time.Millisecond, 2*time.Second)
+	send(c, d, 12, 30*time.Millisecond, 2*time.Second)
 	began := time.Now()
 	told := began.Add(time.Second)
 	if trouble {
@@ -161,7 +161,7 @@
 	}
 	c = mustDial(rec, f)
 	var clients sync.WaitGroup
-	clients.Go(func() { send(c, "pay-preview", 24, 30*time.Millisecond, time.Until(began.Add(13*time.Second))) })
+	clients.Go(func() { send(c, d, 24, 30*time.Millisecond, time.Until(began.Add(13*time.Second))) })
 	time.Sleep(time.Until(began.Add(12 * time.Second)))
 	if trouble {
 		j.up()
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,19 +17,20 @@
 type program struct {
 	rec   *record
 	name  string
+	log   string // file of its log
 	args  []string
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
 
-func startProgram(rec *record, name string, args ...string) *program {
-	p := &program{rec: rec, name: name, args: args}
+func startProgram(rec *record, dir, name string, args ...string) *program {
+	p := &program{rec: rec, log: filepath.Join(dir, name+".log"), name: name, args: args}
 	p.start()
 	return p
 }
 
 func (p *program) start() {
-	log, err := os.OpenFile(filepath.Join(temporary(), p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		cannotRun("log: %v", err)
 	}
@@ -74,25 +77,26 @@
 
 // fleet is a small deployment of the project's own programs.
 type fleet struct {
-	rec                  *record
-	registry, store      *program
-	registers, workers   []*program
-	gateways             []*program
-	gatewayAddr          []string
-	registryAddr, effect string
+	rec                *record
+	registry, store    *program
+	registers, workers []*program
+	gateways           []*program
+	gatewayAddr        []string
+	dir, registryAddr  string
 }
 
-const fleetFunctions = "gross-salary:salary-release transfer:bank-transfer tax-slab:tax-check preview:pay-preview"
-
-func startOwnFleet(rec *record, settings string, gateways, workers, registers int, workerFlags ...string) *fleet {
-	dir := temporary()
-	fl := &fleet{rec: rec, registryAddr: freeAddress(), effect: dir}
-	fl.registry = startProgram(rec, "registry", "bin/registry", "--listen", fl.registryAddr)
+// startOwnFleet starts a fleet in a folder. functions are pairs of name and request type.
+func startOwnFleet(rec *record, dir, settings, functions string, gateways, workers, registers int, workerFlags ...string) *fleet {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		cannotRun("folder: %v", err)
+	}
+	fl := &fleet{rec: rec, registryAddr: freeAddress(), dir: dir}
+	fl.registry = startProgram(rec, dir, "registry", "bin/registry", "--listen", fl.registryAddr)
 	storeAddr := freeAddress()
-	fl.store = startProgram(rec, "store", "bin/artifact-store", "--listen", storeAddr, "--folder", dir+"/store")
+	fl.store = startProgram(rec, dir, "store", "bin/artifact-store", "--listen", storeAddr, "--folder", dir+"/store")
 	awaitPort(storeAddr)
 	awaitPort(fl.registryAddr)
-	for _, f := range strings.Fields(fleetFunctions) {
+	for _, f := range strings.Fields(functions) {
 		name, kind, _ := strings.Cut(f, ":")
 		folder := filepath.Join(dir, "package-"+name)
 		binary, err := os.ReadFile("bin/payroll")
@@ -118,18 +122,19 @@
 	for i := range registers {
 		addr := freeAddress()
 		addresses = append(addresses, addr)
-		fl.registers = append(fl.registers, startProgram(rec, fmt.Sprintf("register-%d", i), "bin/worker", "register", "--listen", addr, "--folder", fmt.Sprintf("%s/register-%d", dir, i)))
+		fl.registers = append(fl.registers, startProgram(rec, dir, fmt.Sprintf("register-%d", i), "bin/worker", "register", "--listen", addr, "--folder", fmt.Sprintf("%s/register-%d", dir, i)))
 		awaitPort(addr)
 	}
 	for i := range workers {
-		args := []string{"bin/worker", "--name", fmt.Sprintf("w%d", i), "--listen", freeAddress(), "--folder", fmt.Sprintf("%s/w%d", dir, i),
+		args := []string{"bin/worker", "--name", fmt.Sprintf("w%d", i), "--folder", fmt.Sprintf("%s/w%d", dir, i),
 			"--store", "http://" + storeAddr, "--list", "http://" + fl.registryAddr, "--effects", fmt.Sprintf("%s/effects-%d", dir, i)}
 		if registers > 0 {
 			args = append(args, "--registers", strings.Join(addresses, ","))
 		}
 		args = append(args, workerFlags...)
-		fl.workers = append(fl.workers, startProgram(rec, fmt.Sprintf("w%d", i), args...))
+		fl.workers = append(fl.workers, startProgram(rec, dir, fmt.Sprintf("w%d", i), args...))
 	}
+	fl.awaitWorkers(workers)
 	settingsFile := dir + "/fleet.yaml"
 	settings = strings.ReplaceAll(settings, "REGISTRY", "http://"+fl.registryAddr)
 	if err := os.WriteFile(settingsFile, []byte(settings), 0o644); err != nil {
@@ -138,8 +143,8 @@
 	for i := range gateways {
 		addr := freeAddress()
 		fl.gatewayAddr = append(fl.gatewayAddr, addr)
-		fl.gateways = append(fl.gateways, startProgram(rec, fmt.Sprintf("gateway-%d", i), "bin/gateway", "--settings", settingsFile, "--listen", addr,
-			"--index", fmt.Sprint(i), "--gateways", fmt.Sprint(gateways), "--name", fmt.Sprintf("gateway-%d", i), "--endpoint-cache", fmt.Sprintf("%s/list-%d", dir, i), "--log-level", "info"))
+		fl.gateways = append(fl.gateways, startProgram(rec, dir, fmt.Sprintf("gateway-%d", i), "bin/gateway", "--settings", settingsFile, "--listen", addr,
+			"--index", fmt.Sprint(i), "--gateways", fmt.Sprint(gateways), "--name", fmt.Sprintf("gateway-%d", i), "--endpoint-cache", fmt.Sprintf("%s/list-%d", dir, i), "--log-level", "debug"))
 		awaitPort(addr)
 	}
 	return fl
@@ -148,7 +153,7 @@
 // effects returns how often each event had its effect, by the logs of the replicas.
 func (fl *fleet) effects() map[string]int {
 	count := map[string]int{}
-	files, _ := filepath.Glob(fl.effect + "/effects-*")
+	files, _ := filepath.Glob(fl.dir + "/effects-*")
 	for _, file := range files {
 		b, _ := os.ReadFile(file)
 		for line := range strings.SplitSeq(string(b), "\n") {
@@ -159,3 +164,19 @@
 	}
 	return count
 }
+
+// awaitWorkers waits until the registry lists as many workers.
+func (fl *fleet) awaitWorkers(workers int) {
+	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		answer, err := http.Get("http://" + fl.registryAddr + "/v1/workers")
+		if err != nil {
+			continue
+		}
+		b, _ := io.ReadAll(answer.Body)
+		answer.Body.Close()
+		if strings.Count(string(b), `"state":"in"`) == workers {
+			return
+		}
+	}
+	cannotRun("the workers did not register")
+}
--- a/review/standins-2/gateway.go
+++ b/review/standins-2/gateway.go
@@ -22,6 +22,8 @@
 // deployment is what the configuration of a front end says.
 type deployment struct {
 	classes  []class
+	tenants  []string
+	miss     bool // a worker that lacks the function answers `nothing`; only an order loads it
 	zones    string
 	orders   bool
 	probing  bool
@@ -41,10 +43,19 @@
 			{"tax-check", "pure", "all", 1.5, 5, 5},
 			{"salary-release", "side_effect", "all", 1.5, 6, 5},
 		},
-		zones: "lhr-dc1", orders: true, probing: true, drain: 0.5, dial: 0.25, connIdle: 15, memoryMB: 192, sockets: 1024,
+		tenants: []string{"indus-textiles", "ravi-pharmacy"}, zones: "lhr-dc1", orders: true, probing: true, drain: 0.5, dial: 0.25, connIdle: 15, memoryMB: 192, sockets: 1024,
 	}
 }
 
+// ktm has the class and the figures of ktm-notify.
+func ktm() deployment {
+	d := lahore()
+	d.classes = []class{{"compose", "pure", "all", 0.4, 2.5, 5}}
+	d.tenants = []string{"himal-bank", "sajha-yatayat", "pahad-telecom", "bagmati-news", "tarai-agro"}
+	d.zones, d.miss = "ktm-dc1", true
+	return d
+}
+
 // settings returns the settings object under the names of the wire page.
 func (d deployment) settings() map[string]any {
 	classes := []any{}
@@ -52,25 +63,33 @@
 		classes = append(classes, map[string]any{"aim": c.aim, "dedup_scope": c.scope, "effect": c.effect, "gain": 3.0,
 			"give_up": c.giveUp, "late_worth": 0.2, "name": c.name, "streamed": false, "window": c.window})
 	}
+	tenants := []any{}
+	for _, name := range d.tenants {
+		share := 1 / float64(len(d.tenants))
+		tenants = append(tenants, map[string]any{"name": name, "quota_per_s": 190 * share, "share": share})
+	}
+	missMode, source, attempts := "load", "inline", 6
+	if d.miss {
+		missMode, source, attempts = "miss", "on_probe", 3
+	}
 	return map[string]any{
 		"client_habits": map[string]any{"marks_retry": true},
 		"family":        "warm",
 		"family_info": map[string]any{"idle_price": 0.0, "keep": 8.1, "load_part": d.rate[2], "loads_anyway": d.rate[1],
-			"loads_within": d.rate[0], "machine_mb": []any{106880.0, 105728.0}, "miss_mode": "load", "order_limit": 10.0,
+			"loads_within": d.rate[0], "machine_mb": []any{106880.0, 105728.0}, "miss_mode": missMode, "order_limit": 10.0,
 			"orders": d.orders, "says_company": true, "tells_warm": true,
 			"report_x0": "share of memory that is at work or loading", "report_x1": "loads under way or waiting"},
 		"index": 0, "instances": 1, "kinds": []any{"fast-5core", "std-5core"}, "locality": d.zones,
-		"orgs": []any{map[string]any{"name": "indus-textiles", "quota_per_s": 97.0, "share": 0.51},
-			map[string]any{"name": "ravi-pharmacy", "quota_per_s": 93.0, "share": 0.49}},
+		"orgs":             tenants,
 		"over_share_worth": 0.05,
 		"policy_limits": map[string]any{"cancel": true, "conn_idle": d.connIdle, "cpu_us_per_request": 0.0,
 			"cpu_us_per_s": 122209, "dial_timeout": d.dial, "max_retry_after": 2.0, "max_streams": 32, "may_tell": false,
-			"most_held": 24441, "probing": d.probing, "retry_after": true, "second_copies": false, "send_cap": 6},
+			"most_held": 24441, "probing": d.probing, "retry_after": true, "second_copies": false, "send_cap": attempts},
 		"prices": map[string]any{"connection": 0.0, "cross_zone": 0.0, "handshake": 0.0, "late_fail": 0.05, "moves": 0.0,
 			"origin": 0.062, "peer": 0.0, "probe": 0.01, "registry_mode": 0.0, "waste": 0.05},
 		"quantum":         0.002,
 		"registry_mode":   "push",
-		"report":          map[string]any{"fields": []any{"busy_reqs", "pending", "x0", "x1"}, "source": "inline"},
+		"report":          map[string]any{"fields": []any{"busy_reqs", "pending", "x0", "x1"}, "source": source},
 		"request_classes": classes,
 		"rules": map[string]any{"answer_slack": 0.008, "cold_from": 0.17, "fall": 1.0, "fall_multiple": 2.5,
 			"must_ask_in": 10.0, "stop_sending_within": d.drain, "warm_after": 17.0},
--- a/review/standins-2/journal.go
+++ b/review/standins-2/journal.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -49,6 +50,17 @@
 	server  *http.Server
 	// breakNext makes the service break off in the middle of the next answer that has an event, and go down.
 	breakNext bool
+	delay     time.Duration  // for how long each answer is held back
+	polls     chan time.Time // receives the time of each poll, if somebody waits for it
+}
+
+// awaitPoll waits for the next poll and returns when it came.
+func (j *journal) awaitPoll() time.Time {
+	select {
+	case <-j.polls:
+	default:
+	}
+	return <-j.polls
 }
 
 // breakOff makes the service break off in the middle of the next answer that has an event, and go down.
@@ -59,7 +71,7 @@
 }
 
 func newJournal(rec *record, hosts []host) *journal {
-	j := &journal{rec: rec, changed: make(chan struct{})}
+	j := &journal{rec: rec, changed: make(chan struct{}), polls: make(chan time.Time, 1)}
 	j.entries = []entry{{Pos: 1, Hosts: hostList{Seq: 1, Whole: true, Hosts: hosts}}}
 	j.addr = freeAddress()
 	j.up()
@@ -113,6 +125,10 @@
 func (j *journal) serve(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.Atoi(r.URL.Query().Get("tail"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("max_wait"))
+	select {
+	case j.polls <- time.Now():
+	default:
+	}
 	deadline := time.NewTimer(time.Duration(min(wait, 5000)) * time.Millisecond)
 	defer deadline.Stop()
 	for waiting := true; waiting; {
@@ -137,7 +153,9 @@
 	}
 	breaks := j.breakNext && len(answer.Entries) > 0
 	j.breakNext = j.breakNext && !breaks
+	delay := j.delay
 	j.mu.Unlock()
+	time.Sleep(delay)
 	body, err := json.Marshal(answer)
 	if err != nil {
 		return
@@ -157,12 +175,23 @@
 	}
 }
 
-// freeAddress returns a loopback address with a free port.
+// givenPorts are the ports that freeAddress has returned.
+var givenPorts sync.Map
+
+// freeAddress returns a loopback address with a free port. It is below the range from which the system takes the ports
+// of outgoing connections, so that none of those takes it before a program listens there.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("address: %v", err)
+	for range 1000 {
+		port := 20000 + rand.IntN(12000)
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if listener, err := net.Listen("tcp", addr); err == nil {
+			listener.Close()
+			return addr
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	cannotRun("no free port")
+	return ""
 }
--- a/review/standins-2/record.go
+++ b/review/standins-2/record.go
@@ -25,7 +25,9 @@
 	if err != nil {
 		cannotRun("record: %v", err)
 	}
-	return &record{mu: new(sync.Mutex), file: file, start: time.Now()}
+	r := &record{mu: new(sync.Mutex), file: file, start: time.Now()}
+	r.line("the run begins at %s", r.start.Format("15:04:05.000"))
+	return r
 }
 
 // since returns the time since the start of the run.
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -26,11 +26,13 @@
 // needs it, and runs requests for a fixed time.
 type worker struct {
 	name     string
+	site     string
 	rec      *record
 	addr     string
 	listener net.Listener
 	loadTime time.Duration
 	runTime  time.Duration
+	miss     bool // a function that is not loaded is answered with `nothing`
 	// onRequest, if not nil, is called with each request and may take it over by returning true.
 	onRequest func(c *workerConn, id string, fields map[string]string, body string) bool
 
@@ -67,7 +69,7 @@
 }
 
 func (w *worker) host(health string) host {
-	return host{Host: w.name, Dial: w.addr, Site: "lhr-dc1", Class: "fast-5core", Block: 1, Health: health, Share: 1}
+	return host{Host: w.name, Dial: w.addr, Site: w.site, Class: "fast-5core", Block: 1, Health: health, Share: 1}
 }
 
 // drain makes the worker turn away new requests and orders to load, as a draining worker does.
@@ -197,6 +199,13 @@
 			c.end(a.id, "refused", "stats="+w.stats(), "")
 			return
 		}
+		w.mu.Lock()
+		missing := w.miss && w.standing(a.key) == 0 && w.ready[a.key].IsZero()
+		w.mu.Unlock()
+		if missing {
+			c.end(a.id, "nothing", "-", "")
+			return
+		}
 		c.run(a.id, a.key, body)
 	}
 }
