--- a/review/standins-2/queue.go
+++ b/review/standins-2/queue.go
@@ -158,7 +158,7 @@
 	if len(first) != 1 {
 		cannotRun("the event has %d effects before the disruption", len(first))
 	}
-	for i := range 4*len(holders) - 1 { // what the workers that hold copies can run beside it
+	for i := range 4*len(holders) + 1 { // more than the workers that hold copies can run beside it
 		invoke(fmt.Sprintf("other-%d", i), 900*time.Millisecond)
 		time.Sleep(10 * time.Millisecond)
 	}
