--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -43,6 +44,23 @@
 	return all
 }
 
+// checkServed ends the run with status 2 if fewer than nine in ten requests were served though nothing was disturbed, or
+// fewer than one in four with the disruption: such a run says nothing of the rule.
+func checkServed(rec *record, trouble bool, all []*request) {
+	served := 0
+	for _, q := range all {
+		q.mu.Lock()
+		if len(q.answers) > 0 && q.answers[0] == "Answer" && q.answerBody == "done:"+q.body {
+			served++
+		}
+		q.mu.Unlock()
+	}
+	rec.line("%d of %d requests served", served, len(all))
+	if wanted := len(all) * 9 / 10; !trouble && served < wanted || served < len(all)/4 || served == 0 {
+		cannotRun("%d of %d requests were served", served, len(all))
+	}
+}
+
 // lateWork reports what is new work at a worker after a time.
 func lateWork(rec *record, w *worker, limit time.Time) (late int) {
 	for _, a := range w.all() {
@@ -98,7 +116,7 @@
 func askPlay(rec *record, name string, d deployment, trouble bool) bool {
 	rec = rec.named(name + ": ")
 	workers, j, f := startFleet(rec, d, 3)
-	send(mustDial(rec, f), d, 4, 50*time.Millisecond, time.Second)
+	all := send(mustDial(rec, f), d, 4, 50*time.Millisecond, time.Second)
 	time.Sleep(10 * time.Second) // quiet, longer than idle copies are kept
 	began := time.Now()
 	if trouble {
@@ -114,12 +132,13 @@
 	limit := told.Add(500*time.Millisecond + drainSlack)
 	time.Sleep(time.Until(began.Add(7*time.Second + 500*time.Millisecond + drainSlack + 20*time.Millisecond)))
 	c := mustDial(rec, f)
-	send(c, d, 24, 10*time.Millisecond, time.Until(began.Add(outage)))
+	all = append(all, send(c, d, 24, 10*time.Millisecond, time.Until(began.Add(outage)))...)
 	if trouble {
 		j.up()
 	}
-	send(c, d, 24, 50*time.Millisecond, time.Second)
-	time.Sleep(2 * time.Second)
+	all = append(all, send(c, d, 24, 50*time.Millisecond, time.Second)...)
+	time.Sleep(3 * time.Second)
+	checkServed(rec, trouble, all)
 	late := lateWork(rec, workers[0], limit)
 	f.copyLog()
 	return late > 0
@@ -132,7 +151,8 @@
 	workers, j, f := startFleet(rec, d, 3)
 	c := mustDial(rec, f)
 	var clients sync.WaitGroup
-	clients.Go(func() { send(c, d, 12, 20*time.Millisecond, 13*time.Second) })
+	var all []*request
+	clients.Go(func() { all = send(c, d, 12, 20*time.Millisecond, 13*time.Second) })
 	time.Sleep(4 * time.Second)
 	told := time.Now()
 	if trouble {
@@ -146,6 +166,8 @@
 		j.up()
 	}
 	clients.Wait()
+	time.Sleep(3 * time.Second)
+	checkServed(rec, trouble, all)
 	late := lateWork(rec, workers[0], told.Add(500*time.Millisecond+drainSlack))
 	f.copyLog()
 	return late > 0
@@ -169,9 +191,10 @@
 	j.mu.Unlock()
 	var clients sync.WaitGroup
 	end := time.Now().Add(4*time.Second + (pauseRounds+1)*(pauseEach+2*time.Second))
-	for range 6 {
+	var all [6][]*request
+	for i := range all {
 		c := mustDial(rec, f)
-		clients.Go(func() { send(c, d, 24, 40*time.Millisecond, time.Until(end)) })
+		clients.Go(func() { all[i] = send(c, d, 24, 40*time.Millisecond, time.Until(end)) })
 	}
 	time.Sleep(4 * time.Second)
 	late := 0
@@ -197,6 +220,8 @@
 		late += n
 	}
 	clients.Wait()
+	time.Sleep(3 * time.Second)
+	checkServed(rec, trouble, slices.Concat(all[:]...))
 	f.copyLog()
 	return late > 0
 }
