--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin
-(cd review/standins-2 && go build -buildvcs=false -o ../../bin/review-2 .)
+(cd review/testdata/standins-2 && go build -buildvcs=false -o ../../../bin/review-2 .)
 # The package that plays of the project's own fleet run; it is the project's own example.
 go build -buildvcs=false -o bin/payroll ./examples/payroll
