scheduler: as many leases under a rate limit of loads as traffic allows

Cause: leases are no longer regained by a trial, so they have to last. One worker was verified continuously, though 30 requests a second renew the leases of several; and load requests used up what the last lease needed.

Change: the number of verified workers under a limit follows from the rate of requests (Poisson arrivals, spread over the workers with a lease: only one without any for the renewal interval is verified). Where workers load on a miss, the last lease has the whole limit if it needs it: requests load the function then. Leases are prepared also where the limit won't renew them for long, as requests may follow. Workers that have rejected work come after the others, so no further replica is loaded in place of a counted one (seen: five loads at one worker in 0.2 s).

--- a/scheduler/loads.go
+++ b/scheduler/loads.go
@@ -156,7 +156,7 @@
 	if !s.watchExpired(now) {
 		return sent+1 <= limit
 	}
-	return sent+1 <= limit && sent-s.verificationsSent.UpperSum(now)+1 <= (1-verificationLoadShare)*limit
+	return sent+1 <= limit && sent-s.verificationsSent.UpperSum(now)+1 <= limit-s.verificationLimit(now)
 }
 
 // loadsAreLimited reports whether there is a rate limit of load requests.
@@ -167,12 +167,23 @@
 	return s.loadPolicy.RateBurst + s.loadPolicy.RatePerRequest*s.submitted.LowerSum(now)
 }
 
-// verificationAllowed reports whether one more verification fits into its share of the rate limit of load
+// verificationLimit returns the part of the rate limit of load requests that is reserved for verifications: a
+// share of it or, where workers load functions on a miss, at least enough for the lease of one worker.
+func (s *Scheduler) verificationLimit(now time.Duration) float64 {
+	limit := s.loadRateLimit(now)
+	reserved := verificationLoadShare * limit
+	if s.loadPolicy.LoadOnMiss {
+		reserved = max(reserved, min(limit, float64(s.loadPolicy.RateWindow)/float64(s.renewalInterval())))
+	}
+	return reserved
+}
+
+// verificationAllowed reports whether one more verification fits into its part of the rate limit of load
 // requests.
 func (s *Scheduler) verificationAllowed(now time.Duration) bool {
-	limit := s.loadRateLimit(now)
-	return s.loadPolicy.RequestLoads && (!s.loadsAreLimited() || s.loadsSent.UpperSum(now)+1 <= limit &&
-		s.verificationsSent.UpperSum(now)+1 <= verificationLoadShare*limit)
+	return s.loadPolicy.RequestLoads && (!s.loadsAreLimited() ||
+		s.loadsSent.UpperSum(now)+1 <= s.loadRateLimit(now) &&
+			s.verificationsSent.UpperSum(now)+1 <= s.verificationLimit(now))
 }
 
 // LoadCompleted handles the result of a load request and its duration. load.Replicas is the number of
--- a/scheduler/preparation.go
+++ b/scheduler/preparation.go
@@ -24,8 +24,7 @@
 // prepareLeases verifies the workers with replicas once, and loads replicas at others in place of those that
 // are missing or reject the verification.
 func (s *Scheduler) prepareLeases(now time.Duration, due *TickResult) {
-	if !s.loadPolicy.RequestLoads || s.watchExpired(now) || s.overloaded ||
-		s.loadsAreLimited() && s.renewableLeases(now) == 0 { // the rate limit does not suffice for one lease
+	if !s.loadPolicy.RequestLoads || s.watchExpired(now) || s.overloaded {
 		return
 	}
 	s.selectLeaseCandidates(now)
--- a/scheduler/tuning.go
+++ b/scheduler/tuning.go
@@ -247,7 +247,7 @@
 	minLeaseCandidates = 2
 
 	// verificationLoadShare is the share of the rate limit of load requests that is reserved for verifications
-	// while the registry is unreachable. The rest is for loads.
+	// while the registry is unreachable, or more if that does not suffice for one lease. The rest is for loads.
 	verificationLoadShare = 0.6
 
 	// maxQueryBackoff is the longest time until a worker that rejects work is queried again.
--- a/scheduler/verify.go
+++ b/scheduler/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -84,33 +85,52 @@
 		s.leaseCandidates = append(s.leaseCandidates, *candidate)
 	}
 	slices.SortFunc(s.leaseCandidates, func(a, b leaseCandidate) int {
-		if leased := s.hasLease(a.worker, now); leased != s.hasLease(b.worker, now) {
-			if leased {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(b.usage, a.usage), cmp.Compare(a.worker.Worker, b.worker.Worker))
+		return cmp.Or(
+			cmp.Compare(s.leaseRank(a.worker, now), s.leaseRank(b.worker, now)),
+			cmp.Compare(b.usage, a.usage),
+			cmp.Compare(a.worker.Worker, b.worker.Worker))
 	})
 	s.leaseCandidates = s.leaseCandidates[:min(s.maxLeaseCandidates(now), len(s.leaseCandidates))]
 }
 
+// leaseRank returns the rank of a worker among those whose leases may be renewed, the lowest first: workers
+// with a lease, and of those the ones that have not rejected work since they last accepted some.
+func (s *Scheduler) leaseRank(w *worker, now time.Duration) int {
+	rank := 0
+	if !s.hasLease(w, now) {
+		rank += 2
+	}
+	if w.lease.rejectedAt > 0 {
+		rank++
+	}
+	return rank
+}
+
 // maxLeaseCandidates returns the number of workers that this gateway may verify continuously.
 func (s *Scheduler) maxLeaseCandidates(now time.Duration) int {
 	if s.loadsAreLimited() {
-		return max(1, s.renewableLeases(now))
+		return max(1, s.leasesWithinLoadLimit(now))
 	}
-	return max(minLeaseCandidates, s.renewableLeases(now))
+	return max(minLeaseCandidates, int(s.verificationRate()*s.renewalInterval().Seconds()))
 }
 
-// renewableLeases returns the number of leases that this gateway can renew in time by verifications alone, at
-// the rate at which it may send them.
-func (s *Scheduler) renewableLeases(now time.Duration) int {
-	rate := s.verificationRate()
-	if s.loadsAreLimited() {
-		rate = min(rate, verificationLoadShare*s.loadRateLimit(now)/s.loadPolicy.RateWindow.Seconds())
+// leasesWithinLoadLimit returns the number of leases that can be renewed within the rate limit of load
+// requests, if the requests arrive as a Poisson process and are spread evenly over the workers with a lease:
+// only a worker that receives none for the renewal interval has to be verified.
+func (s *Scheduler) leasesWithinLoadLimit(now time.Duration) int {
+	window, interval := s.loadPolicy.RateWindow.Seconds(), s.renewalInterval().Seconds()
+	rate := min(s.verificationLimit(now)/window, s.verificationRate())
+	arrivalRate := s.submitted.LowerSum(now) / window
+	for leases := 1; leases <= s.members.Len(); leases++ {
+		needed := float64(leases) / interval
+		if arrivalRate > 0 {
+			needed = arrivalRate / math.Expm1(arrivalRate/float64(leases)*interval)
+		}
+		if needed > rate {
+			return leases - 1
+		}
 	}
-	return int(rate * s.renewalInterval().Seconds())
+	return s.members.Len()
 }
 
 // renewalInterval returns the time after which a lease is renewed by a verification. Under a rate limit of
