--- a/internal/gateway/core/outagefleet_test.go
+++ b/internal/gateway/core/outagefleet_test.go
@@ -82,7 +82,7 @@
 	// Numbers of requests submitted and completed, of verifications and replica queries received, and of units of new
 	// work sent to a draining worker after the drain grace.
 	requests, completed, verifications, queries, sentAfterGrace int
-	loads                                                       int // replicas loaded by the workers
+	loads, rejected                                             int // replicas loaded by the workers, requests rejected
 }
 
 // newOutageFleet returns a fleet of one gateway with the given settings and workers that are up. The registry watch has
@@ -256,7 +256,7 @@
 }
 
 func (f *outageFleet) Complete(*scheduler.Request, int)                 { f.completed++ }
-func (f *outageFleet) Reject(*scheduler.Request, time.Duration, bool)   {}
+func (f *outageFleet) Reject(*scheduler.Request, time.Duration, bool)   { f.rejected++ }
 func (f *outageFleet) Fail(*scheduler.Request, int, bool)               {}
 func (f *outageFleet) Cancel(*scheduler.Request, int, string)           {}
 func (f *outageFleet) Subscribe()                                       {}
--- a/internal/gateway/core/quietoutage_test.go
+++ b/internal/gateway/core/quietoutage_test.go
@@ -189,3 +189,32 @@
 		}
 	}
 }
+
+// TestPauseInOutageWithAnsweredQueries guards against new work that is sent too late to draining workers which answer
+// replica queries, by a gateway that has lost all leases in a pause of its process. Requests that can't be sent must be
+// rejected at once.
+func TestPauseInOutageWithAnsweredQueries(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newOutageFleet(t, outageSettings(4), 10)
+		f.drainingAnswerQueries = true
+		f.outageAt = f.now + 10*time.Second
+		end := f.outageAt + 20*time.Second
+		pausedAt := f.outageAt + 9*time.Second
+		for i := range 3 {
+			f.drain(fmt.Sprint("w", i), pausedAt+time.Duration(100*(i+1))*ms)
+		}
+		f.renewWatch()
+		f.generateTraffic(rand.New(rand.NewPCG(seed, 1)), 15, 12, end)
+		f.run(pausedAt)
+		f.pausedUntil = pausedAt + 1500*ms
+		f.run(f.pausedUntil + 100*ms)
+		rejected, requests := f.rejected, f.requests
+		f.run(end - 100*ms)
+		if f.sentAfterGrace > 0 {
+			t.Errorf("seed %d: %d units of new work sent after the drain grace", seed, f.sentAfterGrace)
+		}
+		if answered := f.rejected - rejected; answered < f.requests-requests {
+			t.Errorf("seed %d: %d of %d requests rejected at once", seed, answered, f.requests-requests)
+		}
+	}
+}
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -12,16 +12,12 @@
 // newLeaseHarness returns the harness of a single gateway with workers a and b. One of them has a replica of function
 // 1, to which one request is in flight, and a second request is queued. The watch lease expires a second after the
 // start, of which 400 ms have passed, and is not renewed.
-func newLeaseHarness(t *testing.T, result scheduler.Result) *harness {
-	t.Helper()
+func newLeaseHarness() *harness {
 	h := newBareHarness(7, 0, 1)
 	h.AddType(scheduler.RequestType{Name: "idempotent", Objective: 1000 * ms})
 	h.SetDrainGrace(leaseGrace)
 	h.ReplaceMembership(h.now, []scheduler.Member{{Worker: "a"}, {Worker: "b"}})
 	h.SetWatchLease(h.now, h.now+time.Second)
-	for _, worker := range []string{"a", "b"} { // ignored: no request has called function 1 yet
-		h.LoadCompleted(h.now, scheduler.LoadRequest{Worker: worker, Function: 1, Replicas: 1}, result, 0)
-	}
 	for range 2 { // the first request is sent after a load, the second one stays queued
 		request := h.submitQuietly(1)
 		if !request.InFlight() {
@@ -87,7 +83,7 @@
 // that, also if queries are known to be reliable. Without this limit, a draining worker that still answers queries would
 // be sent work continuously.
 func TestProvisionalLeaseAllowsOneUnitOfWork(t *testing.T) {
-	h := newLeaseHarness(t, scheduler.Completed)
+	h := newLeaseHarness()
 	h.makeQueriesReliable(t)
 	h.tick(3 * time.Second) // all leases expire
 	work := map[string]int{}
@@ -114,7 +110,7 @@
 // TestAnsweredQueryIsNoEvidence guards against new work that is sent to a worker without a lease because it answered a
 // replica query, although no worker has shown that draining workers reject queries. Requests must be rejected at once.
 func TestAnsweredQueryIsNoEvidence(t *testing.T) {
-	h := newLeaseHarness(t, scheduler.Completed)
+	h := newLeaseHarness()
 	queried := map[string]bool{}
 	tickAndAnswer := func(d time.Duration) {
 		due := h.tick(d)
@@ -148,7 +144,7 @@
 		result scheduler.Result
 		want   scheduler.LeaseEventKind
 	}{{scheduler.Rejected, scheduler.QueriesReliable}, {scheduler.Completed, scheduler.QueriesUnreliable}} {
-		h := newLeaseHarness(t, scheduler.Completed)
+		h := newLeaseHarness()
 		h.SetWatchLease(h.now, h.now+time.Hour)
 		noticed := h.now
 		h.UpdateMembership(h.now, []scheduler.Member{{Worker: "b", Condition: scheduler.Draining}})
@@ -179,7 +175,7 @@
 // queries are unreliable. From then on queries must not grant leases, and requests that can't be sent to any worker
 // must be rejected at once instead of at their deadline.
 func TestUnreliableQueriesGrantNoLease(t *testing.T) {
-	h := newLeaseHarness(t, scheduler.Completed)
+	h := newLeaseHarness()
 	rejecting := func(load scheduler.LoadRequest) (int, scheduler.Result) {
 		if load.Purpose == scheduler.QueryReplicas {
 			return 1, scheduler.Completed
