scheduler: prepare leases with one replica, not with one more than before

The assumption about a function's replicas is only brought up to date when the function is used; it is now before the load is requested. TestPreparationLoadsOneReplicaPerWorker failed before ({Worker:c Function:1 Replicas:2}). TestNoPreparationWhileWatchIsRenewed guards against loads without need.

--- a/scheduler/preparation.go
+++ b/scheduler/preparation.go
@@ -78,6 +78,7 @@
 			if missing == 0 || float64(s.loadsInFlight) >= s.loadLimit.limit {
 				return
 			}
+			s.expireAssumptions(f, now)
 			w := s.placeFirstReplicaAmong(f, unprepared, now)
 			if w == nil || !s.requestLoadAt(f, w, now, due) {
 				continue
