core: the regression test of quiet outages is named after the fault it guards against

TestQuietGatewayKeepsDrainsInOutage is TestNoNewWorkAfterDrainGraceAfterQuietPeriod; checks, bounds and seeds are as they were. The outage with one drain that two tests play stands once.

--- a/internal/gateway/core/quietoutage_test.go
+++ b/internal/gateway/core/quietoutage_test.go
@@ -19,6 +19,19 @@
 	functions int             // number of functions called
 }
 
+// singleDrainOutage returns an outage in which one worker starts draining, and requests come once the gateway is
+// considered notified of that and the drain grace has passed.
+func singleDrainOutage() quietOutage {
+	return quietOutage{
+		quiet:     10 * time.Second,
+		resume:    7570 * ms,
+		length:    12 * time.Second,
+		drains:    []time.Duration{time.Second},
+		rate:      20,
+		functions: 4,
+	}
+}
+
 // play simulates the outage, or only its traffic and drains if the registry is reachable. It returns the number of
 // requests in it and the share of them that completed.
 func (o quietOutage) play(f *outageFleet, seed uint64, reachable bool) (requests int, served float64) {
@@ -41,22 +54,14 @@
 	return f.requests - before, f.servedShare(before, completed)
 }
 
-// TestQuietGatewayKeepsDrainsInOutage guards against new work that is sent too late to a draining worker which answers
-// replica queries, when an outage of the registry follows a period without traffic: no worker had a lease, and each
-// answered query allowed one load request. The other workers must still serve the requests.
-func TestQuietGatewayKeepsDrainsInOutage(t *testing.T) {
+// TestNoNewWorkAfterDrainGraceAfterQuietPeriod guards against new work that is sent too late to a draining worker which
+// answers replica queries, when an outage of the registry follows a period without traffic: no worker had a lease, and
+// each answered query allowed one load request. The other workers must still serve the requests.
+func TestNoNewWorkAfterDrainGraceAfterQuietPeriod(t *testing.T) {
 	for seed := range uint64(20) {
 		f := newOutageFleet(t, outageSettings(3), 3)
 		f.drainingAnswerQueries, f.loadTime = true, 300*ms
-		outage := quietOutage{
-			quiet:     10 * time.Second,
-			resume:    7570 * ms,
-			length:    12 * time.Second,
-			drains:    []time.Duration{time.Second},
-			rate:      20,
-			functions: 4,
-		}
-		requests, served := outage.play(f, seed, false)
+		requests, served := singleDrainOutage().play(f, seed, false)
 		if f.sentAfterGrace > 0 || served < 0.95 {
 			t.Errorf("seed %d: %d units of new work sent after the drain grace, %.3f of %d requests served", seed,
 				f.sentAfterGrace, served, requests)
@@ -104,23 +109,15 @@
 	})
 }
 
-// TestNoLoadRequestsInOutage guards against work that is sent too late to a draining worker because it answered a probe,
-// where the settings allow no load requests: a draining worker may answer probes. Without any other evidence after a
-// period without traffic, requests must be rejected until the registry is reachable again, and then be served.
+// TestNoLoadRequestsInOutage guards against work that is sent too late to a draining worker because it answered a
+// probe, where the settings allow no load requests: a draining worker may answer probes. Without any other evidence
+// after a period without traffic, requests must be rejected until the registry is reachable again, and then be served.
 func TestNoLoadRequestsInOutage(t *testing.T) {
 	for seed := range uint64(40) {
 		settings := outageSettings(3)
 		settings.LoadPolicy.RequestLoads, settings.Probe = false, seed%2 == 0
 		f := newOutageFleet(t, settings, 3)
-		outage := quietOutage{
-			quiet:     10 * time.Second,
-			resume:    7570 * ms,
-			length:    12 * time.Second,
-			drains:    []time.Duration{time.Second},
-			rate:      20,
-			functions: 4,
-		}
-		outage.play(f, seed, false)
+		singleDrainOutage().play(f, seed, false)
 		if f.sentAfterGrace > 0 {
 			t.Errorf("seed %d, probes %v: %d units of new work sent after the drain grace", seed, settings.Probe,
 				f.sentAfterGrace)
--- a/internal/gateway/resp/worker.go
+++ b/internal/gateway/resp/worker.go
@@ -91,7 +91,8 @@
 }
 
 // Stop ends all calls whose messages have not been written, and all later calls with new work, as not sent. It is used
-// if the worker is draining or removed. Calls that have been sent continue. A write in progress ends within Limits.IOTimeout.
+// if the worker is draining or removed. Calls that have been sent continue. A write in progress ends within
+// Limits.IOTimeout.
 func (w *Worker) Stop() {
 	w.mu.Lock()
 	w.stopped = true
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -80,8 +80,8 @@
 }
 
 // A worker whose lease has expired and that answers replica queries is sent only one unit of new work until it accepts
-// that, also if queries are known to be reliable. Without this limit, a draining worker that still answers queries would
-// be sent work continuously.
+// that, also if queries are known to be reliable. Without this limit, a draining worker that still answers queries
+// would be sent work continuously.
 func TestProvisionalLeaseAllowsOneUnitOfWork(t *testing.T) {
 	h := newLeaseHarness()
 	h.makeQueriesReliable(t)
