gateway: the mutant without a limit of loads follows the code

The mutant replaces the call at the same place, so it removes the same guard; the check is the same. Run: TestInvariantsHold and TestMutatedGuardsViolateInvariants pass.

--- a/internal/gateway/invariants_test.go
+++ b/internal/gateway/invariants_test.go
@@ -322,7 +322,7 @@
 		invariant.AnsweredTwice},
 	{"Rejected", "core/core.go", "c.actor.Reject(decision.Request, decision.RetryAfter, tracked.mayHaveRun)", "",
 		invariant.NeverAnswered},
-	{"ManyLoads", "../../scheduler/loads.go", "if s.loadPolicy.RateWindow <= 0 {", "if true {", invariant.LoadOverLimit},
+	{"ManyLoads", "../../scheduler/loads.go", "if !s.loadsAreLimited() {", "if true {", invariant.LoadOverLimit},
 }
 
 // maxStalledRuns limits the number of times that the run of a mutant is repeated because the process stalled.
