cmd/gateway: process tests with a discovery service that answers, and a real pause

Its discovery service left every poll unanswered and its settings allow no load requests, so to the gateway it was an outage from the start (its log: "watch lease expired ... leased=0"). After the pause of 0.7 s nothing shows that the worker is not draining, and the request is rejected at once; the code before sent it after a probe, which breaks the drain rule if the worker drains. The test is about the age of queued requests: its discovery service answers now, and the pause begins after the first answer. Its checks and bounds are the same; what is rejected in an outage without evidence is checked by TestNoLoadRequestsInOutage.

SIGSTOP had been sent but the process had not stopped yet; the test waits for the stop now.

--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strconv"
@@ -12,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"lupinpond/internal/testbed/discoverytest"
 )
 
 // program is a gateway process with one worker, whose received attempts a test reads.
@@ -23,7 +23,8 @@
 	arrivals chan time.Time // arrival time of each attempt, in the same order
 }
 
-// startProgram starts a gateway process with arguments and waits until it listens. It writes its log to log.
+// startProgram starts a gateway process with arguments and waits until it listens and its endpoint list is confirmed. It
+// writes its log to log.
 func startProgram(t *testing.T, log *os.File, args ...string) *program {
 	t.Helper()
 	p := &program{t: t, attempts: make(chan []string, 10000), arrivals: make(chan time.Time, 10000)}
@@ -33,12 +34,19 @@
 			p.attempts <- words
 		}
 	})
-	journal := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
-	t.Cleanup(journal.Close)
+	journal, err := discoverytest.New(nil) // it has no event after the one in the configuration
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := journal.Close(); err != nil {
+			t.Error(err)
+		}
+	})
 	p.addr = unusedAddr(t)
 	path := platformConfig{
 		listen:     p.addr,
-		journal:    journal.Listener.Addr().String(),
+		journal:    journal.Addr,
 		sockets:    128,
 		hosts:      []string{hostJSON("w", worker, "up")},
 		familyInfo: `{"keep":5,"orders":false,"miss_mode":"load"}`,
@@ -57,16 +65,31 @@
 		_ = p.Wait()
 	})
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		if conn, err := net.Dial("tcp", p.addr); err == nil {
+		conn, err := net.Dial("tcp", p.addr)
+		if err == nil {
 			conn.Close()
-			return p
+			if journal.Counts().Polls > 1 { // the first poll was answered
+				return p
+			}
 		}
 		if time.Now().After(deadline) {
-			t.Fatal("the gateway doesn't listen")
+			t.Fatal("the gateway doesn't listen, or doesn't poll for changes of its endpoint list")
 		}
 	}
 }
 
+// stop stops the process with SIGSTOP and waits until all of its threads have stopped.
+func (p *program) stop() {
+	p.t.Helper()
+	if err := p.Process.Signal(syscall.SIGSTOP); err != nil {
+		p.t.Fatal(err)
+	}
+	var status syscall.WaitStatus
+	if _, err := syscall.Wait4(p.Process.Pid, &status, syscall.WUNTRACED, nil); err != nil || !status.Stopped() {
+		p.t.Fatalf("the gateway has not stopped: status %#x, error %v", status, err)
+	}
+}
+
 // send opens a connection, writes a request's frame to it and returns the connection.
 func (p *program) send(frame []byte) net.Conn {
 	p.t.Helper()
@@ -91,9 +114,7 @@
 	defer first.Close()
 	<-p.attempts
 	<-p.arrivals
-	if err := p.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
+	p.stop()
 	sent := time.Now()
 	const disconnected = 20
 	for n := range disconnected {
