scheduler: at a start, requests without a lease wait for the first answer of discovery

Cause: without a lease each request was given up at once, although at a start the watch has not failed, it is only not confirmed yet. Change: for two seconds after the start such requests stay in the queue, for at most half of their time.

TestStartAwaitsFirstAnswer failed before (rejected after 20 ms); the tests of scheduler and core pass.

--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -84,6 +84,14 @@
 	return s.watchLease < never && now >= s.leasesNeededAt()
 }
 
+// waitsForFirstAnswer reports whether a request stays in the queue although no worker has a lease: shortly
+// after the start the first answer of the registry may renew the watch lease. The request waits for at most
+// half of its time, so that its client can still try another gateway.
+func (s *Scheduler) waitsForFirstAnswer(request *Request, now time.Duration) bool {
+	neverRenewed := s.watchLease <= s.watchLeaseSetAt
+	return neverRenewed && now < s.watchLeaseSetAt+firstAnswerTimeout && now < request.deadline-request.TimeLeft/2
+}
+
 // sendBy returns the latest time at which new work may be written to the connection of a worker.
 func (s *Scheduler) sendBy(w *worker) time.Duration {
 	if s.watchLease == never {
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -64,6 +64,21 @@
 	return count
 }
 
+// tickAnsweringQueries advances the clock, calls Tick and answers each replica query: one replica is loaded. It fails
+// the test if there is new work, and returns the workers that were queried.
+func (h *harness) tickAnsweringQueries(t *testing.T, d time.Duration) (queried []string) {
+	t.Helper()
+	due := h.tick(d)
+	if work := countNewWork(due); len(work) > 0 {
+		t.Fatalf("new work without a lease: %v", work)
+	}
+	h.answerLoads(due.LoadRequests, func(load scheduler.LoadRequest) (int, scheduler.Result) {
+		queried = append(queried, load.Worker)
+		return 1, scheduler.Completed
+	})
+	return queried
+}
+
 // makeQueriesReliable lists a draining worker c, which rejects a replica query.
 func (h *harness) makeQueriesReliable(t *testing.T) {
 	t.Helper()
@@ -113,14 +128,9 @@
 	h := newLeaseHarness()
 	queried := map[string]bool{}
 	tickAndAnswer := func(d time.Duration) {
-		due := h.tick(d)
-		if work := countNewWork(due); len(work) > 0 {
-			t.Fatalf("new work without a lease: %v", work)
+		for _, worker := range h.tickAnsweringQueries(t, d) {
+			queried[worker] = true
 		}
-		h.answerLoads(due.LoadRequests, func(load scheduler.LoadRequest) (int, scheduler.Result) {
-			queried[load.Worker] = true
-			return 1, scheduler.Completed
-		})
 	}
 	tickAndAnswer(3 * time.Second) // all leases expire
 	for range 500 {
@@ -136,6 +146,47 @@
 	}
 }
 
+// TestStartAwaitsFirstAnswer guards against requests that are rejected at a start because the first answer of the
+// registry comes after the lease time: they must be sent once it comes. Without it they must be rejected when half of
+// their time has passed, and at once from two seconds after the start.
+func TestStartAwaitsFirstAnswer(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		h := newLeaseHarness()
+		started := h.now
+		h.SetWatchLease(started, started)
+		h.now += leaseGrace // no request has been sent since the start: no worker has a lease
+		request := newRequest(1, 1)
+		request.TimeLeft = 2 * time.Second
+		h.Submit(h.now, request)
+		submitted := h.now
+		for h.now < started+time.Second && request.Reason() == scheduler.NoReason {
+			h.tickAnsweringQueries(t, 10*ms)
+		}
+		if answered {
+			h.SetWatchLease(h.now, h.now+time.Minute)
+			if due := h.tick(10 * ms); len(countNewWork(due)) == 0 || request.Reason() != scheduler.NoReason {
+				t.Errorf("after the first answer: %v, request rejected for reason %q", countNewWork(due), request.Reason())
+			}
+			continue
+		}
+		for request.Reason() == scheduler.NoReason && h.now < submitted+request.TimeLeft {
+			h.tickAnsweringQueries(t, 10*ms)
+		}
+		half := submitted + request.TimeLeft/2
+		if request.Reason() != scheduler.NoLeasedWorker || h.now < half || h.now > half+20*ms {
+			t.Errorf("rejected for reason %q after %v, want %v after %v", request.Reason(), h.now-submitted,
+				scheduler.NoLeasedWorker, half-submitted)
+		}
+		h.tickAnsweringQueries(t, started+2*time.Second-h.now)
+		late := h.submitQuietly(1)
+		h.tickAnsweringQueries(t, 10*ms)
+		h.tickAnsweringQueries(t, 10*ms)
+		if late.Reason() != scheduler.NoLeasedWorker {
+			t.Errorf("request two seconds after the start: reason %q, want %v", late.Reason(), scheduler.NoLeasedWorker)
+		}
+	}
+}
+
 // TestDrainingWorkerShowsQueryTrust guards against a gateway that does not know at the beginning of an outage whether
 // answered queries are evidence, although it was notified of a drain before: it queries the draining worker, once the
 // drain grace has passed. If that worker answers, queries must grant no lease in the outage.
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -126,7 +126,7 @@
 	switch {
 	case now >= cutoff:
 		return NoTimeLeft
-	case s.noLeases:
+	case s.noLeases && !s.waitsForFirstAnswer(request, now):
 		return NoLeasedWorker
 	case s.mustNotRunAgain(request, now):
 		return NotRetryable
