--- a/internal/gateway/invariantchecks.go
+++ b/internal/gateway/invariantchecks.go
@@ -53,18 +53,27 @@
 		l.monitor.Violated(invariant.AttemptInParallel, id, "attempt", attempt, "worker", worker,
 			"in_flight", len(checks.inFlight))
 	}
-	requestType := l.typeOf(request.Scheduled.Type)
+	windowEnd := l.windowEnd(request)
 	switch {
-	case !checks.mayHaveRun || requestType.Effect == scheduler.Idempotent:
-	case requestType.Effect == scheduler.AtMostOnce:
+	case checks.mayHaveRun && l.typeOf(request.Scheduled.Type).Effect == scheduler.AtMostOnce:
 		l.monitor.Violated(invariant.RetryOfAtMostOnce, id, "attempt", attempt, "worker", worker)
-	case now >= checks.firstRunAt+requestType.DedupWindow:
+	case windowEnd > 0 && now >= windowEnd:
 		l.monitor.Violated(invariant.RetryOutsideWindow, id, "attempt", attempt, "worker", worker,
 			"after", now-checks.firstRunAt)
 	}
 	checks.attemptStarted(attempt, now)
 }
 
+// windowEnd returns the end of the deduplication window in which an attempt of a request must be written, or 0 if the
+// request can't have run or is not deduplicated.
+func (l *EventLoop) windowEnd(request *Request) time.Duration {
+	requestType := l.typeOf(request.Scheduled.Type)
+	if !request.checks.mayHaveRun || requestType.Effect != scheduler.IdempotencyKey {
+		return 0
+	}
+	return request.checks.firstRunAt + requestType.DedupWindow
+}
+
 // typeOf returns the request type with the given name. A type that is not in the settings is treated as at most once.
 func (l *EventLoop) typeOf(name string) scheduler.RequestType {
 	for _, requestType := range l.settings.Types {
--- a/internal/gateway/invariants_test.go
+++ b/internal/gateway/invariants_test.go
@@ -226,6 +226,18 @@
 		}
 		return s
 	},
+	"WindowOverAtWrite": func(t *testing.T) *scenario {
+		const window = time.Second
+		keyed := scheduler.RequestType{Effect: scheduler.IdempotencyKey, DedupWindow: window}
+		s := newScenario(t, keyed, loadOnMissNoTimeout)
+		s.submit("e", 1, 5*time.Second)
+		s.mustNext().complete(scheduler.ConnectionLost)
+		retry := s.mustNext()
+		time.Sleep(window + 200*time.Millisecond)
+		retry.write()
+		retry.complete(retry.permit.WithheldResult())
+		return s
+	},
 	"NoOutcome": func(t *testing.T) *scenario {
 		s := newScenario(t, scheduler.RequestType{}, loadOnMissNoTimeout)
 		s.submit("e", 1, 100*time.Millisecond)
@@ -312,6 +324,8 @@
 		invariant.RetryOfAtMostOnce},
 	{"WindowOver", "../../scheduler/request.go", "late := request.typ.Effect == IdempotencyKey &&", "late := false &&",
 		invariant.RetryOutsideWindow},
+	{"WindowOverAtWrite", "../../scheduler/submit.go", "earliestLimit(s.useLease(w, now), request.retryBy())",
+		"s.useLease(w, now)", invariant.RetryOutsideWindow},
 	{"NoOutcome", "core/core.go",
 		"tracked := heap.Pop(&c.deadlines).(*trackedRequest)\n\t\tif tracked.request.InFlight() {",
 		"tracked := heap.Pop(&c.deadlines).(*trackedRequest)\n\t\tif false {",
--- a/internal/gateway/lease_test.go
+++ b/internal/gateway/lease_test.go
@@ -77,3 +77,31 @@
 		t.Error("withheld")
 	}
 }
+
+// TestRetryIsWithheldAfterWindow guards against a retry of a request with an idempotency key that is decided on within
+// its window but waits for a connection until the window has ended: workers no longer recognise it as a duplicate, and
+// its effect would happen twice. It must be withheld, and the request must fail as one that may have run.
+func TestRetryIsWithheldAfterWindow(t *testing.T) {
+	const window = time.Second
+	s := newScenario(t, scheduler.RequestType{Effect: scheduler.IdempotencyKey, DedupWindow: window}, loadOnMissNoTimeout)
+	submitted := time.Now()
+	s.submit("r", 1, 20*time.Second)
+	first := s.mustNext()
+	first.write()
+	firstSent := time.Now()
+	first.complete(scheduler.ConnectionLost)
+	retry := s.mustNext()
+	if _, ok := retry.permit.TimeLeft(); !ok && time.Since(submitted) < window {
+		t.Fatal("the retry was withheld within the window")
+	}
+	for _, ok := retry.permit.TimeLeft(); ok; _, ok = retry.permit.TimeLeft() {
+		if time.Since(firstSent) > window {
+			t.Fatal("the retry was permitted after the end of the window")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	retry.complete(retry.permit.WithheldResult())
+	if response := <-s.responses; response.Outcome != invoke.Failed || !response.MayHaveRun {
+		t.Errorf("%+v, want a failure of a request that may have run", response)
+	}
+}
--- a/internal/gateway/sendpermit.go
+++ b/internal/gateway/sendpermit.go
@@ -15,6 +15,8 @@
 	// deadlineSlack is the time by which the time left stated to a worker may exceed the client's actual time left. It is
 	// also the time after the client's deadline within which an attempt may still be written.
 	deadlineSlack = 150 * time.Millisecond
+	// windowSlack is the time after the end of a deduplication window within which a retry may still be written.
+	windowSlack = 50 * time.Millisecond
 	// answerSlack is the time after a client's deadline within which a response does not count as late.
 	answerSlack = 500 * time.Millisecond
 )
@@ -28,7 +30,8 @@
 	decidedAt      time.Duration // time of the core's decision to send
 	deadline       time.Duration // deadline of the client or of the shutdown, whichever is earlier
 	sendBy         time.Duration // latest time at which the attempt may be written to the connection; 0 for no limit
-	leaseExpired   atomic.Bool   // whether sendBy had passed when the attempt was about to be written
+	sendByPassed   atomic.Bool   // whether sendBy had passed when the attempt was about to be written
+	windowEnd      time.Duration // end of the deduplication window that a retry must be written in; 0 if there is none
 	statedTimeLeft time.Duration // time left that was stated to the worker
 	statedAt       time.Time     // time at which statedTimeLeft was set
 }
@@ -48,7 +51,7 @@
 	}
 	if p.sendBy > 0 && now >= p.sendBy {
 		p.loop.stats.WithheldLease.Add(1)
-		p.leaseExpired.Store(true)
+		p.sendByPassed.Store(true)
 		return 0, false
 	}
 	if lag := p.loop.stall.Lag(time.Now()); lag > 0 && now-p.decidedAt >= lag {
@@ -60,10 +63,10 @@
 	return p.statedTimeLeft, true
 }
 
-// WithheldResult returns the result of an attempt that was withheld. After LeaseExpired the core may send the request
-// to another worker, because only the lease of this worker had expired.
+// WithheldResult returns the result of an attempt that was withheld. After LeaseExpired the core decides on the request
+// again: if only the lease of this worker has expired, it may send the request to another one.
 func (p *SendPermit) WithheldResult() scheduler.Result {
-	if p.leaseExpired.Load() {
+	if p.sendByPassed.Load() {
 		return scheduler.LeaseExpired
 	}
 	return scheduler.Withheld
@@ -102,6 +105,9 @@
 	if at := time.Duration(p.request.disconnectedAt.Load()); at != 0 && now > at+disconnectSlack {
 		p.loop.monitor.Violated(invariant.AttemptAfterClientLeft, id, "late_by", now-at)
 	}
+	if p.windowEnd > 0 && now > p.windowEnd+windowSlack {
+		p.loop.monitor.Violated(invariant.RetryOutsideWindow, id, "late_by", now-p.windowEnd)
+	}
 	left := p.deadline - now
 	if left < -deadlineSlack {
 		p.loop.monitor.Violated(invariant.AttemptAfterDeadline, id, "time_left", left)
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -16,7 +16,7 @@
 	Cancelled                    // the gateway cancelled the attempt: the request may have run
 	Withheld                     // the gateway did not write the attempt to the connection
 	NotFound                     // the worker does not have the function: the request did not run
-	LeaseExpired                 // the gateway did not write the attempt: the worker's lease had expired
+	LeaseExpired                 // the gateway did not write the attempt: its SendBy time had passed
 )
 
 var resultNames = [...]string{
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -58,7 +58,7 @@
 	avoid             *worker       // worker of the last attempt that failed
 	queuedAhead       float64       // requests queued at the worker when the last attempt was sent
 	overQuota         bool          // it exceeded its tenant's quota when it was submitted
-	sendBy            time.Duration // latest time to write the last attempt to the connection; 0: no limit
+	sendBy            time.Duration // see SendBy
 	closed            bool          // no further decisions are made for it
 	reason            Reason        // why it was rejected or failed
 }
@@ -66,7 +66,8 @@
 // InFlight reports whether an attempt of the request has no outcome yet.
 func (r *Request) InFlight() bool { return r.target != nil }
 
-// SendBy returns the latest time at which the last attempt may be written to the connection; 0: no limit.
+// SendBy returns the latest time at which the last attempt may be written to the connection: the expiry of the
+// worker's lease or, if it is earlier, the end of the window in which a duplicate is recognised; 0: no limit.
 func (r *Request) SendBy() time.Duration { return r.sendBy }
 
 // Reason returns why the request was rejected or failed, or NoReason.
@@ -93,10 +94,26 @@
 	return s.types[request.Type]
 }
 
+// retryBy returns the latest time at which a retry of a request with an idempotency key may be written to the
+// connection, the end of its deduplication window; 0: no limit, or the request can't have run yet.
+func (r *Request) retryBy() time.Duration {
+	if r.mayHaveRun == nil || r.typ.Effect != IdempotencyKey {
+		return 0
+	}
+	return r.mayHaveRunSince + r.typ.DedupWindow
+}
+
+// earliestLimit returns the earlier of two times, of which 0 stands for no limit.
+func earliestLimit(a, b time.Duration) time.Duration {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // mustNotRunAgain reports whether a request may have run and must not run again on any worker.
 func (s *Scheduler) mustNotRunAgain(request *Request, now time.Duration) bool {
-	late := request.typ.Effect == IdempotencyKey &&
-		now+s.minTickInterval >= request.mayHaveRunSince+request.typ.DedupWindow
+	late := request.typ.Effect == IdempotencyKey && now+s.minTickInterval >= request.retryBy()
 	return request.mayHaveRun != nil && (late || request.typ.Effect == AtMostOnce)
 }
 
