--- a/internal/gateway/actor.go
+++ b/internal/gateway/actor.go
@@ -31,7 +31,7 @@
 	sentAt := time.Now()
 	permit := &SendPermit{loop: l, request: request, decidedAt: l.Now(),
 		deadline: min(request.submittedAt+scheduled.TimeLeft, l.shutdownDeadline), sendBy: scheduled.SendBy(),
-		windowEnd: l.windowEnd(request)}
+		retryBy: scheduled.RetryBy(), windowEnd: l.windowEnd(request)}
 	inFlight := l.transport.Send(request, attempt, worker, permit, func(outcome scheduler.Outcome, body []byte) {
 		l.mailbox.put(func(now time.Duration) {
 			outcome.Worker, outcome.Duration = worker, time.Since(sentAt)
--- a/internal/gateway/invariants_test.go
+++ b/internal/gateway/invariants_test.go
@@ -324,7 +324,7 @@
 		invariant.RetryOfAtMostOnce},
 	{"WindowOver", "../../scheduler/request.go", "late := request.typ.Effect == IdempotencyKey &&", "late := false &&",
 		invariant.RetryOutsideWindow},
-	{"WindowOverAtWrite", "../../scheduler/submit.go", "earliestLimit(s.useLease(w, now), request.retryBy())",
+	{"WindowOverAtWrite", "../../scheduler/submit.go", "earliestLimit(s.useLease(w, now), request.RetryBy())",
 		"s.useLease(w, now)", invariant.RetryOutsideWindow},
 	{"NoOutcome", "core/core.go",
 		"tracked := heap.Pop(&c.deadlines).(*trackedRequest)\n\t\tif tracked.request.InFlight() {",
--- a/internal/gateway/rpctransport.go
+++ b/internal/gateway/rpctransport.go
@@ -61,6 +61,7 @@
 		DedupWindow:     window,
 		ClientRequestID: call.Source + "\n" + call.ClientID,
 		Body:            request.Body,
+		StartWithin:     permit.StartWithin(),
 	}
 	maySend := func() bool {
 		_, ok := permit.TimeLeft()
--- a/internal/gateway/sendpermit.go
+++ b/internal/gateway/sendpermit.go
@@ -30,6 +30,7 @@
 	decidedAt      time.Duration // time of the core's decision to send
 	deadline       time.Duration // deadline of the client or of the shutdown, whichever is earlier
 	sendBy         time.Duration // latest time at which the attempt may be written to the connection; 0 for no limit
+	retryBy        time.Duration // latest time at which the worker may start the attempt; 0 for no limit
 	sendByPassed   atomic.Bool   // whether sendBy had passed when the attempt was about to be written
 	windowEnd      time.Duration // end of the deduplication window that a retry must be written in; 0 if there is none
 	statedTimeLeft time.Duration // time left that was stated to the worker
@@ -63,6 +64,14 @@
 	return p.statedTimeLeft, true
 }
 
+// StartWithin returns the time from now within which the worker may start the attempt, or 0 if there is no limit.
+func (p *SendPermit) StartWithin() time.Duration {
+	if p.retryBy == 0 {
+		return 0
+	}
+	return max(1, p.retryBy-p.loop.Now())
+}
+
 // WithheldResult returns the result of an attempt that was withheld. After LeaseExpired the core decides on the request
 // again: if only the lease of this worker has expired, it may send the request to another one.
 func (p *SendPermit) WithheldResult() scheduler.Result {
--- a/internal/worker/advance.go
+++ b/internal/worker/advance.go
@@ -81,6 +81,10 @@
 		})
 		return
 	}
+	if !c.mayStart(w.now()) {
+		w.respond(c, windowOver())
+		return
+	}
 	w.respond(c, &workerrpc.AttemptResult{
 		Code:   workerrpc.CodeNotStarted,
 		Reason: reasonExpired,
--- a/internal/worker/calls.go
+++ b/internal/worker/calls.go
@@ -24,6 +24,7 @@
 	reasonTooLarge      = "its package needs more memory than this worker has"
 	reasonLoadFailed    = "load failed"
 	reasonExpired       = "its time was up before it could begin"
+	reasonWindowOver    = "the window of its key was over before it could begin"
 	reasonReplicaExited = "its copy ended"
 	reasonNotStarted    = "withdrawn before its start"
 	reasonCancelled     = "withdrawn"
@@ -40,9 +41,14 @@
 	attempt         *workerrpc.Attempt
 	reply           func(*workerrpc.AttemptResult)
 	replicaState    workerrpc.ReplicaState
-	concurrentCalls int // calls waiting for its function plus the function's busy replicas, at admission
+	concurrentCalls int           // calls waiting for its function plus the function's busy replicas, at admission
+	startBy         time.Duration // latest time at which it may start, on the worker's clock; 0 if there is no limit
 }
 
+// mayStart reports whether a call may start at the given time. A retry may start only within the window of its key:
+// after that it would not be recognised as a duplicate.
+func (c *call) mayStart(now time.Duration) bool { return c.startBy == 0 || now < c.startBy }
+
 // callTable holds the calls that are waiting or running.
 type callTable struct {
 	byID   map[uint64]*call
@@ -82,13 +88,17 @@
 		state = workerrpc.ReplicaLoadStarted
 	}
 	w.calls.lastID++
-	return &call{
+	c := &call{
 		id:              w.calls.lastID,
 		attempt:         attempt,
 		reply:           reply,
 		replicaState:    state,
 		concurrentCalls: counts.Waiting + counts.Busy,
 	}
+	if attempt.StartWithin > 0 {
+		c.startBy = w.now() + attempt.StartWithin
+	}
+	return c
 }
 
 // admit decides whether a call is admitted. It returns CodeOK if it is, otherwise the code and the reason of the
@@ -103,11 +113,15 @@
 		return workerrpc.CodeOverloaded, reasonFull
 	}
 	now := w.now()
+	deadline := now + c.attempt.TimeLeft
+	if c.startBy > 0 {
+		deadline = min(deadline, c.startBy)
+	}
 	decision := w.admission.Admit(now, admission.Call{
 		ID:       c.id,
 		Function: c.attempt.Function,
 		Tenant:   c.attempt.Tenant,
-		Deadline: now + c.attempt.TimeLeft,
+		Deadline: deadline,
 	})
 	switch decision {
 	case admission.Full:
@@ -209,23 +223,36 @@
 func (w *Worker) claimAndExecute(run admission.Run, c *call) {
 	key := scopedKey(c.attempt)
 	timeout := time.Duration(claimTimeoutShare * float64(c.attempt.TimeLeft))
+	if c.startBy > 0 {
+		timeout = min(timeout, c.startBy-w.now())
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	claim, decision, response := w.claims.Claim(ctx, key, c.attempt.DedupWindow)
 	cancel()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	result := notExecuted(decision, response)
 	if decision == idempotency.DecisionExecute {
-		if target := w.runningReplica(run.ReplicaID); target != nil && w.calls.byID[c.id] != nil {
+		target, mayStart := w.runningReplica(run.ReplicaID), c.mayStart(w.now())
+		if target != nil && mayStart && w.calls.byID[c.id] != nil {
 			w.execute(run, c, target, claim)
 			return
 		}
-		w.claims.Release(key, claim) // the call was cancelled or the replica has exited
+		w.claims.Release(key, claim) // the call was cancelled, the replica has exited, or the claim took too long
+		if !mayStart {
+			result = windowOver()
+		}
 	}
 	w.admission.CallEnded(w.now(), run.CallID)
-	w.respond(c, notExecuted(decision, response))
+	w.respond(c, result)
 	w.advance()
 }
 
+// windowOver returns the result of a retry that could not start within the window of its key.
+func windowOver() *workerrpc.AttemptResult {
+	return &workerrpc.AttemptResult{Code: workerrpc.CodeOverloaded, Reason: reasonWindowOver}
+}
+
 // notExecuted returns the result of a request with an idempotency key that is not run. decision is that of its claim;
 // for DecisionExecute, the replica exited or the call was cancelled after the claim.
 func notExecuted(decision idempotency.Decision, response []byte) *workerrpc.AttemptResult {
--- a/internal/worker/idempotency_test.go
+++ b/internal/worker/idempotency_test.go
@@ -47,6 +47,43 @@
 	}
 }
 
+// TestRetryIsNotStartedAfterWindow guards against a retry of a keyed request that comes to a worker within the key's
+// window, waits there for a slot until the window has ended, and runs although the request has run before. It must be
+// rejected as not run once the time in which it may start is over.
+func TestRetryIsNotStartedAfterWindow(t *testing.T) {
+	const window = 600 * time.Millisecond
+	h := startWorker(t, func(options *worker.Options) { options.Limits.MaxRunning = 1 })
+	if result := h.keyedRequest("", "warm up", "w", window); !ranOK(result) {
+		t.Fatalf("%+v", result)
+	}
+	firstSent := time.Now()
+	if result := h.keyedRequest("", "one", "k", window); !ranOK(result) {
+		t.Fatalf("%+v", result)
+	}
+	blocking := h.send(workerrpc.Attempt{RequestID: "b", Function: faultyFunction, Body: []byte("sleep 1s")})
+	retry := h.send(workerrpc.Attempt{
+		RequestID:      "one",
+		Number:         1,
+		Function:       faultyFunction,
+		Type:           "t",
+		IdempotencyKey: "k",
+		DedupWindow:    window,
+		StartWithin:    max(1, window-time.Since(firstSent)),
+		Body:           []byte("one"),
+	})
+	outcome := <-retry
+	if result := outcome.AttemptResult; result == nil || !result.Code.NeverRan() {
+		t.Errorf("%+v, want a result that states that the retry did not run", outcome)
+	}
+	if waited := time.Since(firstSent); waited > window+300*time.Millisecond {
+		t.Errorf("the retry was rejected %v after the end of its window", waited-window)
+	}
+	<-blocking
+	if n := strings.Count(h.readReplicaLog(), "effect one\n"); n != 1 {
+		t.Errorf("the effect happened %d times", n)
+	}
+}
+
 // ranOK reports whether a request ran and succeeded.
 func ranOK(result *workerrpc.AttemptResult) bool {
 	return !result.Deduplicated && result.Code == workerrpc.CodeOK
--- a/internal/workerrpc/call.go
+++ b/internal/workerrpc/call.go
@@ -63,6 +63,7 @@
 	attempt     *Attempt     // nil if the call is a load request or a probe
 	loadRequest *LoadRequest // nil if the call is an attempt or a probe
 	deadline    time.Time    // the deadline of the client's request; set for attempts only
+	startBy     time.Time    // latest time at which the worker may start the attempt; zero if there is no limit
 	maySend     func() bool  // if it returns false just before the call is written, the call is withheld; may be nil
 	state       callState
 	queueTimer  *time.Timer
--- a/internal/workerrpc/client.go
+++ b/internal/workerrpc/client.go
@@ -98,7 +98,12 @@
 // SendIf is like Send but withholds the attempt if maySend returns false when the attempt is about to be written.
 // maySend must not block.
 func (c *Client) SendIf(attempt Attempt, timeLeft time.Duration, maySend func() bool, done func(Outcome)) *Call {
-	return c.enqueue(&Call{attempt: &attempt, deadline: time.Now().Add(timeLeft), maySend: maySend, done: done})
+	now := time.Now()
+	call := &Call{attempt: &attempt, deadline: now.Add(timeLeft), maySend: maySend, done: done}
+	if attempt.StartWithin > 0 {
+		call.startBy = now.Add(attempt.StartWithin)
+	}
+	return c.enqueue(call)
 }
 
 // Load queues a load request. done is called once with the outcome.
--- a/internal/workerrpc/golden_test.go
+++ b/internal/workerrpc/golden_test.go
@@ -87,6 +87,8 @@
 		{"echo-empty", 8, &workerrpc.ProbeReply{}},
 		{"goodbye-full", 9, &workerrpc.DrainNotice{Reason: "r-91"}},
 		{"goodbye-empty", 9, &workerrpc.DrainNotice{}},
+		{"launch-retry", 2, &workerrpc.Attempt{Seq: 92, RequestID: "e-93", Number: 1, IdempotencyKey: "k-94",
+			DedupWindow: 95 * time.Second, StartWithin: 96 * time.Millisecond}},
 	}
 }
 
--- a/internal/workerrpc/messages.go
+++ b/internal/workerrpc/messages.go
@@ -43,6 +43,7 @@
 	TimeLeft        time.Duration `cbor:"9,keyasint"`            // time until the client's deadline
 	ClientRequestID string        `cbor:"10,keyasint,omitempty"` // request ID chosen by the client
 	Body            []byte        `cbor:"11,keyasint,omitempty"`
+	StartWithin     time.Duration `cbor:"12,keyasint,omitempty"` // time until its key must be claimed; 0: no limit
 }
 
 // Code is a worker's result of an attempt or a load request.
--- a/internal/workerrpc/queue.go
+++ b/internal/workerrpc/queue.go
@@ -150,6 +150,9 @@
 		c.startWriting(call)
 		c.inFlight++
 		call.attempt.Seq, call.attempt.TimeLeft = call.seq, max(0, time.Until(call.deadline))
+		if !call.startBy.IsZero() {
+			call.attempt.StartWithin = max(1, time.Until(call.startBy))
+		}
 		return message{body: call.attempt, call: call}
 	case c.drainNoticeRequested:
 		return c.drainNotice()
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -94,9 +94,9 @@
 	return s.types[request.Type]
 }
 
-// retryBy returns the latest time at which a retry of a request with an idempotency key may be written to the
-// connection, the end of its deduplication window; 0: no limit, or the request can't have run yet.
-func (r *Request) retryBy() time.Duration {
+// RetryBy returns the latest time at which a worker may start the last attempt, if that is a retry of a request
+// with an idempotency key: the end of its deduplication window. 0: no limit, or the request can't have run yet.
+func (r *Request) RetryBy() time.Duration {
 	if r.mayHaveRun == nil || r.typ.Effect != IdempotencyKey {
 		return 0
 	}
@@ -113,7 +113,7 @@
 
 // mustNotRunAgain reports whether a request may have run and must not run again on any worker.
 func (s *Scheduler) mustNotRunAgain(request *Request, now time.Duration) bool {
-	late := request.typ.Effect == IdempotencyKey && now+s.minTickInterval >= request.retryBy()
+	late := request.typ.Effect == IdempotencyKey && now+s.minTickInterval >= request.RetryBy()
 	return request.mayHaveRun != nil && (late || request.typ.Effect == AtMostOnce)
 }
 
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -102,7 +102,7 @@
 // send returns the decision to send an attempt to a worker, and records the attempt as in flight.
 func (s *Scheduler) send(request *Request, replicas *replicaSet, now time.Duration) Decision {
 	w := replicas.worker
-	request.sendBy = earliestLimit(s.useLease(w, now), request.retryBy())
+	request.sendBy = earliestLimit(s.useLease(w, now), request.RetryBy())
 	request.sentCold = false
 	request.sentAt = now
 	request.target = replicas
