--- a/internal/worker/idempotency/group.go
+++ b/internal/worker/idempotency/group.go
@@ -61,8 +61,7 @@
 
 // Claim claims a key at all registers and returns as soon as their votes decide; if ctx is done first, the decision is
 // DecisionUnknown. It returns the claim, to be passed to Complete or Release, the decision, and for DecisionCompleted
-// the response of the completed request, which is nil if it was too long to be stored. Unless the decision is
-// DecisionExecute, the claim is released in the background at the registers that granted it or may have granted it.
+// the response of the completed request. Unless the decision is DecisionExecute, the claim is released in the background at the registers that granted it or may have granted it.
 func (g *Group) Claim(ctx context.Context, key string, window time.Duration) (string, Decision, []byte) {
 	message := claimMessage{Key: key, Claim: rand.Text(), WindowMS: max(1, window.Milliseconds())}
 	replies := make(chan registerReply, len(g.registerURLs))
@@ -119,10 +118,11 @@
 	return DecisionPending, nil // unreachable: with the votes of all registers the decision is not pending
 }
 
-// Complete notifies all registers in the background that the request of a claim was completed.
+// Complete notifies all registers in the background that the request of a claim was completed, unless its response is
+// too long to be stored.
 func (g *Group) Complete(key, claim string, response []byte) {
 	if len(response) > MaxStoredResponse {
-		response = nil
+		return
 	}
 	g.notifyAll(pathComplete, claimMessage{Key: key, Claim: claim, Response: response})
 }
--- a/internal/worker/idempotency/register.go
+++ b/internal/worker/idempotency/register.go
@@ -121,19 +121,19 @@
 	return err
 }
 
-// Complete records that the request of a claim was completed, and stores its response unless that is longer than
-// MaxStoredResponse. It has no effect if the claim does not own the key or is already completed.
+// Complete records that the request of a claim was completed, and stores its response. It has no effect if the response
+// is longer than MaxStoredResponse, or if the claim does not own the key or is already completed.
 func (r *Register) Complete(key, claim string, response []byte) error {
+	if len(response) > MaxStoredResponse {
+		return nil
+	}
 	return r.db.Batch(func(tx *bolt.Tx) error {
 		previous, open, err := getOpenEntry(tx, key, claim)
 		if err != nil || !open {
 			return err
 		}
 		completed := previous
-		completed.Completed = true
-		if len(response) <= MaxStoredResponse {
-			completed.Response = response
-		}
+		completed.Completed, completed.Response = true, response
 		return replaceEntry(tx, key, previous, completed)
 	})
 }
--- a/internal/worker/idempotency_test.go
+++ b/internal/worker/idempotency_test.go
@@ -47,6 +47,36 @@
 	}
 }
 
+// TestDuplicateOfLongResponse guards against a duplicate of a request that is answered as completed with an empty body,
+// because the first response was too long to be stored: it must be reported as one that may have run. The longest
+// response that is stored, and an empty one, must be answered unchanged.
+func TestDuplicateOfLongResponse(t *testing.T) {
+	addresses, _ := startRegisters(t, 1)
+	for name, h := range map[string]*harness{"journal": startWorker(t, nil), "register": startWorkerInGroup(t, addresses)} {
+		for key, body := range map[string]string{
+			"long":    strings.Repeat("x", idempotency.MaxStoredResponse+1),
+			"longest": strings.Repeat("y", idempotency.MaxStoredResponse),
+			"empty":   "",
+		} {
+			if result := h.keyedRequest("", body, key, time.Minute); !ranOK(result) || string(result.Body) != body {
+				t.Fatalf("%s, %s: code %d, %d bytes", name, key, result.Code, len(result.Body))
+			}
+			if key == "long" {
+				result := h.keyedRequest("", body, key, time.Minute)
+				if result.Code != workerrpc.CodeFailed || !result.Deduplicated {
+					t.Errorf("%s: duplicate of a request with a long response: code %d, %d bytes, deduplicated %v", name,
+						result.Code, len(result.Body), result.Deduplicated)
+				}
+				continue
+			}
+			// Registers are notified of completed requests asynchronously.
+			h.waitFor(name+": duplicate of "+key, func() bool {
+				return duplicateOf(h.keyedRequest("", body, key, time.Minute), body)
+			})
+		}
+	}
+}
+
 // TestRetryIsNotStartedAfterWindow guards against a retry of a keyed request that comes to a worker within the key's
 // window, waits there for a slot until the window has ended, and runs although the request has run before. It must be
 // rejected as not run once the time in which it may start is over.
--- a/internal/worker/journal_keys.go
+++ b/internal/worker/journal_keys.go
@@ -12,7 +12,7 @@
 	// journal has at most one claim of a key at a time.
 	localClaim = "own"
 	// maxStoredResponseBytes limits the total size of the responses stored in the journal. A response that would exceed
-	// it is not stored, and duplicates of its request are answered without a body.
+	// it is not stored, and duplicates of its request are reported as "may have run".
 	maxStoredResponseBytes = 64 << 20
 	// keySweepInterval is the minimum time between two removals of expired keys.
 	keySweepInterval = time.Second
@@ -68,20 +68,18 @@
 	}
 }
 
-// Complete records that a request with an idempotency key was completed. Its response is stored if it is within the
-// size limits.
+// Complete records that a request with an idempotency key was completed, and stores its response. It has no effect if
+// the response exceeds the size limits.
 func (j *journal) Complete(name, _ string, response []byte) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	key, known := j.keys[name]
-	if !known { // expired and removed
+	fits := len(response) <= idempotency.MaxStoredResponse && j.responseBytes+len(response) <= maxStoredResponseBytes
+	if !known || !fits { // an unknown key has expired and was removed
 		return
 	}
-	key.completed = true
-	if len(response) <= idempotency.MaxStoredResponse && j.responseBytes+len(response) <= maxStoredResponseBytes {
-		key.response = response
-		j.responseBytes += len(response)
-	}
+	key.completed, key.response = true, response
+	j.responseBytes += len(response)
 	j.keys[name] = key
 	// If this record is not written, duplicates are reported as "may have run" after a restart.
 	_ = j.appendKey(recordKeyCompleted, name, key)
