--- a/cmd/lpctl/workers.go
+++ b/cmd/lpctl/workers.go
@@ -14,12 +14,13 @@
 // workersCmd lists the workers of the registry and changes the state of one.
 type workersCmd struct {
 	Registry string `aliases:"list" default:"http://127.0.0.1:8710" help:"Address of the registry."`
-	Drain    string `help:"Mark this worker as draining."`
-	Remove   string `aliases:"gone" help:"Remove this worker."`
+	Drain    string `help:"Mark this worker as draining until it restarts."`
+	Remove   string `aliases:"gone" help:"Remove this worker until it restarts."`
+	Restore  string `help:"Undo --drain or --remove: this worker's next registration determines its state."`
 	JSON     bool   `help:"Print the workers as JSON."`
 }
 
-// Run marks workers as draining or removed if the flags ask for it, then lists all workers.
+// Run marks workers as draining or removed, or restores one, if the flags ask for it, then lists all workers.
 func (c *workersCmd) Run(ctx context.Context, _ *slog.Logger) error {
 	client := registry.Client{BaseURL: c.Registry, HTTP: http.DefaultClient}
 	for _, change := range []struct {
@@ -33,6 +34,11 @@
 			return err
 		}
 	}
+	if c.Restore != "" {
+		if err := client.Restore(ctx, c.Restore); err != nil {
+			return err
+		}
+	}
 	entries, err := client.Workers(ctx)
 	if err != nil {
 		return err
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -31,7 +31,7 @@
 	return err
 }
 
-// SetState sets a worker's state to Draining or Removed.
+// SetState sets a worker's state to Draining or Removed, until the worker restarts or Restore is called.
 func (c Client) SetState(ctx context.Context, name string, state State) error {
 	var operation string
 	switch state {
@@ -42,6 +42,15 @@
 	default:
 		return fmt.Errorf("worker state cannot be set to %q", state)
 	}
+	return c.change(ctx, name, operation)
+}
+
+// Restore ends the effect of SetState on a worker: its next registration determines its state.
+func (c Client) Restore(ctx context.Context, name string) error {
+	return c.change(ctx, name, "restore")
+}
+
+func (c Client) change(ctx context.Context, name, operation string) error {
 	_, err := c.do(ctx, http.MethodPost, "/v1/workers/"+url.PathEscape(name)+"/"+operation, nil)
 	return err
 }
--- a/internal/registry/golden_test.go
+++ b/internal/registry/golden_test.go
@@ -83,6 +83,7 @@
 		{"GET", "/v1/workers", "", listed + "[" + emptyJSON + "]\n"},
 		{"POST", "/v1/workers/w-9/drain", "", rejection(404, "no such worker")},
 		{"POST", "/v1/workers/w-9/gone", "", rejection(404, "no such worker")},
+		{"POST", "/v1/workers/w-9/restore", "", rejection(404, "no such worker")},
 		{"POST", "/v1/workers", "",
 			`405
 Allow: GET, HEAD
@@ -240,6 +241,8 @@
 			return nil, c.SetState(ctx, "w-1", registry.Removed)
 		},
 			"POST " + base + "/v1/workers/w-1/gone\n", nil, "registry: 404 Not Found: no such worker"},
+		{"restore", 204, "", func(c registry.Client) (any, error) { return nil, c.Restore(ctx, "w-1") },
+			"POST " + base + "/v1/workers/w-1/restore\n", nil, ""},
 		{"in", 204, "", func(c registry.Client) (any, error) { return nil, c.SetState(ctx, "w-1", registry.InService) },
 			"", nil, `worker state cannot be set to "in"`},
 		{"workers", 200, "[" + fullJSON + "]\n", func(c registry.Client) (any, error) { return c.Workers(ctx) },
--- a/internal/registry/handler.go
+++ b/internal/registry/handler.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 )
 
@@ -18,7 +17,8 @@
 //   - GET /v1/list?front=NAME is a watch of the gateway NAME;
 //   - GET /v1/workers returns the current endpoint list;
 //   - PUT /v1/workers/{name}?lease=DURATION registers a worker, and renews its lease if one is given;
-//   - POST /v1/workers/{name}/drain and /v1/workers/{name}/gone set a worker's state.
+//   - POST /v1/workers/{name}/drain and /v1/workers/{name}/gone set a worker's state until the worker restarts;
+//   - POST /v1/workers/{name}/restore ends that: the worker's next registration determines its state.
 func (r *Registry) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/list", r.serveWatch)
@@ -26,6 +26,7 @@
 	mux.HandleFunc("PUT /v1/workers/{name}", r.serveRegister)
 	mux.HandleFunc("POST /v1/workers/{name}/drain", r.serveSetState(Draining))
 	mux.HandleFunc("POST /v1/workers/{name}/gone", r.serveSetState(Removed))
+	mux.HandleFunc("POST /v1/workers/{name}/restore", serveChange(r.Restore))
 	return mux
 }
 
@@ -54,15 +55,18 @@
 		}
 		r.renewLease(entry.Name, lease)
 	}
-	if !slices.Contains(r.List(), entry) {
-		r.Set(entry)
-	}
+	r.Register(entry)
 	w.WriteHeader(http.StatusNoContent)
 }
 
 func (r *Registry) serveSetState(state State) http.HandlerFunc {
+	return serveChange(func(name string) bool { return r.SetState(name, state) })
+}
+
+// serveChange returns a handler that changes the worker named in the address. change returns false if there is none.
+func serveChange(change func(name string) bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
-		if !r.SetState(req.PathValue("name"), state) {
+		if !change(req.PathValue("name")) {
 			http.Error(w, "no such worker", http.StatusNotFound)
 			return
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -26,7 +26,10 @@
 	Removed   State = "gone"
 )
 
-func (s State) valid() bool { return s == InService || s == Draining || s == Removed }
+func (s State) valid() bool { return s.stage() >= 0 }
+
+// stage returns the position of a state in a worker's life, or -1 if the state is unknown.
+func (s State) stage() int { return slices.Index([]State{InService, Draining, Removed}, s) }
 
 // Entry is a worker's entry in the endpoint list.
 type Entry struct {
@@ -77,13 +80,22 @@
 	version uint64
 	changes []change // oldest first; per worker at most its last visible change and its last delayed one
 	leases  map[string]time.Time
+	held    map[string]heldState // by worker: the states that operators have set
 	delay   time.Duration
 	changed chan struct{} // closed and replaced at each change
 }
 
+// heldState is a state that an operator has set for one incarnation of a worker. The worker's own registrations don't
+// change it, unless its own state is a later one.
+type heldState struct {
+	state   State
+	started time.Time
+}
+
 // New creates a Registry without workers; onSend may be nil.
 func New(onSend SendHook) *Registry {
-	return &Registry{leases: map[string]time.Time{}, changed: make(chan struct{}), onSend: onSend}
+	return &Registry{leases: map[string]time.Time{}, held: map[string]heldState{}, changed: make(chan struct{}),
+		onSend: onSend}
 }
 
 // SetDelay delays the sending of later changes to gateways by delay. Changes that are already waiting are sent after
@@ -108,6 +120,34 @@
 	r.setLocked(entry)
 }
 
+// Register adds or updates the entry of a worker as the worker itself states it. A state that an operator has set for
+// this incarnation of the worker is kept.
+func (r *Registry) Register(entry Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if held, found := r.held[entry.Name]; found {
+		switch {
+		case !held.started.Equal(entry.Started): // another incarnation
+			delete(r.held, entry.Name)
+		case held.state.stage() > entry.State.stage():
+			entry.State = held.state
+		}
+	}
+	if latest, found := r.latestLocked(entry.Name); !found || latest != entry {
+		r.setLocked(entry)
+	}
+}
+
+// latestLocked returns the latest entry of a worker, also if it is removed. The caller holds the mutex.
+func (r *Registry) latestLocked(name string) (entry Entry, found bool) {
+	for _, c := range slices.Backward(r.changes) {
+		if c.entry.Name == name {
+			return c.entry, true
+		}
+	}
+	return entry, false
+}
+
 func (r *Registry) setLocked(entry Entry) {
 	r.version++
 	now := time.Now()
@@ -126,24 +166,45 @@
 	r.changed = make(chan struct{})
 }
 
-// SetState sets the state of a worker. It returns false if the registry has no worker of that name.
+// SetState sets the state of a worker on behalf of an operator, until another incarnation of the worker registers. It
+// returns false if the registry has no worker of that name.
 func (r *Registry) SetState(name string, state State) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, c := range slices.Backward(r.changes) {
-		if c.entry.Name == name {
-			c.entry.State = state
-			r.setLocked(c.entry)
-			return true
-		}
+	entry, found := r.latestLocked(name)
+	if !found {
+		return false
+	}
+	r.held[name] = heldState{state, entry.Started}
+	entry.State = state
+	r.setLocked(entry)
+	return true
+}
+
+// Restore ends the effect of SetState on a worker: its next registration determines its state. It returns false if the
+// registry has no worker of that name.
+func (r *Registry) Restore(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.held, name)
+	_, found := r.latestLocked(name)
+	return found
+}
+
+// remove removes a worker until it registers again.
+func (r *Registry) remove(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if entry, found := r.latestLocked(name); found {
+		entry.State = Removed
+		r.setLocked(entry)
 	}
-	return false
 }
 
-// RemoveAll removes every worker.
+// RemoveAll removes every worker, until it registers again.
 func (r *Registry) RemoveAll() {
 	for _, entry := range r.List() {
-		r.SetState(entry.Name, Removed)
+		r.remove(entry.Name)
 	}
 }
 
@@ -199,7 +260,7 @@
 			return nil
 		case now := <-ticker.C:
 			for _, name := range r.removeExpiredLeases(now) {
-				r.SetState(name, Removed)
+				r.remove(name)
 			}
 		}
 	}
