--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -44,7 +44,7 @@
 		}
 	})
 	p.addr = unusedAddr(t)
-	path := platformConfig{
+	p.run(platformConfig{
 		listen:     p.addr,
 		journal:    journal.Addr,
 		sockets:    128,
@@ -52,7 +52,20 @@
 		familyInfo: `{"keep":5,"orders":false,"miss_mode":"load"}`,
 		connIdle:   15,
 		giveUp:     3,
-	}.write(t)
+	}, log, args...)
+	for deadline := time.Now().Add(20 * time.Second); journal.Counts().Polls < 2; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the gateway doesn't poll for changes of its endpoint list")
+		}
+	}
+	return p
+}
+
+// run starts the process with a configuration and arguments and waits until it listens.
+func (p *program) run(config platformConfig, log *os.File, args ...string) {
+	t := p.t
+	t.Helper()
+	path := config.write(t)
 	p.Cmd = exec.Command(os.Args[0], args...)
 	command := strings.Join(append([]string{"gateway"}, args...), " ")
 	p.Env = append(os.Environ(), programEnv+"="+command, "GW_CONFIG="+path)
@@ -65,15 +78,12 @@
 		_ = p.Wait()
 	})
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		conn, err := net.Dial("tcp", p.addr)
-		if err == nil {
+		if conn, err := net.Dial("tcp", p.addr); err == nil {
 			conn.Close()
-			if journal.Counts().Polls > 1 { // the first poll was answered
-				return p
-			}
+			return
 		}
 		if time.Now().After(deadline) {
-			t.Fatal("the gateway doesn't listen, or doesn't poll for changes of its endpoint list")
+			t.Fatal("the gateway doesn't listen")
 		}
 	}
 }
--- a/internal/gateway/discovery/lease.go
+++ b/internal/gateway/discovery/lease.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"lupinpond/internal/gateway/stall"
 )
 
 // The endpoint list is valid for a limited time, its lease: the gateway is considered notified of events that the
@@ -49,6 +51,57 @@
 	}
 }
 
+// Stalled records a stall of the process, which began at the given time and has ended. Polls that were sent before its end
+// don't show what happened during it. The lease therefore ends with its beginning until a later poll is answered, and the
+// service is polled at once. If that poll fails, or is not answered in time, the service is unreachable, and the lease is
+// restored: what the service could not deliver has the delivery bound. For the same reason the lease does not change if
+// polls were failing or overdue before the stall.
+func (w *Watcher) Stalled(since time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	failing := !w.failingSince.IsZero() && w.failingSince.Before(since)
+	overdue := since.Sub(w.answeredAt) > w.limits.PollWait+w.limits.UsualResponse
+	if failing || overdue || !since.Before(w.leaseExpires) {
+		return
+	}
+	w.stalledSince, w.heldLease = since, w.leaseExpires
+	w.confirmed = false
+	w.setLeaseLocked(since)
+	if stall.BeganBefore(w.polledAt, since) {
+		w.repollLocked()
+	}
+	time.AfterFunc(w.confirmWait()+w.limits.AnswerBound, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.stalledSince.Equal(since) {
+			w.restoreLeaseLocked()
+		}
+	})
+}
+
+// restoreLeaseLocked restores the lease that a stall has ended, unless it has been renewed. The caller must hold w.mu.
+func (w *Watcher) restoreLeaseLocked() {
+	if w.heldLease.IsZero() {
+		return
+	}
+	w.setLeaseLocked(w.heldLease)
+	w.heldLease = time.Time{}
+}
+
+// lastAnswer returns the time at which the last batch was applied.
+func (w *Watcher) lastAnswer() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answeredAt
+}
+
+// recordAnswer records that a batch is being applied now.
+func (w *Watcher) recordAnswer() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answeredAt = time.Now()
+}
+
 // setLeaseLocked sets the expiry time of the list's lease. The caller must hold w.mu.
 func (w *Watcher) setLeaseLocked(expires time.Time) {
 	w.leaseExpires = expires
@@ -61,16 +114,20 @@
 // lease.
 func (w *Watcher) renewLease(sentAt time.Time) {
 	w.mu.Lock()
+	if stall.BeganBefore(sentAt, w.stalledSince) {
+		w.mu.Unlock()
+		return
+	}
 	expired := time.Since(w.leaseExpires)
 	w.answered++
-	w.completeAt, w.confirmed = sentAt, true
+	w.completeAt, w.confirmed, w.heldLease = sentAt, true, time.Time{}
 	w.setLeaseLocked(sentAt.Add(w.limits.DeliveryBound))
-	position := w.position
+	position, failingSince := w.position, w.failingSince
+	w.failingSince = time.Time{}
 	w.mu.Unlock()
-	if !w.failingSince.IsZero() {
-		w.log.Info("discovery reachable again", "position", position, "failing_for", time.Since(w.failingSince),
+	if !failingSince.IsZero() {
+		w.log.Info("discovery reachable again", "position", position, "failing_for", time.Since(failingSince),
 			"list_expired_for", max(0, expired))
-		w.failingSince = time.Time{}
 	}
 }
 
@@ -82,10 +139,13 @@
 	}
 	w.mu.Lock()
 	w.failed++
-	position, expires := w.position, w.leaseExpires
-	w.mu.Unlock()
-	if w.failingSince.IsZero() {
+	position, expires, first := w.position, w.leaseExpires, w.failingSince.IsZero()
+	if first {
 		w.failingSince = time.Now()
+	}
+	w.restoreLeaseLocked()
+	w.mu.Unlock()
+	if first {
 		w.log.Warn("discovery unreachable", "position", position, "list_expires_in", time.Until(expires), "err", err)
 		return
 	}
@@ -97,7 +157,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.confirmed || time.Since(w.completeAt) > staleAnswerWaits*w.limits.PollWait {
-		return max(w.limits.PollWait/confirmWaitDivisor, time.Millisecond)
+		return w.confirmWait()
 	}
 	return w.limits.PollWait
 }
+
+// confirmWait returns the wait of a poll that confirms the list.
+func (w *Watcher) confirmWait() time.Duration {
+	return max(w.limits.PollWait/confirmWaitDivisor, time.Millisecond)
+}
--- a/internal/gateway/discovery/lease_test.go
+++ b/internal/gateway/discovery/lease_test.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 	MaxResponse:        time.Second,
 	MaxBytes:           1 << 16,
 	DeliveryBound:      7 * time.Second,
+	AnswerBound:        500 * time.Millisecond,
 	AddressChangeBound: 4 * time.Second,
 }
 
@@ -194,3 +197,72 @@
 	watcher.SetAddress(other.Listener.Addr().String())
 	leases.awaitAfter(t, moved.Add(leaseLimits.DeliveryBound))
 }
+
+// TestStallEndsLease guards against a list that counts as complete after a stall of the process, in which the service may
+// have reported changes that have not been read. The lease must end with the beginning of the stall until a poll that was
+// sent after it has been answered, which must happen at once. If that poll is not answered, or if polls failed before the
+// stall, there is an outage: the earlier lease must be in force again.
+func TestStallEndsLease(t *testing.T) {
+	const pause = 250 * time.Millisecond
+	var down, silent atomic.Bool
+	polls := make(chan time.Duration, 100)
+	watcher, leases := leasedWatcher(t, func(w http.ResponseWriter, r *http.Request) {
+		if down.Load() {
+			http.Error(w, "down", http.StatusInternalServerError)
+			return
+		}
+		wait, err := strconv.Atoi(r.URL.Query().Get("max_wait"))
+		if err != nil {
+			t.Error(err)
+		}
+		polls <- time.Duration(wait) * time.Millisecond
+		select {
+		case <-r.Context().Done():
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+			if silent.Load() {
+				<-r.Context().Done()
+				return
+			}
+			fmt.Fprint(w, `{"pos":1,"entries":[]}`)
+		}
+	})
+	leases.awaitAfter(t, time.Now())
+	for wait := range polls {
+		if wait == leaseLimits.PollWait { // the list is confirmed
+			break
+		}
+	}
+	since := time.Now()
+	time.Sleep(pause)
+	resumed := time.Now()
+	watcher.Stalled(since)
+	if expires, _ := leases.last(); !expires.Equal(since) {
+		t.Errorf("after the stall the lease expires %v after its beginning", expires.Sub(since))
+	}
+	if wait := <-polls; wait >= leaseLimits.PollWait || time.Since(resumed) > leaseLimits.PollWait/2 {
+		t.Errorf("polled %v after the stall, with a wait of %v", time.Since(resumed), wait)
+	}
+	if sentAt := leases.awaitAfter(t, resumed).Add(-leaseLimits.DeliveryBound); sentAt.Before(resumed) {
+		t.Errorf("the lease was renewed by a poll that was sent %v before the end of the stall", resumed.Sub(sentAt))
+	}
+	before, _ := leases.last()
+	silent.Store(true)
+	since = time.Now()
+	time.Sleep(pause)
+	watcher.Stalled(since)
+	if expires, _ := leases.last(); !expires.Equal(since) {
+		t.Errorf("after the second stall the lease expires %v after its beginning", expires.Sub(since))
+	}
+	if restored := leases.awaitAfter(t, since); !restored.Equal(before) {
+		t.Errorf("in an outage the lease expires %v later than before the stall", restored.Sub(before))
+	}
+	down.Store(true)
+	for failed := int64(0); failed == 0; failed = watcher.Freshness().Failed {
+		time.Sleep(time.Millisecond)
+	}
+	_, count := leases.last()
+	watcher.Stalled(time.Now())
+	if _, after := leases.last(); after != count {
+		t.Error("the lease was changed by a stall in an outage")
+	}
+}
--- a/internal/gateway/discovery/poll.go
+++ b/internal/gateway/discovery/poll.go
@@ -63,10 +63,18 @@
 	}
 }
 
+// recordPoll records that a poll is being sent and returns the time.
+func (w *Watcher) recordPoll() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.polledAt = time.Now()
+	return w.polledAt
+}
+
 // poll sends one poll for the events after a position.
 func (w *Watcher) poll(ctx context.Context, client *http.Client, addr string, after int64, wait time.Duration) (
 	result pollResult) {
-	result.wait, result.sentAt = wait, time.Now()
+	result.wait, result.sentAt = wait, w.recordPoll()
 	ctx, cancel := context.WithTimeout(ctx, w.limits.PollWait+max(w.limits.UsualResponse, w.limits.MaxResponse))
 	defer cancel()
 	url := "http://" + addr + "/journal?tail=" + strconv.FormatInt(after, 10) +
--- a/internal/gateway/discovery/watcher.go
+++ b/internal/gateway/discovery/watcher.go
@@ -33,6 +33,10 @@
 	// service's events, whether it has received them or not.
 	DeliveryBound time.Duration
 
+	// AnswerBound is the time in which the service answers a poll after its wait, unless it is unreachable. It applies
+	// after a stall of the process.
+	AnswerBound time.Duration
+
 	// AddressChangeBound is the time after a change of the service's address at which the gateway is considered notified
 	// of the service's events, whether it has received them or not.
 	AddressChangeBound time.Duration
@@ -75,20 +79,23 @@
 
 // Watcher watches the endpoint list of one service.
 type Watcher struct {
-	limits         Limits
-	log            *slog.Logger
-	notify         func(Event)
-	onLease        func(expires time.Time)
-	addressChanged chan struct{}
+	limits  Limits
+	log     *slog.Logger
+	notify  func(Event)
+	onLease func(expires time.Time)
+	repoll  chan struct{} // ends the pause before the next poll
 
 	// The fields below are only accessed by the goroutine that calls Run.
-	resync       bool      // whether the next round polls for the complete list; only changes between rounds
-	answeredAt   time.Time // time at which the last batch was applied
-	failingSince time.Time // time since which polls have failed; zero if they are not failing
-	polls        sync.WaitGroup
+	resync bool // whether the next round polls for the complete list; only changes between rounds
+	polls  sync.WaitGroup
 
 	mu           sync.Mutex // guards the fields below
 	addr         string
+	polledAt     time.Time          // time at which the last poll was sent
+	answeredAt   time.Time          // time at which the last batch was applied
+	failingSince time.Time          // time since which polls have failed; zero if they are not failing
+	stalledSince time.Time          // beginning of the latest stall of the process that the lease ended with
+	heldLease    time.Time          // expiry time of the lease before that stall; zero if it is renewed or restored
 	position     int64              // position of the last event that was passed to notify
 	cancelPolls  context.CancelFunc // cancels the polls of the current round
 	completeAt   time.Time          // time at which the list was last known to be complete
@@ -109,14 +116,14 @@
 func NewWatcher(addr string, limits Limits, log *slog.Logger, notify func(Event)) *Watcher {
 	now := time.Now()
 	return &Watcher{
-		completeAt:     now,
-		leaseExpires:   now,
-		addr:           addr,
-		limits:         limits,
-		log:            log,
-		notify:         notify,
-		addressChanged: make(chan struct{}, 1),
-		answeredAt:     now,
+		completeAt:   now,
+		leaseExpires: now,
+		addr:         addr,
+		limits:       limits,
+		log:          log,
+		notify:       notify,
+		repoll:       make(chan struct{}, 1),
+		answeredAt:   now,
 	}
 }
 
@@ -139,11 +146,16 @@
 	if moved := time.Now().Add(w.limits.AddressChangeBound); moved.Before(w.leaseExpires) {
 		w.setLeaseLocked(moved)
 	}
+	w.repollLocked()
+}
+
+// repollLocked cancels the running polls and polls again at once. The caller must hold w.mu.
+func (w *Watcher) repollLocked() {
 	if w.cancelPolls != nil {
 		w.cancelPolls()
 	}
 	select {
-	case w.addressChanged <- struct{}{}:
+	case w.repoll <- struct{}{}:
 	default:
 	}
 }
@@ -181,7 +193,7 @@
 		w.recordFailedRound(err)
 		select {
 		case <-ctx.Done():
-		case <-w.addressChanged:
+		case <-w.repoll:
 		case <-time.After(pause.NextBackOff()):
 		}
 	}
@@ -195,7 +207,7 @@
 	if w.currentCursor().addr != from.addr {
 		return errAddressChanged
 	}
-	maxAge := max(1, time.Since(w.answeredAt))
+	maxAge := max(1, time.Since(w.lastAnswer()))
 	if w.resync {
 		return w.applyComplete(result, maxAge)
 	}
@@ -209,7 +221,7 @@
 	for i := range result.batch.Events {
 		result.batch.Events[i].MaxAge = maxAge
 	}
-	w.answeredAt = time.Now()
+	w.recordAnswer()
 	w.Apply(result.batch)
 	position := w.currentCursor().position
 	switch {
@@ -235,7 +247,7 @@
 	}
 	event.MaxAge = maxAge
 	w.resync = false
-	w.answeredAt = time.Now()
+	w.recordAnswer()
 	w.Apply(Batch{Events: []Event{event}})
 	w.renewLease(result.sentAt)
 	return nil
--- a/internal/gateway/eventloop.go
+++ b/internal/gateway/eventloop.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lupinpond/internal/gateway/core"
@@ -40,6 +41,8 @@
 	stats        Stats
 	loadChecks   loadChecks
 	settings     core.Settings
+	onStall      func(since time.Time)
+	watchLease   atomic.Int64 // latest expiry of the watch's lease, on the core's clock
 
 	// The fields below are only accessed by the event loop's goroutine.
 	requests         map[string]*Request // requests in flight, by ID
@@ -47,6 +50,7 @@
 	counts           Counts
 	timer            *time.Timer
 	timerTimes       []time.Time   // times at which pending timers fire, in descending order
+	handledStall     time.Time     // beginning of the latest stall that onStall was called for
 	shutdownDeadline time.Duration // time by which every request must be answered, on the core's clock
 }
 
@@ -59,6 +63,10 @@
 	ProbeTimeout time.Duration      // after this time a probe without a reply counts as timed out
 	Monitor      *invariant.Monitor // counts violated invariants; may be nil
 	Log          *slog.Logger       // receives each step of each request at debug level; nil disables logging
+
+	// OnStall is called after a stall of the process, before the core makes any decision; may be nil. If it calls
+	// SetWatchLease, that has already taken effect at the core's next decision.
+	OnStall func(since time.Time)
 }
 
 // NewEventLoop creates an EventLoop. The caller must call Run to start it.
@@ -78,6 +86,7 @@
 		log:              options.Log,
 		loadChecks:       newLoadChecks(options.Core.LoadPolicy),
 		settings:         options.Core,
+		onStall:          options.OnStall,
 		requests:         map[string]*Request{},
 		duplicateKeys:    map[string]bool{},
 		shutdownDeadline: math.MaxInt64,
@@ -117,6 +126,7 @@
 			late = time.Since(l.timerTimes[len(l.timerTimes)-1]) > pauseThreshold
 			l.dropFiredTimers()
 		}
+		l.handleStall()
 		if late || l.stall.Lag(time.Now()) > 0 {
 			// The process was paused: wait until the messages that arrived during the pause have been read from the
 			// sockets, before the core handles timeouts.
@@ -137,6 +147,21 @@
 	}
 }
 
+// handleStall calls onStall once for each stall, and passes the watch's lease to the core ahead of the messages that
+// arrived during the stall.
+func (l *EventLoop) handleStall() {
+	since := l.stall.StalledSince(time.Now())
+	if l.onStall == nil || since.Equal(l.handledStall) {
+		return
+	}
+	l.handledStall = since
+	before := l.watchLease.Load()
+	l.onStall(since)
+	if lease := l.watchLease.Load(); lease != before {
+		l.core.SetWatchLease(l.Now(), time.Duration(lease))
+	}
+}
+
 // dropFiredTimers removes the timers that are due and starts the next one.
 func (l *EventLoop) dropFiredTimers() {
 	pending := len(l.timerTimes)
@@ -181,7 +206,12 @@
 // SetWatchLease sets the time at which the lease of the endpoint list's watch expires. From then on the gateway is
 // considered notified of changes that it has not received.
 func (l *EventLoop) SetWatchLease(expires time.Time) {
-	l.mailbox.put(func(now time.Duration) { l.core.SetWatchLease(now, expires.Sub(l.epoch)) })
+	lease := expires.Sub(l.epoch)
+	l.watchLease.Store(int64(lease))
+	l.mailbox.put(func(now time.Duration) {
+		// A later call may have shortened the lease.
+		l.core.SetWatchLease(now, min(lease, time.Duration(l.watchLease.Load())))
+	})
 }
 
 // Pause blocks the event loop for a time, as if the process were stopped, and returns as soon as it is blocked. It is
--- a/internal/gateway/platform/engine.go
+++ b/internal/gateway/platform/engine.go
@@ -45,6 +45,7 @@
 		ProbeTimeout: config.dialTimeout(),
 		Monitor:      e.monitor,
 		Log:          e.log,
+		OnStall:      func(since time.Time) { e.watcher.Stalled(since) },
 	})
 	e.startTimes = e.NewStartTimes()
 	e.watcher = discovery.NewWatcher(config.DiscoveryAddr, config.discoveryLimits(), e.log, e.handleEvent)
@@ -78,6 +79,7 @@
 		MaxResponse:        max(dial, deliveryBound-2*wait-dial),
 		MaxBytes:           c.Memory / discoveryMemoryDivisor,
 		DeliveryBound:      deliveryBound,
+		AnswerBound:        c.drainGrace(), // with slower answers drains come to be known too late in any case
 		AddressChangeBound: addressChangeBound,
 	}
 }
--- a/internal/gateway/stall/stall.go
+++ b/internal/gateway/stall/stall.go
@@ -72,6 +72,17 @@
 	return 0
 }
 
+// StalledSince returns the beginning of the latest stall, or the zero time if there was none.
+func (d *Detector) StalledSince(now time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observeLocked(now)
+	return d.stalledSince
+}
+
+// BeganBefore reports whether work was begun before the end of a stall that began at since, rather than after it.
+func BeganBefore(work, since time.Time) bool { return work.Sub(since) <= minStall }
+
 // EndedAfter reports whether a stall has ended after t. If so, work that was due at t may have been done late.
 func (d *Detector) EndedAfter(t, now time.Time) bool {
 	d.mu.Lock()
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -65,12 +65,16 @@
 // notified of changes when they happen, even if it has not received them.
 func (s *Scheduler) SetWatchLease(now, expires time.Duration) {
 	s.watchLease, s.watchLeaseSetAt = expires, now
-	if !s.watchExpiryRecorded || s.watchExpired(now) {
+	s.watchRenewed = s.watchRenewed || expires > now
+	if s.watchExpired(now) {
+		return
+	}
+	s.noLeases = false
+	if !s.watchExpiryRecorded {
 		return
 	}
 	s.recordLeaseEvent(LeaseEvent{Kind: WatchLeaseRenewed, Leased: s.leasedCount})
 	s.watchExpiryRecorded = false
-	s.noLeases = false
 	for _, w := range s.members.All() { // the registry reports drains and restarts again
 		w.lease = workerLease{acceptedAt: w.lease.acceptedAt}
 		w.leased = false
@@ -84,12 +88,17 @@
 	return s.watchLease < never && now >= s.leasesNeededAt()
 }
 
-// waitsForFirstAnswer reports whether a request stays in the queue although no worker has a lease: shortly
-// after the start the first answer of the registry may renew the watch lease. The request waits for at most
-// half of its time, so that its client can still try another gateway.
-func (s *Scheduler) waitsForFirstAnswer(request *Request, now time.Duration) bool {
-	neverRenewed := s.watchLease <= s.watchLeaseSetAt
-	return neverRenewed && now < s.watchLeaseSetAt+firstAnswerTimeout && now < request.deadline-request.TimeLeft/2
+// awaitsWatchAnswer reports whether the watch lease has not been renewed since the start or since a stall of
+// the process, and an answer of the registry that renews it can still be expected.
+func (s *Scheduler) awaitsWatchAnswer(now time.Duration) bool {
+	return s.watchLease <= s.watchLeaseSetAt && now < s.watchLeaseSetAt+watchAnswerTimeout
+}
+
+// waitsForWatchAnswer reports whether a request stays in the queue although no worker has a lease, because the
+// watch lease may be renewed. It waits for at most half of its time, so that its client can still try another
+// gateway.
+func (s *Scheduler) waitsForWatchAnswer(request *Request, now time.Duration) bool {
+	return s.awaitsWatchAnswer(now) && now < request.deadline-request.TimeLeft/2
 }
 
 // sendBy returns the latest time at which new work may be written to the connection of a worker.
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -31,6 +31,17 @@
 	return h
 }
 
+// newStartingHarness returns the harness of a single gateway with workers a and b, which has just started: the watch lease
+// has not been renewed.
+func newStartingHarness() *harness {
+	h := newBareHarness(7, 0, 1)
+	h.AddType(scheduler.RequestType{Name: "idempotent", Objective: 1000 * ms})
+	h.SetDrainGrace(leaseGrace)
+	h.ReplaceMembership(h.now, []scheduler.Member{{Worker: "a"}, {Worker: "b"}})
+	h.SetWatchLease(h.now, h.now)
+	return h
+}
+
 // tick advances the clock and returns the result of Tick.
 func (h *harness) tick(d time.Duration) scheduler.TickResult {
 	h.now += d
@@ -151,9 +162,8 @@
 // their time has passed, and at once from two seconds after the start.
 func TestStartAwaitsFirstAnswer(t *testing.T) {
 	for _, answered := range []bool{true, false} {
-		h := newLeaseHarness()
+		h := newStartingHarness()
 		started := h.now
-		h.SetWatchLease(started, started)
 		h.now += leaseGrace // no request has been sent since the start: no worker has a lease
 		request := newRequest(1, 1)
 		request.TimeLeft = 2 * time.Second
@@ -187,6 +197,43 @@
 	}
 }
 
+// TestStallHoldsNewWork guards against new work, of any kind, between a stall of the process and the first answer of the
+// registry after it, once the lease time since the beginning of the stall has passed. Requests must be sent when the
+// answer comes. Without it, workers count as draining after two seconds, as in an outage.
+func TestStallHoldsNewWork(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		h := newStartingHarness()
+		h.SetWatchLease(h.now, h.now+7*time.Second)
+		h.serve(newRequest(1, 1), 10*ms)
+		h.now += 900 * ms // the stall
+		h.SetWatchLease(h.now, h.now-900*ms)
+		resumed := h.now
+		request := h.submitQuietly(1)
+		for h.now < resumed+1500*ms {
+			if due := h.tick(10 * ms); len(due.LoadRequests) > 0 || len(countNewWork(due)) > 0 {
+				t.Fatalf("%v after the stall: %+v", h.now-resumed, due)
+			}
+			if request.Reason() != scheduler.NoReason {
+				t.Fatalf("%v after the stall: request rejected for reason %q", h.now-resumed, request.Reason())
+			}
+		}
+		if answered {
+			h.SetWatchLease(h.now, h.now+7*time.Second)
+			if due := h.tick(10 * ms); len(countNewWork(due)) == 0 {
+				t.Errorf("no work was sent after the answer, request rejected for reason %q", request.Reason())
+			}
+			continue
+		}
+		for h.now < resumed+2200*ms {
+			h.tickAnsweringQueries(t, 10*ms)
+		}
+		if request.Reason() != scheduler.NoLeasedWorker {
+			t.Errorf("without an answer: request rejected for reason %q, want %v", request.Reason(),
+				scheduler.NoLeasedWorker)
+		}
+	}
+}
+
 // TestDrainingWorkerShowsQueryTrust guards against a gateway that does not know at the beginning of an outage whether
 // answered queries are evidence, although it was notified of a drain before: it queries the draining worker, once the
 // drain grace has passed. If that worker answers, queries must grant no lease in the outage.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -90,6 +90,7 @@
 	// Leases.
 	watchLease            time.Duration // expiry of the registry watch's lease; never: no leases are needed
 	watchLeaseSetAt       time.Duration // when the watch lease was last set
+	watchRenewed          bool          // the watch lease has been renewed since the start
 	leaseTime             time.Duration // duration of a worker's lease
 	leaseCandidates       []leaseCandidate
 	nextPreparation       time.Duration
--- a/scheduler/tick.go
+++ b/scheduler/tick.go
@@ -126,7 +126,7 @@
 	switch {
 	case now >= cutoff:
 		return NoTimeLeft
-	case s.noLeases && !s.waitsForFirstAnswer(request, now):
+	case s.noLeases && !s.waitsForWatchAnswer(request, now):
 		return NoLeasedWorker
 	case s.mustNotRunAgain(request, now):
 		return NotRetryable
--- a/scheduler/tuning.go
+++ b/scheduler/tuning.go
@@ -213,9 +213,9 @@
 	// covers the transmission and stalls of the process that are too short to be detected.
 	leaseMarginShare = 0.2
 
-	// firstAnswerTimeout is the time after the start for which requests wait for the first answer of the registry
-	// if no worker has a lease.
-	firstAnswerTimeout = 2 * time.Second
+	// watchAnswerTimeout is the time after the start, or after a stall of the process, for which requests wait for
+	// an answer of the registry if no worker has a lease.
+	watchAnswerTimeout = 2 * time.Second
 
 	// preparationStartShare: leases are prepared once this share of the time from the last renewal of the watch
 	// lease until workers need leases of their own has passed.
--- a/scheduler/verify.go
+++ b/scheduler/verify.go
@@ -41,6 +41,10 @@
 		return start
 	}
 	nextCheck := now + max(fractionOf(renewalCheckShare, s.leaseTime), s.minTickInterval)
+	if s.watchRenewed && s.awaitsWatchAnswer(now) { // a stall, not an outage: workers need not be verified
+		s.noLeases = false
+		return nextCheck
+	}
 	if now >= s.nextPreparation {
 		s.nextPreparation = nextCheck
 		s.prepareLeases(now, due)
