scheduler: lease candidates in a file of their own; comments within their columns

Comments of this work that were longer than 110 (scheduler) or 120 columns are wrapped.

Tests of scheduler, core, worker, discovery and registry pass.

--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -23,8 +23,8 @@
 	arrivals chan time.Time // arrival time of each attempt, in the same order
 }
 
-// startProgram starts a gateway process with arguments and waits until it listens and its endpoint list is confirmed. It
-// writes its log to log.
+// startProgram starts a gateway process with arguments and waits until it listens and its endpoint list is confirmed.
+// It writes its log to log.
 func startProgram(t *testing.T, log *os.File, args ...string) *program {
 	t.Helper()
 	p := &program{t: t, attempts: make(chan []string, 10000), arrivals: make(chan time.Time, 10000)}
--- a/internal/gateway/discovery/lease.go
+++ b/internal/gateway/discovery/lease.go
@@ -51,11 +51,11 @@
 	}
 }
 
-// Stalled records a stall of the process, which began at the given time and has ended. Polls that were sent before its end
-// don't show what happened during it. The lease therefore ends with its beginning until a later poll is answered, and the
-// service is polled at once. If that poll fails, or is not answered in time, the service is unreachable, and the lease is
-// restored: what the service could not deliver has the delivery bound. For the same reason the lease does not change if
-// polls were failing or overdue before the stall.
+// Stalled records a stall of the process, which began at the given time and has ended. Polls that were sent before its
+// end don't show what happened during it. The lease therefore ends with its beginning until a later poll is answered,
+// and the service is polled at once. If that poll fails, or is not answered in time, the service is unreachable, and
+// the lease is restored: what the service could not deliver has the delivery bound. For the same reason the lease does
+// not change if polls were failing or overdue before the stall.
 func (w *Watcher) Stalled(since time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/gateway/discovery/lease_test.go
+++ b/internal/gateway/discovery/lease_test.go
@@ -198,10 +198,10 @@
 	leases.awaitAfter(t, moved.Add(leaseLimits.DeliveryBound))
 }
 
-// TestStallEndsLease guards against a list that counts as complete after a stall of the process, in which the service may
-// have reported changes that have not been read. The lease must end with the beginning of the stall until a poll that was
-// sent after it has been answered, which must happen at once. If that poll is not answered, or if polls failed before the
-// stall, there is an outage: the earlier lease must be in force again.
+// TestStallEndsLease guards against a list that counts as complete after a stall of the process, in which the service
+// may have reported changes that have not been read. The lease must end with the beginning of the stall until a poll
+// that was sent after it has been answered, which must happen at once. If that poll is not answered, or if polls failed
+// before the stall, there is an outage: the earlier lease must be in force again.
 func TestStallEndsLease(t *testing.T) {
 	const pause = 250 * time.Millisecond
 	var down, silent atomic.Bool
--- a/internal/registry/operator_test.go
+++ b/internal/registry/operator_test.go
@@ -10,9 +10,9 @@
 	"lupinpond/internal/registry"
 )
 
-// TestRenewalKeepsOperatorState guards against a drain or a removal by an operator that is undone by the next renewal of
-// the worker's registration, or by its first renewal after its lease has expired. It must hold until another incarnation
-// of the worker registers, or an operator restores the worker.
+// TestRenewalKeepsOperatorState guards against a drain or a removal by an operator that is undone by the next renewal
+// of the worker's registration, or by its first renewal after its lease has expired. It must hold until another
+// incarnation of the worker registers, or an operator restores the worker.
 func TestRenewalKeepsOperatorState(t *testing.T) {
 	for operation, want := range map[string]registry.State{"drain": registry.Draining, "gone": registry.Removed} {
 		r := registry.New(nil)
--- a/internal/worker/idempotency/group.go
+++ b/internal/worker/idempotency/group.go
@@ -61,7 +61,8 @@
 
 // Claim claims a key at all registers and returns as soon as their votes decide; if ctx is done first, the decision is
 // DecisionUnknown. It returns the claim, to be passed to Complete or Release, the decision, and for DecisionCompleted
-// the response of the completed request. Unless the decision is DecisionExecute, the claim is released in the background at the registers that granted it or may have granted it.
+// the response of the completed request. Unless the decision is DecisionExecute, the claim is released in the
+// background at the registers that granted it or may have granted it.
 func (g *Group) Claim(ctx context.Context, key string, window time.Duration) (string, Decision, []byte) {
 	message := claimMessage{Key: key, Claim: rand.Text(), WindowMS: max(1, window.Milliseconds())}
 	replies := make(chan registerReply, len(g.registerURLs))
--- a/internal/worker/idempotency/idempotency.go
+++ b/internal/worker/idempotency/idempotency.go
@@ -10,8 +10,9 @@
 
 import "time"
 
-// MaxStoredResponse is the length in bytes of the longest response that is stored for duplicates. The claim of a request
-// with a longer response stays open: a duplicate can't get that response, so it is reported as one that may have run.
+// MaxStoredResponse is the length in bytes of the longest response that is stored for duplicates. The claim of a
+// request with a longer response stays open: a duplicate can't get that response, so it is reported as one that may
+// have run.
 const MaxStoredResponse = 64 << 10
 
 // Vote is the answer of one register to a claim.
--- a/internal/worker/idempotency/idempotency_test.go
+++ b/internal/worker/idempotency/idempotency_test.go
@@ -127,8 +127,8 @@
 }
 
 // A released key must be granted to the next claim, a claimed or completed key must make the next claim a duplicate,
-// and without a majority of the registers no request may be executed. Late releases, registers that are down and the end
-// of a window must not change that. The claim of a request whose response is too long to be stored must stay open.
+// and without a majority of the registers no request may be executed. Late releases, registers that are down and the
+// end of a window must not change that. The claim of a request whose response is too long to be stored must stay open.
 func TestReleasedAndCompletedClaims(t *testing.T) {
 	g, registers := newGroup(t, 3)
 	ctx := context.Background()
--- a/internal/worker/idempotency_test.go
+++ b/internal/worker/idempotency_test.go
@@ -52,7 +52,8 @@
 // response that is stored, and an empty one, must be answered unchanged.
 func TestDuplicateOfLongResponse(t *testing.T) {
 	addresses, _ := startRegisters(t, 1)
-	for name, h := range map[string]*harness{"journal": startWorker(t, nil), "register": startWorkerInGroup(t, addresses)} {
+	workers := map[string]*harness{"journal": startWorker(t, nil), "register": startWorkerInGroup(t, addresses)}
+	for name, h := range workers {
 		for key, body := range map[string]string{
 			"long":    strings.Repeat("x", idempotency.MaxStoredResponse+1),
 			"longest": strings.Repeat("y", idempotency.MaxStoredResponse),
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -26,7 +26,7 @@
 //  5. workers in slow start receive a share of the work of a warm worker (slowstart.go)
 //  6. the limit of loads in flight adapts to the results and durations of the loads (loads.go)
 //  7. while the registry is unreachable workers need leases, which accepted work renews (lease.go,
-//     preparation.go, verify.go, query.go, drainquery.go)
+//     preparation.go, verify.go, leasecandidates.go, query.go, drainquery.go)
 //
 // Differences among workers and deployments are reported or measured: the weights of worker kinds (kinds.go),
 // the queue at a worker (estimateQueueDepth), the delay caused by each queued request (queueDelay), and the
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -13,8 +13,8 @@
 // Only accepted work renews a worker's lease, counted from when it was sent: a completed attempt or load
 // request. A worker that rejects work may be draining or full; whether its other answers reveal a drain
 // is not specified. preparation.go makes sure in time that there are workers that can be verified, verify.go
-// renews leases before they expire, query.go regains those that have expired, and drainquery.go finds out
-// before an outage whether the answers that this needs are evidence.
+// renews the leases of those that leasecandidates.go selects, query.go regains those that have expired, and
+// drainquery.go finds out before an outage whether the answers that this needs are evidence.
 
 // provisionalLease is the state of a worker's provisional lease: if queries are known to be reliable, a
 // worker without a lease that has answered a replica query may be sent one unit of work. If it accepts that
@@ -94,9 +94,9 @@
 	return s.watchLease <= s.watchLeaseSetAt && now < s.watchLeaseSetAt+watchAnswerTimeout
 }
 
-// waitsForWatchAnswer reports whether a request stays in the queue although no worker has a lease, because the
-// watch lease may be renewed. It waits for at most half of its time, so that its client can still try another
-// gateway.
+// waitsForWatchAnswer reports whether a request stays in the queue although no worker has a lease, because
+// the watch lease may be renewed. It waits for at most half of its time, so that its client can still try
+// another gateway.
 func (s *Scheduler) waitsForWatchAnswer(request *Request, now time.Duration) bool {
 	return s.awaitsWatchAnswer(now) && now < request.deadline-request.TimeLeft/2
 }
--- a/scheduler/lease_test.go
+++ b/scheduler/lease_test.go
@@ -31,8 +31,8 @@
 	return h
 }
 
-// newStartingHarness returns the harness of a single gateway with workers a and b, which has just started: the watch lease
-// has not been renewed.
+// newStartingHarness returns the harness of a single gateway with workers a and b, which has just started: the watch
+// lease has not been renewed.
 func newStartingHarness() *harness {
 	h := newBareHarness(7, 0, 1)
 	h.AddType(scheduler.RequestType{Name: "idempotent", Objective: 1000 * ms})
@@ -197,9 +197,9 @@
 	}
 }
 
-// TestStallHoldsNewWork guards against new work, of any kind, between a stall of the process and the first answer of the
-// registry after it, once the lease time since the beginning of the stall has passed. Requests must be sent when the
-// answer comes. Without it, workers count as draining after two seconds, as in an outage.
+// TestStallHoldsNewWork guards against new work, of any kind, between a stall of the process and the first answer of
+// the registry after it, once the lease time since the beginning of the stall has passed. Requests must be sent when
+// the answer comes. Without it, workers count as draining after two seconds, as in an outage.
 func TestStallHoldsNewWork(t *testing.T) {
 	for _, answered := range []bool{true, false} {
 		h := newStartingHarness()
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -66,8 +66,9 @@
 // InFlight reports whether an attempt of the request has no outcome yet.
 func (r *Request) InFlight() bool { return r.target != nil }
 
-// SendBy returns the latest time at which the last attempt may be written to the connection: the expiry of the
-// worker's lease or, if it is earlier, the end of the window in which a duplicate is recognised; 0: no limit.
+// SendBy returns the latest time at which the last attempt may be written to the connection: the expiry of
+// the worker's lease or, if it is earlier, the end of the window in which a duplicate is recognised. 0: no
+// limit.
 func (r *Request) SendBy() time.Duration { return r.sendBy }
 
 // Reason returns why the request was rejected or failed, or NoReason.
@@ -94,8 +95,9 @@
 	return s.types[request.Type]
 }
 
-// RetryBy returns the latest time at which a worker may start the last attempt, if that is a retry of a request
-// with an idempotency key: the end of its deduplication window. 0: no limit, or the request can't have run yet.
+// RetryBy returns the latest time at which a worker may start the last attempt, if that is a retry of a
+// request with an idempotency key: the end of its deduplication window. 0: no limit, or the request can't
+// have run yet.
 func (r *Request) RetryBy() time.Duration {
 	if r.mayHaveRun == nil || r.typ.Effect != IdempotencyKey {
 		return 0
--- a/scheduler/tuning.go
+++ b/scheduler/tuning.go
@@ -213,8 +213,8 @@
 	// covers the transmission and stalls of the process that are too short to be detected.
 	leaseMarginShare = 0.2
 
-	// watchAnswerTimeout is the time after the start, or after a stall of the process, for which requests wait for
-	// an answer of the registry if no worker has a lease.
+	// watchAnswerTimeout is the time after the start, or after a stall of the process, for which requests wait
+	// for an answer of the registry if no worker has a lease.
 	watchAnswerTimeout = 2 * time.Second
 
 	// preparationStartShare: leases are prepared once this share of the time from the last renewal of the watch
--- a/scheduler/verify.go
+++ b/scheduler/verify.go
@@ -1,11 +1,6 @@
 package scheduler
 
-import (
-	"cmp"
-	"math"
-	"slices"
-	"time"
-)
+import "time"
 
 // LoadPurpose is the purpose of a load request.
 type LoadPurpose int
@@ -23,14 +18,6 @@
 	QueryReplicas
 )
 
-// leaseCandidate is a worker whose lease is renewed even without traffic, and the function that the
-// verification names.
-type leaseCandidate struct {
-	worker   *worker
-	function *function
-	usage    int64 // arrivals of the functions with replicas at the worker
-}
-
 // renewLeases renews the leases of workers while the registry is unreachable, and returns the time at which
 // it must be called again.
 func (s *Scheduler) renewLeases(now time.Duration, due *TickResult) (wake time.Duration) {
@@ -41,7 +28,7 @@
 		return start
 	}
 	nextCheck := now + max(fractionOf(renewalCheckShare, s.leaseTime), s.minTickInterval)
-	if s.watchRenewed && s.awaitsWatchAnswer(now) { // a stall, not an outage: workers need not be verified
+	if s.watchRenewed && s.awaitsWatchAnswer(now) { // after a stall that is not in an outage
 		s.noLeases = false
 		return nextCheck
 	}
@@ -52,15 +39,7 @@
 	if now < s.watchLease+fractionOf(verificationStartShare, s.leaseTime) {
 		return nextCheck
 	}
-	if !s.watchExpiryRecorded && s.watchExpired(now) {
-		s.watchExpiryRecorded = true
-		s.recordLeaseEvent(LeaseEvent{Kind: WatchLeaseExpired, Leased: s.countLeasedWorkers(now)})
-	}
-	if now >= s.nextLeaseSelection {
-		s.selectLeaseCandidates(now)
-		s.nextLeaseSelection = now + s.leaseTime/2
-		s.leasedCount = s.countLeasedWorkers(now)
-	}
+	s.updateLeaseState(now)
 	s.noLeases = s.watchExpired(now) && s.queryTrust != queriesReliable && !s.anyLease(now) &&
 		!s.queryAllForTrust(now, due)
 	s.verifyProvisionalLeases(now, due)
@@ -71,70 +50,18 @@
 	return nextCheck
 }
 
-// selectLeaseCandidates chooses the workers whose leases are renewed without traffic: workers with a lease
-// first, then those with replicas of the most frequently called functions, as many as this gateway may verify
-// continuously.
-func (s *Scheduler) selectLeaseCandidates(now time.Duration) {
-	byWorker := map[*worker]*leaseCandidate{}
-	for _, f := range s.functions {
-		for _, replicas := range f.replicaSets {
-			if replicas.loaded == 0 || now > replicas.assumedUntil && replicas.inFlight == 0 {
-				continue
-			}
-			s.addLeaseCandidate(byWorker, f, replicas, now)
-		}
-	}
-	s.leaseCandidates = s.leaseCandidates[:0]
-	for _, candidate := range byWorker {
-		s.leaseCandidates = append(s.leaseCandidates, *candidate)
-	}
-	slices.SortFunc(s.leaseCandidates, func(a, b leaseCandidate) int {
-		return cmp.Or(
-			cmp.Compare(s.leaseRank(a.worker, now), s.leaseRank(b.worker, now)),
-			cmp.Compare(b.usage, a.usage),
-			cmp.Compare(a.worker.Worker, b.worker.Worker))
-	})
-	s.leaseCandidates = s.leaseCandidates[:min(s.maxLeaseCandidates(now), len(s.leaseCandidates))]
-}
-
-// leaseRank returns the rank of a worker among those whose leases may be renewed, the lowest first: workers
-// with a lease, and of those the ones that have not rejected work since they last accepted some.
-func (s *Scheduler) leaseRank(w *worker, now time.Duration) int {
-	rank := 0
-	if !s.hasLease(w, now) {
-		rank += 2
-	}
-	if w.lease.rejectedAt > 0 {
-		rank++
-	}
-	return rank
-}
-
-// maxLeaseCandidates returns the number of workers that this gateway may verify continuously.
-func (s *Scheduler) maxLeaseCandidates(now time.Duration) int {
-	if s.loadsAreLimited() {
-		return max(1, s.leasesWithinLoadLimit(now))
+// updateLeaseState records the expiry of the watch lease, and selects from time to time the workers that are
+// verified.
+func (s *Scheduler) updateLeaseState(now time.Duration) {
+	if !s.watchExpiryRecorded && s.watchExpired(now) {
+		s.watchExpiryRecorded = true
+		s.recordLeaseEvent(LeaseEvent{Kind: WatchLeaseExpired, Leased: s.countLeasedWorkers(now)})
 	}
-	return max(minLeaseCandidates, int(s.verificationRate()*s.renewalInterval().Seconds()))
-}
-
-// leasesWithinLoadLimit returns the number of leases that can be renewed within the rate limit of load
-// requests, if the requests arrive as a Poisson process and are spread evenly over the workers with a lease:
-// only a worker that receives none for the renewal interval has to be verified.
-func (s *Scheduler) leasesWithinLoadLimit(now time.Duration) int {
-	window, interval := s.loadPolicy.RateWindow.Seconds(), s.renewalInterval().Seconds()
-	rate := min(s.verificationLimit(now)/window, s.verificationRate())
-	arrivalRate := s.submitted.LowerSum(now) / window
-	for leases := 1; leases <= s.members.Len(); leases++ {
-		needed := float64(leases) / interval
-		if arrivalRate > 0 {
-			needed = arrivalRate / math.Expm1(arrivalRate/float64(leases)*interval)
-		}
-		if needed > rate {
-			return leases - 1
-		}
+	if now >= s.nextLeaseSelection {
+		s.selectLeaseCandidates(now)
+		s.nextLeaseSelection = now + s.leaseTime/2
+		s.leasedCount = s.countLeasedWorkers(now)
 	}
-	return s.members.Len()
 }
 
 // renewalInterval returns the time after which a lease is renewed by a verification. Under a rate limit of
@@ -146,27 +73,6 @@
 	return fractionOf(renewalShare, s.leaseTime)
 }
 
-// addLeaseCandidate adds a function's arrivals to the usage of a worker with replicas of it. The verification
-// names the function whose replicas were confirmed last: they are the most likely to be loaded still.
-func (s *Scheduler) addLeaseCandidate(
-	byWorker map[*worker]*leaseCandidate, f *function, replicas *replicaSet, now time.Duration,
-) {
-	w := replicas.worker
-	if !w.acceptsNewWork() || now < w.ejectedUntil {
-		return
-	}
-	candidate := byWorker[w]
-	if candidate == nil {
-		candidate = &leaseCandidate{worker: w, function: f}
-		byWorker[w] = candidate
-	}
-	candidate.usage += 1 + int64(f.arrivals.UpperSum(now)) // integers: the sum is independent of map order
-	assumedUntil, currentUntil := replicas.assumedUntil, candidate.function.replicaSetAt(w).assumedUntil
-	if assumedUntil > currentUntil || assumedUntil == currentUntil && f.id < candidate.function.id {
-		candidate.function = f
-	}
-}
-
 // verificationRate returns the number of verifications per second, and likewise of replica queries, that this
 // gateway may send.
 func (s *Scheduler) verificationRate() float64 {
@@ -242,21 +148,6 @@
 	return true
 }
 
-// leasedWorkerFor returns a candidate with a lease that may be asked to load a function, or nil.
-func (s *Scheduler) leasedWorkerFor(f *function, now time.Duration) *worker {
-	accepting := s.preferredBuffer[:0]
-	for _, candidate := range s.leaseCandidates {
-		if s.acceptsLoad(candidate.worker, f, now) {
-			accepting = append(accepting, candidate.worker)
-		}
-	}
-	s.preferredBuffer = accepting
-	if len(accepting) == 0 {
-		return nil
-	}
-	return s.firstByRendezvous(accepting, f)
-}
-
 // verificationCompleted handles the result of a verification that was sent at sentAt. If a worker rejects a
 // replica that it has loaded, the lease of its accepted work ends, and the next Tick queries it: its answer
 // shows whether replica queries are reliable.
