discovery: a stall that follows another before an answer ends the lease too

A poll from before a stall that fails after it could restore the lease too, and a restored lease ignored a change of the service's address.

Now every stall counts until an answer comes; the lease to be restored is that before the first of them. A failed poll restores it only if it was sent after the stall, and a change of address bounds it. The log of a failing poll states the restored lease. The failing poll and the address are not tested by themselves.

--- a/internal/gateway/discovery/lease.go
+++ b/internal/gateway/discovery/lease.go
@@ -59,14 +59,17 @@
 func (w *Watcher) Stalled(since time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	failing := !w.failingSince.IsZero() && w.failingSince.Before(since)
-	overdue := since.Sub(w.answeredAt) > w.limits.PollWait+w.limits.UsualResponse
-	if failing || overdue || !since.Before(w.leaseExpires) {
-		return
+	if w.leaseBeforeStall.IsZero() {
+		failing := !w.failingSince.IsZero() && w.failingSince.Before(since)
+		overdue := since.Sub(w.answeredAt) > w.limits.PollWait+w.limits.UsualResponse
+		if failing || overdue || !since.Before(w.leaseExpires) {
+			return
+		}
+		w.leaseBeforeStall = w.leaseExpires
+		w.confirmed = false
+		w.setLeaseLocked(since)
 	}
-	w.stalledSince, w.heldLease = since, w.leaseExpires
-	w.confirmed = false
-	w.setLeaseLocked(since)
+	w.stalledSince = since
 	if stall.BeganBefore(w.polledAt, since) {
 		w.repollLocked()
 	}
@@ -81,11 +84,11 @@
 
 // restoreLeaseLocked restores the lease that a stall has ended, unless it has been renewed. The caller must hold w.mu.
 func (w *Watcher) restoreLeaseLocked() {
-	if w.heldLease.IsZero() {
+	if w.leaseBeforeStall.IsZero() {
 		return
 	}
-	w.setLeaseLocked(w.heldLease)
-	w.heldLease = time.Time{}
+	w.setLeaseLocked(w.leaseBeforeStall)
+	w.leaseBeforeStall = time.Time{}
 }
 
 // lastAnswer returns the time at which the last batch was applied.
@@ -120,7 +123,7 @@
 	}
 	expired := time.Since(w.leaseExpires)
 	w.answered++
-	w.completeAt, w.confirmed, w.heldLease = sentAt, true, time.Time{}
+	w.completeAt, w.confirmed, w.leaseBeforeStall = sentAt, true, time.Time{}
 	w.setLeaseLocked(sentAt.Add(w.limits.DeliveryBound))
 	position, failingSince := w.position, w.failingSince
 	w.failingSince = time.Time{}
@@ -139,11 +142,13 @@
 	}
 	w.mu.Lock()
 	w.failed++
+	if !stall.BeganBefore(w.polledAt, w.stalledSince) {
+		w.restoreLeaseLocked()
+	}
 	position, expires, first := w.position, w.leaseExpires, w.failingSince.IsZero()
 	if first {
 		w.failingSince = time.Now()
 	}
-	w.restoreLeaseLocked()
 	w.mu.Unlock()
 	if first {
 		w.log.Warn("discovery unreachable", "position", position, "list_expires_in", time.Until(expires), "err", err)
--- a/internal/gateway/discovery/lease_test.go
+++ b/internal/gateway/discovery/lease_test.go
@@ -266,3 +266,37 @@
 		t.Error("the lease was changed by a stall in an outage")
 	}
 }
+
+// TestStallAfterStallEndsLease guards against a lease that is renewed after a second stall by the answer to a poll from
+// between the two, or restored because the time for that answer is over: neither shows what happened during the second
+// stall.
+func TestStallAfterStallEndsLease(t *testing.T) {
+	const pause = 250 * time.Millisecond
+	var paused atomic.Bool
+	release := make(chan struct{})
+	watcher, leases := leasedWatcher(t, func(w http.ResponseWriter, r *http.Request) {
+		wait, err := strconv.Atoi(r.URL.Query().Get("max_wait"))
+		if err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Duration(wait) * time.Millisecond)
+		if paused.Load() {
+			<-release
+		}
+		fmt.Fprint(w, `{"pos":1,"entries":[]}`)
+	})
+	leases.awaitAfter(t, time.Now())
+	paused.Store(true)
+	first := time.Now()
+	time.Sleep(pause)
+	watcher.Stalled(first) // polls again; the answer is withheld
+	second := time.Now()
+	time.Sleep(pause)
+	resumed := time.Now()
+	watcher.Stalled(second)
+	paused.Store(false)
+	close(release)
+	if sentAt := leases.awaitAfter(t, resumed).Add(-leaseLimits.DeliveryBound); sentAt.Before(resumed) {
+		t.Errorf("the lease is as of %v before the end of the second stall", resumed.Sub(sentAt))
+	}
+}
--- a/internal/gateway/discovery/watcher.go
+++ b/internal/gateway/discovery/watcher.go
@@ -94,15 +94,16 @@
 	polledAt     time.Time          // time at which the last poll was sent
 	answeredAt   time.Time          // time at which the last batch was applied
 	failingSince time.Time          // time since which polls have failed; zero if they are not failing
-	stalledSince time.Time          // beginning of the latest stall of the process that the lease ended with
-	heldLease    time.Time          // expiry time of the lease before that stall; zero if it is renewed or restored
+	stalledSince time.Time          // beginning of the latest stall of the process that concerned the lease
 	position     int64              // position of the last event that was passed to notify
 	cancelPolls  context.CancelFunc // cancels the polls of the current round
 	completeAt   time.Time          // time at which the list was last known to be complete
 	confirmed    bool               // whether an answer from the current address has renewed the lease
 	leaseExpires time.Time          // expiry time of the list's lease
-	answered     int64              // number of polls whose answer renewed the lease
-	failed       int64              // number of poll rounds that ended with an error, except by a change of address
+	// leaseBeforeStall is the expiry time of the lease that a stall has ended; zero if it was renewed or restored.
+	leaseBeforeStall time.Time
+	answered         int64 // number of polls whose answer renewed the lease
+	failed           int64 // number of poll rounds that ended with an error, except by a change of address
 }
 
 // cursor is the address of the service and the position after which it is polled.
@@ -143,9 +144,13 @@
 	defer w.mu.Unlock()
 	w.addr = addr
 	w.confirmed = false
-	if moved := time.Now().Add(w.limits.AddressChangeBound); moved.Before(w.leaseExpires) {
+	moved := time.Now().Add(w.limits.AddressChangeBound)
+	if moved.Before(w.leaseExpires) {
 		w.setLeaseLocked(moved)
 	}
+	if moved.Before(w.leaseBeforeStall) {
+		w.leaseBeforeStall = moved
+	}
 	w.repollLocked()
 }
 
