gateway: waiting messages, refusals by reason, stalls and memory in status and metrics

What was missing to tell the causes of late answers and growing memory in a flood apart: how many messages wait for the event loop and how old the oldest is, why messages were refused before the event loop saw them, how often the process was taken to have stalled, and what memory is used for.

--- a/internal/gateway/eventloop.go
+++ b/internal/gateway/eventloop.go
@@ -158,6 +158,7 @@
 		return
 	}
 	l.latestStall = since
+	l.stats.Stalls.Add(1)
 	before := l.watchLease.Load()
 	l.onStall(since)
 	if lease := l.watchLease.Load(); lease != before {
--- a/internal/gateway/platform/dispatch.go
+++ b/internal/gateway/platform/dispatch.go
@@ -14,6 +14,7 @@
 func (g *Gateway) handle(conn *thrift.Conn, message thrift.Message) {
 	args, err := thrift.ReadArgs(message.Args)
 	reject := func(code thrift.ExceptionCode, reason string) {
+		g.refusalCounts[ofException(code)].Add(1)
 		conn.Send(thrift.EncodeException(message.Name, message.SeqID, code, reason))
 		conn.Close()
 	}
@@ -51,20 +52,22 @@
 		reject(thrift.BadSequenceID, "a number that is not new, or too many requests at a time")
 		return
 	}
-	invalid := func(reason string) {
+	invalid := func(refusal refusal, reason string) {
+		g.refusalCounts[refusal].Add(1)
 		conn.Reply(seqID, thrift.EncodeException(methodDispatch, seqID, thrift.InternalError, reason))
 	}
 	if err != nil {
-		invalid(err.Error())
+		invalid(invalidRequest, err.Error())
 		return
 	}
 	if !g.recentIDs.add(decoded.numericID, time.Now()) { // each request has a unique ID, even a client's retry
-		invalid("an event of this id came before")
+		invalid(repeatedID, "an event of this id came before")
 		return
 	}
 	size := int64(len(decoded.body)) + 1
 	if g.bodyBytes.Add(size) > g.config.Memory/bodyMemoryDivisor {
 		g.bodyBytes.Add(-size)
+		g.refusalCounts[noMemory].Add(1)
 		conn.Reply(seqID, encodeException(seqID, resultThrottled))
 		return
 	}
--- a/internal/gateway/platform/metrics.go
+++ b/internal/gateway/platform/metrics.go
@@ -32,6 +32,7 @@
 	c.collectRequests(sink, s, stats)
 	c.collectTraffic(sink, s, stats)
 	c.collectConnections(sink, s)
+	c.collectLoad(sink, s, stats)
 	collectFleet(sink, s)
 }
 
@@ -86,6 +87,29 @@
 	sink.counter("log_lines_dropped_total", "Log lines that found no reader.", s.LogLinesDropped)
 }
 
+// collectLoad sends the metrics of what waits in the process, of what was refused and of memory.
+func (c collector) collectLoad(sink metricSink, s status, stats *gateway.Stats) {
+	for reason := range c.gateway.refusalCounts {
+		sink.counter("messages_refused_total", "Clients' messages that were refused when they were read, by reason.",
+			c.gateway.refusalCounts[reason].Load(), "reason", refusal(reason).String())
+	}
+	sink.counter("stalls_total", "Periods in which the process did not run.", stats.Stalls.Load())
+	sink.gauge("event_loop_messages", "Messages that wait for the event loop.", int64(s.Mailbox.Length))
+	sink.gauge("event_loop_messages_peak", "Largest number of waiting messages since the start.",
+		int64(s.Mailbox.PeakLength))
+	sink.gauge("event_loop_delay_milliseconds", "Time since the oldest waiting message was put.",
+		s.Mailbox.Age.Milliseconds())
+	sink.gauge("event_loop_delay_peak_milliseconds", "Longest wait of a message since the start.",
+		s.Mailbox.PeakAge.Milliseconds())
+	const help = "Memory by purpose."
+	sink.labelledGauge("memory_bytes", help, s.Memory.Resident, "purpose", "resident")
+	sink.labelledGauge("memory_bytes", help, s.Memory.PeakResident, "purpose", "resident_peak")
+	sink.labelledGauge("memory_bytes", help, s.Memory.Heap, "purpose", "heap")
+	sink.labelledGauge("memory_bytes", help, s.Memory.Stacks, "purpose", "stacks")
+	sink.labelledGauge("memory_bytes", help, s.Memory.Bodies, "purpose", "bodies")
+	sink.labelledGauge("memory_bytes", help, s.Memory.Answers, "purpose", "answers")
+}
+
 func collectFleet(sink metricSink, s status) {
 	sink.gauge("leases_needed", "1 while workers need leases of their own.", boolGauge(s.Fleet.WatchExpired))
 	sink.gauge("workers_leased", "Workers with a lease while they need one.", int64(s.Fleet.Leased))
@@ -126,6 +150,11 @@
 
 func (s metricSink) gauge(name, help string, n int64) { s.send(prometheus.GaugeValue, name, help, n) }
 
+// labelledGauge sends a gauge with labels, which are alternating names and values.
+func (s metricSink) labelledGauge(name, help string, n int64, labels ...string) {
+	s.send(prometheus.GaugeValue, name, help, n, labels...)
+}
+
 func (s metricSink) send(kind prometheus.ValueType, name, help string, n int64, labels ...string) {
 	var names, values []string
 	for i := 0; i+1 < len(labels); i += 2 {
--- a/internal/gateway/platform/status.go
+++ b/internal/gateway/platform/status.go
@@ -27,6 +27,8 @@
 	EndpointPosition   int64
 	Freshness          discovery.Freshness // age of the endpoint list and results of its polls
 	LogLinesDropped    int64
+	Mailbox            gateway.MailboxState
+	Memory             memoryUse
 }
 
 // statusTimeout is how long status waits for the event loop to provide its counts.
@@ -45,6 +47,8 @@
 		UnmatchedResponses: g.transport.pool.UnmatchedResponses(),
 		EndpointPosition:   g.watcher.Position(),
 		Freshness:          g.watcher.Freshness(),
+		Mailbox:            g.MailboxState(),
+		Memory:             g.memoryUse(),
 	}
 	if g.droppedLogLines != nil {
 		s.LogLinesDropped = g.droppedLogLines()
@@ -59,12 +63,17 @@
 		level = slog.LevelError
 	}
 	s, stats := g.status(), g.Stats()
-	closed, unserved := map[string]int64{}, map[string]int64{}
+	closed, unserved, refused := map[string]int64{}, map[string]int64{}, map[string]int64{}
 	for reason := range g.closeCounts {
 		if n := g.closeCounts[reason].Load(); n > 0 {
 			closed[thrift.CloseReason(reason).String()] = n
 		}
 	}
+	for reason := range g.refusalCounts {
+		if n := g.refusalCounts[reason].Load(); n > 0 {
+			refused[refusal(reason).String()] = n
+		}
+	}
 	for reason := range stats.Unserved {
 		if n := stats.Unserved[reason].Load(); n > 0 {
 			unserved[scheduler.Reason(reason).String()] = n
@@ -108,7 +117,14 @@
 		"withheld_lease", stats.WithheldLease.Load(),
 		"withheld_loads", stats.WithheldLoads.Load(),
 		"verifications", stats.Verifications.Load(),
-		"replica_queries", stats.ReplicaQueries.Load())
+		"replica_queries", stats.ReplicaQueries.Load(),
+		"refused", refused,
+		"stalls", stats.Stalls.Load(),
+		"messages_waiting", s.Mailbox.Length,
+		"messages_age", s.Mailbox.Age.Round(time.Millisecond),
+		"messages_peak", s.Mailbox.PeakLength,
+		"messages_age_peak", s.Mailbox.PeakAge.Round(time.Millisecond),
+		"memory", s.Memory)
 }
 
 // connectionClosed counts, logs and checks the close of a client connection.
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -30,6 +30,7 @@
 type Stats struct {
 	Retries              atomic.Int64 // attempts after the first attempt of a request
 	ReadAfterStall       atomic.Int64 // requests read right after a stall of the process
+	Stalls               atomic.Int64 // stalls of the process that the event loop has handled
 	WithheldDisconnected atomic.Int64 // attempts withheld because the client had disconnected
 	WithheldExpired      atomic.Int64 // attempts withheld because the deadline had passed
 	WithheldStalled      atomic.Int64 // attempts withheld because the process had stalled since the core's decision
@@ -45,6 +46,9 @@
 // Stats returns the event loop's counters, which are updated concurrently.
 func (l *EventLoop) Stats() *Stats { return &l.stats }
 
+// MailboxState returns the state of the messages that wait for the event loop.
+func (l *EventLoop) MailboxState() MailboxState { return l.mailbox.state() }
+
 // Monitor returns the monitor that counts violated invariants. It may be nil.
 func (l *EventLoop) Monitor() *invariant.Monitor { return l.monitor }
 
--- a/internal/gateway/thrift/conn.go
+++ b/internal/gateway/thrift/conn.go
@@ -22,6 +22,7 @@
 	writing         bool             // the writer is writing frames that it has taken from outbound
 	closing         bool             // the writer closes the connection once outbound is written
 	disconnected    bool             // the reader has ended
+	closed          bool             // the writer has ended
 	hasRequested    bool             // a complete message has been received
 	awaitingMessage bool             // the reader waits for the first byte of a message
 	messageBegan    time.Time        // when the reader last ended its wait for the first byte of a message
@@ -121,7 +122,7 @@
 
 // enqueue passes a frame to the writer. The caller must hold c.mu.
 func (c *Conn) enqueue(frame []byte) {
-	if c.disconnected || c.closing {
+	if c.disconnected || c.closing || c.closed {
 		return
 	}
 	limits := &c.server.limits
@@ -131,6 +132,7 @@
 		return
 	}
 	c.outbound = append(c.outbound, frame...)
+	c.server.unwritten.Add(int64(len(frame)))
 	c.wake()
 }
 
--- a/internal/gateway/thrift/conn_write.go
+++ b/internal/gateway/thrift/conn_write.go
@@ -18,13 +18,16 @@
 	close(c.done)
 	c.mu.Lock()
 	c.setCloseReason(ClientDisconnected)
+	unwritten += len(c.outbound)
+	c.outbound, c.closed = nil, true
 	event := CloseEvent{
 		Reason:         c.closeReason,
 		ClientAddr:     c.conn.RemoteAddr().String(),
 		OpenCalls:      max(c.openAtClose, len(c.calls)),
-		UnwrittenBytes: unwritten + len(c.outbound),
+		UnwrittenBytes: unwritten,
 		Duration:       time.Since(c.acceptedAt),
 	}
+	c.server.unwritten.Add(-int64(unwritten))
 	c.mu.Unlock()
 	c.server.notifyClosed(event)
 }
@@ -44,6 +47,7 @@
 		for len(outbound) > 0 { // in chunks, so that a client that reads slowly does not exceed the write timeout
 			n, err := c.writeChunk(outbound[:min(len(outbound), writeChunkBytes)])
 			outbound = outbound[n:]
+			c.server.unwritten.Add(-int64(n))
 			if err != nil {
 				return len(outbound)
 			}
--- a/internal/gateway/thrift/server.go
+++ b/internal/gateway/thrift/server.go
@@ -50,6 +50,7 @@
 	handle        func(*Conn, Message)
 	onClose       func(CloseEvent)
 	openCalls     atomic.Int64 // number of open calls on all connections
+	unwritten     atomic.Int64 // size of the answers on all connections that are not written
 	draining      atomic.Bool
 	closeWhenIdle atomic.Bool // see CloseWhenIdle
 
@@ -77,6 +78,9 @@
 // OpenCalls returns the number of calls without an answer.
 func (s *Server) OpenCalls() int64 { return s.openCalls.Load() }
 
+// UnwrittenBytes returns the size of the answers that are not written yet.
+func (s *Server) UnwrittenBytes() int64 { return s.unwritten.Load() }
+
 // Connections returns the number of connections.
 func (s *Server) Connections() int {
 	s.mu.Lock()
