--- a/cmd/lpctl/main.go
+++ b/cmd/lpctl/main.go
@@ -33,6 +33,7 @@
 	CostModel   costModelCmd   `cmd:"" help:"Measure the cost of the decision core at several sizes, and fit curves."`
 	Scale       scaleCmd       `cmd:"" help:"${scale_help}"`
 	Soak        soakCmd        `cmd:"" help:"${soak_help}"`
+	Flood       floodCmd       `cmd:"" help:"${flood_help}"`
 
 	ScaleChild scaleChildCmd `cmd:"" hidden:"" help:"Run one process of a scale run (started by scale itself)."`
 
@@ -50,6 +51,10 @@
 	"scale_help": "Run a fleet on loopback: real gateways, hollow gateways (which generate their requests themselves), " +
 		"emulated workers and a discovery service.",
 	"soak_help": "Run real gateways on loopback through overlapping faults, and check the rules on the sockets' traffic.",
+	"flood_help": "Flood one gateway on loopback, with a part of a core and a memory limit, and measure what usual clients " +
+		"are served meanwhile.",
+	"flood_kinds": "cancelled,unknown_names,repeated_id,health_checks,unread_answers,slow_writers,half_requests," +
+		"many_fields,closed_with_data,mixed",
 	"up_gateways_help": "Number of gateways; the first listens at front.listen of the settings, the others on the " +
 		"ports after it.",
 	"by_help": "With fleet, workers, gateways, functions and rate grow together, from today's fleet (size 0) to the " +
