--- a/internal/gateway/platform/dispatch.go
+++ b/internal/gateway/platform/dispatch.go
@@ -14,7 +14,7 @@
 func (g *Gateway) handle(conn *thrift.Conn, message thrift.Message) {
 	args, err := thrift.ReadArgs(message.Args)
 	reject := func(code thrift.ExceptionCode, reason string) {
-		g.refusalCounts[ofException(code)].Add(1)
+		g.countRefusal(conn, ofException(code))
 		conn.Send(thrift.EncodeException(message.Name, message.SeqID, code, reason))
 		conn.Close()
 	}
@@ -53,7 +53,7 @@
 		return
 	}
 	invalid := func(refusal refusal, reason string) {
-		g.refusalCounts[refusal].Add(1)
+		g.countRefusal(conn, refusal)
 		conn.Reply(seqID, thrift.EncodeException(methodDispatch, seqID, thrift.InternalError, reason))
 	}
 	if err != nil {
@@ -67,10 +67,17 @@
 	size := int64(len(decoded.body)) + 1
 	if g.bodyBytes.Add(size) > g.config.Memory/bodyMemoryDivisor {
 		g.bodyBytes.Add(-size)
-		g.refusalCounts[noMemory].Add(1)
+		g.countRefusal(conn, noMemory)
 		conn.Reply(seqID, encodeException(seqID, resultThrottled))
 		return
 	}
 	request.Done = func() { g.bodyBytes.Add(-size) }
+	request.ReadDelay = conn.Delay()
 	g.Submit(request)
 }
+
+// countRefusal counts a refused message, also to the account of its connection.
+func (g *Gateway) countRefusal(conn *thrift.Conn, reason refusal) {
+	g.refusalCounts[reason].Add(1)
+	conn.CountRefusal()
+}
--- a/internal/gateway/platform/gateway.go
+++ b/internal/gateway/platform/gateway.go
@@ -48,6 +48,7 @@
 	}
 	g.server = thrift.NewServer(listener, config.clientLimits(), g.handle)
 	g.server.OnClose(g.connectionClosed)
+	g.server.ObserveBacklog(func() time.Duration { return g.MailboxState().Age })
 	g.recentIDs = recentIDs{retention: longest, maxPerGeneration: int(config.Memory / bytesPerRecentID)}
 	return g
 }
@@ -63,6 +64,7 @@
 		IdleTimeout:      c.connIdleTimeout(),
 		WriteTimeout:     messageTimeoutDials * dial,
 		FinalReadTimeout: max(dial/finalReadDivisor, 1),
+		Cores:            c.Cores,
 	}
 }
 
--- a/internal/gateway/platform/metrics.go
+++ b/internal/gateway/platform/metrics.go
@@ -101,6 +101,10 @@
 		s.Mailbox.Age.Milliseconds())
 	sink.gauge("event_loop_delay_peak_milliseconds", "Longest wait of a message since the start.",
 		s.Mailbox.PeakAge.Milliseconds())
+	sink.gauge("connections_waiting", "Clients' connections that wait for their turn.", int64(s.Gate.Waiting))
+	sink.counter("turns_waited_total", "Waits of clients' connections for their turn.", s.Gate.Waits)
+	sink.gauge("turn_wait_peak_milliseconds", "Longest wait of a connection for its turn since the start.",
+		s.Gate.Longest.Milliseconds())
 	const help = "Memory by purpose."
 	sink.labelledGauge("memory_bytes", help, s.Memory.Resident, "purpose", "resident")
 	sink.labelledGauge("memory_bytes", help, s.Memory.PeakResident, "purpose", "resident_peak")
--- a/internal/gateway/platform/status.go
+++ b/internal/gateway/platform/status.go
@@ -28,6 +28,7 @@
 	Freshness          discovery.Freshness // age of the endpoint list and results of its polls
 	LogLinesDropped    int64
 	Mailbox            gateway.MailboxState
+	Gate               thrift.GateState
 	Memory             memoryUse
 }
 
@@ -48,6 +49,7 @@
 		EndpointPosition:   g.watcher.Position(),
 		Freshness:          g.watcher.Freshness(),
 		Mailbox:            g.MailboxState(),
+		Gate:               g.server.GateState(),
 		Memory:             g.memoryUse(),
 	}
 	if g.droppedLogLines != nil {
@@ -124,7 +126,10 @@
 		"messages_age", s.Mailbox.Age.Round(time.Millisecond),
 		"messages_peak", s.Mailbox.PeakLength,
 		"messages_age_peak", s.Mailbox.PeakAge.Round(time.Millisecond),
-		"memory", s.Memory)
+		"memory", s.Memory,
+		"turns_waiting", s.Gate.Waiting,
+		"turns_waited", s.Gate.Waits,
+		"turn_wait_peak", s.Gate.Longest.Round(time.Millisecond))
 }
 
 // connectionClosed counts, logs and checks the close of a client connection.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -17,6 +17,7 @@
 	Reply        func(invoke.Response) // called by the event loop with the final response; must not block
 	Done         func()                // called when the request is closed; may be nil
 	Body         []byte                // request body, unchanged from the client
+	ReadDelay    time.Duration         // time for which the request may have waited before it was handled
 	Call         invoke.Call           // the call of the invoke API, if the request came through it
 
 	submittedAt    time.Duration
@@ -45,13 +46,13 @@
 	readAt := l.Now()
 	lag := l.stall.Lag(time.Now())
 	if lag == 0 {
-		l.submit(request, readAt)
+		l.submit(request, readAt-request.ReadDelay)
 		return
 	}
 	// The process was stalled: part of the client's time has already passed, and a disconnect of the client may not have
 	// been read yet.
 	l.stats.ReadAfterStall.Add(1)
-	time.AfterFunc(stall.SettleTime, func() { l.submit(request, readAt-lag) })
+	time.AfterFunc(stall.SettleTime, func() { l.submit(request, readAt-max(lag, request.ReadDelay)) })
 }
 
 func (l *EventLoop) submit(request *Request, sentAt time.Duration) {
--- a/internal/gateway/thrift/conn.go
+++ b/internal/gateway/thrift/conn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"lupinpond/scheduler/ingress"
 )
 
 // Conn is a connection of a client.
@@ -15,6 +17,12 @@
 	done       chan struct{} // closed once the connection is closed
 	acceptedAt time.Time
 
+	// The fields below are only accessed by the reader.
+	flow        ingress.Flow
+	inTurn      bool      // the gate has let the connection pass
+	cost        float64   // cost of what has been read and handled in this turn
+	behindSince time.Time // since when unread data may have waited for turns of the connection; zero: none has
+
 	mu              sync.Mutex
 	calls           map[int32]func() // functions that cancel the open calls, by sequence ID
 	lastSeqID       int32            // highest sequence ID of all calls
--- a/internal/gateway/thrift/conn_read.go
+++ b/internal/gateway/thrift/conn_read.go
@@ -7,6 +7,8 @@
 	"io"
 	"os"
 	"time"
+
+	"lupinpond/scheduler/ingress"
 )
 
 // readBufferBytes is the size of the read buffer of a connection.
@@ -16,6 +18,7 @@
 func (c *Conn) readLoop() {
 	defer c.server.running.Done()
 	reason := c.readMessages()
+	c.endTurn()
 	c.mu.Lock()
 	c.setCloseReason(reason)
 	c.disconnected, c.closing = true, true
@@ -34,12 +37,16 @@
 
 // readMessages reads and handles messages until there is a reason to close the connection, and returns the reason.
 func (c *Conn) readMessages() CloseReason {
-	in := bufio.NewReaderSize(&c.peeker, readBufferBytes)
+	in := bufio.NewReaderSize(turnReader{c}, readBufferBytes)
 	for {
+		if in.Buffered() == 0 {
+			c.checkBehind()
+		}
 		frame, err := c.readFrame(in)
 		if err != nil {
 			return closeReasonOf(err)
 		}
+		c.cost += ingress.MessageCost
 		message, err := Parse(frame)
 		if err != nil {
 			c.Send(EncodeException("", 0, ProtocolError, err.Error()))
--- a/internal/gateway/thrift/server.go
+++ b/internal/gateway/thrift/server.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"lupinpond/scheduler/ingress"
 )
 
 // Limits protect a server from its clients.
@@ -32,6 +34,9 @@
 	// WriteTimeout is the maximum time for writing 16 KiB. A client that reads more slowly is disconnected.
 	WriteTimeout time.Duration
 
+	// Cores is the number of processor cores that the process may use.
+	Cores float64
+
 	// FinalReadTimeout is how long an idle connection is read from before it is closed, to receive a request that
 	// arrived while the process was stalled.
 	FinalReadTimeout time.Duration
@@ -53,6 +58,7 @@
 	unwritten     atomic.Int64 // size of the answers on all connections that are not written
 	draining      atomic.Bool
 	closeWhenIdle atomic.Bool // see CloseWhenIdle
+	gate          *gate
 
 	mu      sync.Mutex
 	conns   map[*Conn]bool
@@ -62,9 +68,17 @@
 // NewServer returns a server, which calls handle for each message of a connection, one after the other. handle must not
 // block.
 func NewServer(listener net.Listener, limits Limits, handle func(*Conn, Message)) *Server {
-	return &Server{listener: listener, limits: limits, handle: handle, conns: map[*Conn]bool{}}
+	controller := ingress.New(limits.Cores)
+	return &Server{listener: listener, limits: limits, handle: handle, conns: map[*Conn]bool{}, gate: newGate(controller)}
 }
 
+// ObserveBacklog makes the server call age for the age of the oldest piece of work that the handler has passed on and
+// that is not done. It must be called before Run.
+func (s *Server) ObserveBacklog(age func() time.Duration) { s.gate.backlog = age }
+
+// GateState returns how connections have waited until their messages were handled.
+func (s *Server) GateState() GateState { return s.gate.state() }
+
 // OnClose makes the server call notify when a connection is closed. It must be called before Run. notify must not
 // block.
 func (s *Server) OnClose(notify func(CloseEvent)) { s.onClose = notify }
@@ -92,6 +106,7 @@
 // once all requests are answered.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() {
+		s.gate.close()
 		s.listener.Close()
 		s.closeAll()
 	})
