--- a/internal/gateway/mailbox.go
+++ b/internal/gateway/mailbox.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// mailbox passes messages from any goroutine to the event loop. Its length is bounded by the number of requests in
-// flight and of calls to workers.
+// mailbox passes messages from any goroutine to the event loop. It holds at most two messages for each request that a
+// server has submitted and that is not done, and those of the calls to workers. Servers bound the number of these
+// requests: a connection stops reading while too many of its requests, cancelled ones included, are not done.
 type mailbox struct {
 	ready chan struct{} // holds a token when there may be messages
 
--- a/internal/gateway/platform/dispatch.go
+++ b/internal/gateway/platform/dispatch.go
@@ -71,9 +71,17 @@
 		conn.Reply(seqID, encodeException(seqID, resultThrottled))
 		return
 	}
-	request.Done = func() { g.bodyBytes.Add(-size) }
+	readAt := time.Now()
+	release := func() { g.bodyBytes.Add(-size) }
+	request.Done = func() {
+		release()
+		conn.Release()
+	}
 	request.ReadDelay = conn.Delay()
-	g.Submit(request)
+	conn.Stage(seqID, func() {
+		request.ReadDelay += time.Since(readAt)
+		g.Submit(request)
+	}, release)
 }
 
 // countRefusal counts a refused message, also to the account of its connection.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -22,6 +22,7 @@
 
 	submittedAt    time.Duration
 	disconnectedAt atomic.Int64      // time on the core's clock at which the client disconnected; 0 if it has not
+	accepted       atomic.Bool       // the event loop has taken the request from the mailbox
 	attempts       int               // number of attempts sent
 	inFlight       map[int]Canceller // attempts without an outcome, by attempt number
 	responseBody   []byte            // response body of the completed attempt
@@ -68,6 +69,7 @@
 // accept passes a request to the core, unless the client has already disconnected.
 func (l *EventLoop) accept(now time.Duration, request *Request) {
 	id := request.Scheduled.ID
+	request.accepted.Store(true)
 	if request.disconnectedAt.Load() != 0 {
 		l.counts.ClientsDisconnected++
 		request.done()
@@ -101,6 +103,9 @@
 // on no attempt of the request is sent, even if the event loop handles other messages first.
 func (l *EventLoop) ClientDisconnected(request *Request) {
 	request.disconnectedAt.CompareAndSwap(0, int64(l.Now()))
+	if !request.accepted.Load() {
+		return // accept has not looked at disconnectedAt yet
+	}
 	l.mailbox.put(func(now time.Duration) {
 		if l.requests[request.Scheduled.ID] != request {
 			return
--- a/internal/gateway/thrift/conn.go
+++ b/internal/gateway/thrift/conn.go
@@ -21,21 +21,26 @@
 	flow        ingress.Flow
 	inTurn      bool      // the gate has let the connection pass
 	cost        float64   // cost of what has been read and handled in this turn
+	nonBlocking bool      // reads return errWouldBlock instead of waiting
 	behindSince time.Time // since when unread data may have waited for turns of the connection; zero: none has
+	staged      []int32   // sequence IDs of the calls to be submitted
 
 	mu              sync.Mutex
-	calls           map[int32]func() // functions that cancel the open calls, by sequence ID
-	lastSeqID       int32            // highest sequence ID of all calls
-	outbound        []byte           // frames that the writer has not taken yet
-	writing         bool             // the writer is writing frames that it has taken from outbound
-	closing         bool             // the writer closes the connection once outbound is written
-	disconnected    bool             // the reader has ended
-	closed          bool             // the writer has ended
-	hasRequested    bool             // a complete message has been received
-	awaitingMessage bool             // the reader waits for the first byte of a message
-	messageBegan    time.Time        // when the reader last ended its wait for the first byte of a message
-	lastActivity    time.Time        // when a message was last received, or a call or the write of an answer last ended
-	evicting        bool             // the reader must close the connection, unless a request has been received
+	calls           map[int32]*openCall // by sequence ID
+	submitted       int                 // number of calls that were submitted and not released
+	stopped         bool                // the server closes the connection
+	released        *sync.Cond          // signals changes of submitted and the end of the connection
+	lastSeqID       int32               // highest sequence ID of all calls
+	outbound        []byte              // frames that the writer has not taken yet
+	writing         bool                // the writer is writing frames that it has taken from outbound
+	closing         bool                // the writer closes the connection once outbound is written
+	disconnected    bool                // the reader has ended
+	closed          bool                // the writer has ended
+	hasRequested    bool                // a complete message has been received
+	awaitingMessage bool                // the reader waits for the first byte of a message
+	messageBegan    time.Time           // when the reader last ended its wait for the first byte of a message
+	lastActivity    time.Time           // when a message was last received, or a call or the write of an answer last ended
+	evicting        bool                // the reader must close the connection, unless a request has been received
 	closeReason     CloseReason
 	closeReasonSet  bool
 	openAtClose     int // number of calls that were open when the reader ended
@@ -43,16 +48,35 @@
 
 func newConn(s *Server, conn net.Conn) *Conn {
 	now := time.Now()
-	return &Conn{
+	c := &Conn{
 		server:       s,
 		conn:         conn,
-		peeker:       peekConn{Conn: conn},
-		calls:        map[int32]func(){},
+		peeker:       newPeekConn(conn),
+		calls:        map[int32]*openCall{},
 		wakeup:       make(chan struct{}, 1),
 		done:         make(chan struct{}),
 		lastActivity: now,
 		acceptedAt:   now,
 	}
+	c.released = sync.NewCond(&c.mu)
+	return c
+}
+
+// openCall is a call without an answer.
+type openCall struct {
+	cancelled func() // called if the client cancels the call or disconnects after it was submitted
+	staged    bool   // the call is to be submitted
+	stagedAt  time.Time
+	submit    func() // submits the call
+	discard   func() // called instead of submit if the client cancels the call or disconnects first
+}
+
+// end returns the function to call when the client cancels the call or disconnects.
+func (c *openCall) end() func() {
+	if c.staged {
+		return c.discard
+	}
+	return c.cancelled
 }
 
 // BeginCall opens a call. The connection calls cancelled if the client cancels the call or disconnects. BeginCall
@@ -65,7 +89,7 @@
 		return false
 	}
 	c.lastSeqID = seqID
-	c.calls[seqID] = cancelled
+	c.calls[seqID] = &openCall{cancelled: cancelled}
 	c.server.openCalls.Add(1)
 	return true
 }
@@ -73,11 +97,11 @@
 // CancelCall ends a call that the client cancels. The call gets no answer.
 func (c *Conn) CancelCall(seqID int32) {
 	c.mu.Lock()
-	cancelled := c.calls[seqID]
+	call := c.calls[seqID]
 	c.endCall(seqID)
 	c.mu.Unlock()
-	if cancelled != nil {
-		cancelled()
+	if call != nil {
+		call.end()()
 	}
 }
 
--- a/internal/gateway/thrift/conn_read.go
+++ b/internal/gateway/thrift/conn_read.go
@@ -24,8 +24,8 @@
 	c.disconnected, c.closing = true, true
 	c.openAtClose = len(c.calls)
 	var cancelled []func()
-	for seqID, cancel := range c.calls {
-		cancelled = append(cancelled, cancel)
+	for seqID, call := range c.calls {
+		cancelled = append(cancelled, call.end())
 		c.endCall(seqID)
 	}
 	c.mu.Unlock()
@@ -39,9 +39,10 @@
 func (c *Conn) readMessages() CloseReason {
 	in := bufio.NewReaderSize(turnReader{c}, readBufferBytes)
 	for {
-		if in.Buffered() == 0 {
-			c.checkBehind()
+		if err := c.submitStaged(in); err != nil {
+			return closeReasonOf(err)
 		}
+		c.awaitRelease()
 		frame, err := c.readFrame(in)
 		if err != nil {
 			return closeReasonOf(err)
--- a/internal/gateway/thrift/conn_write.go
+++ b/internal/gateway/thrift/conn_write.go
@@ -20,6 +20,7 @@
 	c.setCloseReason(ClientDisconnected)
 	unwritten += len(c.outbound)
 	c.outbound, c.closed = nil, true
+	c.released.Signal()
 	event := CloseEvent{
 		Reason:         c.closeReason,
 		ClientAddr:     c.conn.RemoteAddr().String(),
--- a/internal/gateway/thrift/peek.go
+++ b/internal/gateway/thrift/peek.go
@@ -1,15 +1,31 @@
 package thrift
 
 import (
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
 )
 
+// errWouldBlock is the error of a read that does not block and finds no data.
+var errWouldBlock = errors.New("thrift: no data has arrived")
+
 // peekConn is a connection with a read that does not block.
 type peekConn struct {
 	net.Conn
-	peeked []byte // data that peek has read from the connection and Read has not returned yet
+	raw    syscall.RawConn // nil if the connection does not support a read that does not block
+	peeked []byte          // data that peek has read from the connection and Read has not returned yet
+}
+
+func newPeekConn(conn net.Conn) peekConn {
+	p := peekConn{Conn: conn}
+	if supported, ok := conn.(syscall.Conn); ok {
+		if raw, err := supported.SyscallConn(); err == nil {
+			p.raw = raw
+		}
+	}
+	return p
 }
 
 // Read returns the data that peek has read, then reads from the connection.
@@ -22,24 +38,41 @@
 	return p.Conn.Read(b)
 }
 
-// peek reads the data that has been received, without blocking, and reports whether there is any. It ignores the read
-// deadline, and clears it. It returns false if the connection does not support such a read.
-func (p *peekConn) peek() bool {
-	raw, ok := p.Conn.(syscall.Conn)
-	if !ok || p.SetReadDeadline(time.Time{}) != nil {
-		return false
+// readNow is like Read, but returns errWouldBlock if no data has been received. It ignores the read deadline, and clears
+// it. If the connection does not support such a read, it always returns errWouldBlock.
+func (p *peekConn) readNow(b []byte) (n int, err error) {
+	if len(p.peeked) > 0 {
+		return p.Read(b)
 	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
+	if p.raw == nil || p.SetReadDeadline(time.Time{}) != nil {
+		return 0, errWouldBlock
 	}
-	b := make([]byte, readBufferBytes)
-	n := 0
-	err = control.Read(func(fd uintptr) bool {
+	controlErr := p.raw.Read(func(fd uintptr) bool {
 		n, err = syscall.Read(int(fd), b)
 		return true
 	})
-	if err != nil || n <= 0 {
+	switch {
+	case controlErr != nil:
+		return 0, controlErr
+	case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+		return 0, errWouldBlock
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// peek reads the data that has been received, without blocking, and reports whether there is any. It ignores the read
+// deadline, and clears it. It returns false if the connection does not support such a read.
+func (p *peekConn) peek() bool {
+	if len(p.peeked) > 0 {
+		return true
+	}
+	b := make([]byte, readBufferBytes)
+	n, err := p.readNow(b)
+	if err != nil {
 		return false
 	}
 	p.peeked = b[:n]
--- a/internal/gateway/thrift/server.go
+++ b/internal/gateway/thrift/server.go
@@ -209,6 +209,8 @@
 	for c := range s.conns {
 		c.mu.Lock()
 		c.setCloseReason(ServerStopped)
+		c.stopped = true
+		c.released.Signal()
 		c.mu.Unlock()
 		c.conn.Close()
 	}
--- a/internal/gateway/thrift/turn.go
+++ b/internal/gateway/thrift/turn.go
@@ -14,7 +14,11 @@
 func (r turnReader) Read(b []byte) (int, error) {
 	c := r.conn
 	c.endTurn()
-	n, err := c.peeker.Read(b)
+	read := c.peeker.Read
+	if c.nonBlocking {
+		read = c.peeker.readNow
+	}
+	n, err := read(b)
 	if n == 0 {
 		return n, err
 	}
@@ -33,13 +37,6 @@
 	}
 }
 
-// checkBehind ends the time in which unread data may have waited, once there is none.
-func (c *Conn) checkBehind() {
-	if !c.behindSince.IsZero() && !c.peeker.peek() {
-		c.behindSince = time.Time{}
-	}
-}
-
 // Delay returns how long the message that is being handled may have waited for a turn of its connection. It must be
 // called by the server's handler.
 func (c *Conn) Delay() time.Duration {
--- a/scheduler/ingress/ingress.go
+++ b/scheduler/ingress/ingress.go
@@ -97,8 +97,11 @@
 	activeLast int   // flows charged in the period before
 }
 
-// New returns a Controller for a process that may use a number of processor cores.
+// New returns a Controller for a process that may use a number of processor cores; 0: one core.
 func New(cores float64) *Controller {
+	if !(cores > 0) {
+		cores = 1
+	}
 	return &Controller{utilization: targetUtilization * cores}
 }
 
