--- a/internal/gateway/platform/config.go
+++ b/internal/gateway/platform/config.go
@@ -127,6 +127,16 @@
 	return ages, longest
 }
 
+// idRetention returns how long the ID of a request must be known after its last use: until no client may send the
+// request again and no worker would recognise it.
+func (c Config) idRetention(longestMaxAge time.Duration) time.Duration {
+	retention := longestMaxAge
+	for _, t := range c.Core.Types {
+		retention = max(retention, t.DedupWindow)
+	}
+	return retention
+}
+
 // dialTimeout returns the timeout for connecting to a worker.
 func (c Config) dialTimeout() time.Duration {
 	return max(c.Settings.Duration("policy_limits.dial_timeout", defaultDialTimeout), time.Millisecond)
--- a/internal/gateway/platform/dispatch.go
+++ b/internal/gateway/platform/dispatch.go
@@ -60,28 +60,44 @@
 		invalid(invalidRequest, err.Error())
 		return
 	}
-	if !g.recentIDs.add(decoded.numericID, time.Now()) { // each request has a unique ID, even a client's retry
+	throttle := func() {
+		g.countRefusal(conn, noMemory)
+		conn.Reply(seqID, encodeException(seqID, resultThrottled))
+	}
+	readAt := time.Now()
+	switch g.recentIDs.add(decoded.numericID, readAt) { // each request has a unique ID, even a client's retry
+	case idKnown:
 		invalid(repeatedID, "an event of this id came before")
 		return
+	case idsFull:
+		throttle()
+		return
 	}
 	size := int64(len(decoded.body)) + 1
 	if g.bodyBytes.Add(size) > g.config.Memory/bodyMemoryDivisor {
 		g.bodyBytes.Add(-size)
-		g.countRefusal(conn, noMemory)
-		conn.Reply(seqID, encodeException(seqID, resultThrottled))
+		g.recentIDs.remove(decoded.numericID)
+		throttle()
 		return
 	}
-	readAt := time.Now()
-	release := func() { g.bodyBytes.Add(-size) }
+	discard := func() {
+		g.bodyBytes.Add(-size)
+		g.recentIDs.remove(decoded.numericID)
+	}
 	request.Done = func() {
-		release()
+		if request.WasSent() {
+			g.bodyBytes.Add(-size)
+			g.recentIDs.add(decoded.numericID, time.Now()) // its retention time begins again
+		} else {
+			discard()
+		}
 		conn.Release()
 	}
 	request.ReadDelay = conn.Delay()
 	conn.Stage(seqID, func() {
 		request.ReadDelay += time.Since(readAt)
 		g.Submit(request)
-	}, release)
+	}, discard)
 }
 
 // countRefusal counts a refused message, also to the account of its connection.
--- a/internal/gateway/platform/gateway.go
+++ b/internal/gateway/platform/gateway.go
@@ -49,7 +49,7 @@
 	g.server = thrift.NewServer(listener, config.clientLimits(), g.handle)
 	g.server.OnClose(g.connectionClosed)
 	g.server.ObserveBacklog(func() time.Duration { return g.MailboxState().Age })
-	g.recentIDs = recentIDs{retention: longest, maxPerGeneration: int(config.Memory / bytesPerRecentID)}
+	g.recentIDs = recentIDs{retention: config.idRetention(longest), maxPerGeneration: int(config.Memory / bytesPerRecentID)}
 	return g
 }
 
--- a/internal/gateway/platform/recentids.go
+++ b/internal/gateway/platform/recentids.go
@@ -5,9 +5,8 @@
 	"time"
 )
 
-// recentIDs is a set that keeps request IDs for at least the retention time, in two generations. It holds at most the
-// IDs added in twice that time. A generation that reaches maxPerGeneration is rotated early, which may drop the
-// previous one before its retention time is over.
+// recentIDs is a bounded set of the IDs of requests that are in hand or may have run. It keeps an ID for at least the
+// retention time after it was last added or looked up, in two generations.
 type recentIDs struct {
 	retention        time.Duration
 	maxPerGeneration int // maximum number of IDs in one generation
@@ -17,18 +16,48 @@
 	rotatedAt         time.Time
 }
 
-// add adds an ID and reports whether it was not in the set.
-func (r *recentIDs) add(id uint64, now time.Time) bool {
+// idState is the result of adding an ID to recentIDs.
+type idState int
+
+const (
+	idAdded idState = iota
+	idKnown         // it was in the set
+	idsFull         // the set holds as many IDs as it may, and their retention time is not over
+)
+
+// add adds an ID, unless it is in the set or the set is full.
+func (r *recentIDs) add(id uint64, now time.Time) idState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.current == nil || now.Sub(r.rotatedAt) > r.retention || len(r.current) >= r.maxPerGeneration {
+	if r.current == nil || now.Sub(r.rotatedAt) > r.retention {
 		r.previous, r.current, r.rotatedAt = r.current, map[uint64]struct{}{}, now
 	}
 	_, inCurrent := r.current[id]
 	_, inPrevious := r.previous[id]
-	if inCurrent || inPrevious {
-		return false
+	if !inCurrent && len(r.current) >= r.maxPerGeneration {
+		if inPrevious {
+			return idKnown
+		}
+		return idsFull
 	}
 	r.current[id] = struct{}{}
-	return true
+	if inCurrent || inPrevious {
+		return idKnown
+	}
+	return idAdded
+}
+
+// remove removes an ID whose request has not run.
+func (r *recentIDs) remove(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.current, id)
+	delete(r.previous, id)
+}
+
+// size returns the number of entries.
+func (r *recentIDs) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.current) + len(r.previous)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -29,6 +29,10 @@
 	checks         requestChecks
 }
 
+// WasSent reports whether an attempt of the request was sent to a worker, or may have been. It must only be called by
+// Done.
+func (r *Request) WasSent() bool { return r.attempts > 0 }
+
 // reject answers a request that is not accepted and releases it.
 func (r *Request) reject(response invoke.Response) {
 	r.Reply(response)
