--- a/internal/gateway/eventloop.go
+++ b/internal/gateway/eventloop.go
@@ -16,9 +16,6 @@
 	"lupinpond/scheduler"
 )
 
-// pauseThreshold is the delay of a timer beyond which the process is considered to have been paused.
-const pauseThreshold = 200 * time.Millisecond
-
 // pauseSettle is the time for which sockets are read after a pause of the process before the core handles timeouts.
 const pauseSettle = stall.SettleTime
 
@@ -116,18 +113,17 @@
 	defer l.timer.Stop()
 	close(l.started)
 	for {
-		var timerFired, late bool
+		timerFired := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-l.mailbox.ready:
 		case <-l.timer.C:
 			timerFired = true
-			late = time.Since(l.timerTimes[len(l.timerTimes)-1]) > pauseThreshold
 			l.dropFiredTimers()
 		}
 		l.handleStall()
-		if late || l.stall.Lag(time.Now()) > 0 {
+		if l.stall.Lag(time.Now()) > 0 {
 			// The process was paused: wait until the messages that arrived during the pause have been read from the
 			// sockets, before the core handles timeouts.
 			select {
--- a/internal/gateway/stall/stall.go
+++ b/internal/gateway/stall/stall.go
@@ -1,18 +1,24 @@
 // Package stall detects stalls: periods in which the process did not run because it was stopped by a signal or not
 // scheduled. Data that is read right after a stall may have waited in the kernel for as long as the stall.
+//
+// A goroutine that runs late is no evidence of a stall: the process may have been busy. It has stalled if it used
+// little processor time meanwhile.
 package stall
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"time"
+
+	"lupinpond/internal/base/cputime"
 )
 
 const (
 	// tickInterval is the time between two ticks.
 	tickInterval = 50 * time.Millisecond
 
-	// minStall is the time between two ticks above which the process is considered to have stalled.
+	// minStall is the time without processor time between two ticks above which the process is considered to have stalled.
 	minStall = 2 * tickInterval
 
 	// SettleTime is the time after the end of a stall within which the data that arrived during it is read.
@@ -21,10 +27,13 @@
 
 // Detector detects stalls while Run is active. It is safe for concurrent use.
 type Detector struct {
+	processorTime func() time.Duration // for tests; nil: cputime.Process
+
 	mu           sync.Mutex
-	lastTick     time.Time // zero while Run is not active
-	stalledSince time.Time // last tick before the latest stall
-	settledAt    time.Time // when data that arrived during the latest stall has been read
+	lastTick     time.Time     // zero while Run is not active
+	usedAtTick   time.Duration // processor time that the process had used at the last tick
+	stalledSince time.Time     // last tick before the latest stall
+	settledAt    time.Time     // when data that arrived during the latest stall has been read
 }
 
 // Run detects stalls until ctx is done. It always returns nil.
@@ -50,15 +59,30 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observeLocked(now)
-	d.lastTick = now
+	d.lastTick, d.usedAtTick = now, d.used()
 }
 
-// observeLocked records a stall if the last tick is more than minStall before now. d.mu must be held.
+// observeLocked records a stall if the process has not run for more than minStall since the last tick. d.mu must be
+// held.
 func (d *Detector) observeLocked(now time.Time) {
-	if !d.lastTick.IsZero() && now.Sub(d.lastTick) > minStall {
+	gap := now.Sub(d.lastTick)
+	if d.lastTick.IsZero() || gap <= minStall {
+		return
+	}
+	used := d.used()
+	busy := (used - d.usedAtTick) / time.Duration(runtime.GOMAXPROCS(0)) // goroutines run late only if all threads are busy
+	if gap-busy > minStall {
 		d.stalledSince, d.settledAt = d.lastTick, now.Add(SettleTime)
-		d.lastTick = now
+		d.lastTick, d.usedAtTick = now, used
+	}
+}
+
+// used returns the processor time that the process has used.
+func (d *Detector) used() time.Duration {
+	if d.processorTime != nil {
+		return d.processorTime()
 	}
+	return cputime.Process()
 }
 
 // Lag returns how long data that is read now may have waited because of a stall, or 0 if the process was running.
--- a/internal/gateway/stall/stall_test.go
+++ b/internal/gateway/stall/stall_test.go
@@ -1,6 +1,7 @@
 package stall
 
 import (
+	"runtime"
 	"testing"
 	"time"
 )
@@ -33,3 +34,31 @@
 		t.Error("EndedAfter is wrong for a stall that ended at 2000 ms")
 	}
 }
+
+// TestBusyProcessHasNotStalled guards against stalls of a process that ran all the time, or for most of the time as with
+// a quota of processor time, but whose goroutines had to wait for each other.
+func TestBusyProcessHasNotStalled(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		gap, used time.Duration
+		stalled   bool
+	}{
+		{"busy all the time", time.Second, time.Second, false},
+		{"a quota, stopped for 60 ms", 150 * time.Millisecond, 90 * time.Millisecond, false},
+		{"a quota, stopped for 80 ms", 120 * time.Millisecond, 40 * time.Millisecond, false},
+		{"stopped", 150 * time.Millisecond, 0, true},
+		{"busy, then stopped for 120 ms", 200 * time.Millisecond, 80 * time.Millisecond, true},
+	} {
+		used, start := time.Duration(0), time.Now()
+		d := Detector{processorTime: func() time.Duration { return used }}
+		d.observe(start)
+		used += test.used * time.Duration(runtime.GOMAXPROCS(0))
+		if stalled := d.Lag(start.Add(test.gap)) > 0; stalled != test.stalled {
+			t.Errorf("%s: stalled %v, want %v", test.name, stalled, test.stalled)
+		}
+		d.observe(start.Add(test.gap))
+		if stalled := !d.StalledSince(start.Add(test.gap)).IsZero(); stalled != test.stalled {
+			t.Errorf("%s: stalled at the tick %v, want %v", test.name, stalled, test.stalled)
+		}
+	}
+}
