--- a/cmd/gateway/flood_test.go
+++ b/cmd/gateway/flood_test.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// TestUsualClientsServedBesideManyConnections guards against memory over its limit, and against late answers and refused
+// usual clients, while hundreds of connections write slowly, stop half way, send requests with very many fields, do not
+// read their answers, or are closed with much unread.
+func TestUsualClientsServedBesideManyConnections(t *testing.T) {
+	program := buildGateway(t)
+	for i, crowd := range []struct {
+		kind        flood.Kind
+		connections int
+		statedCores float64
+	}{
+		{flood.MixedConnection, 480, 0},
+		{flood.SlowWriters, 480, 0},
+		{flood.ClosedWithData, 100, 0},
+		{flood.Cancelled, 8, 1},
+	} {
+		t.Run(string(crowd.kind), func(t *testing.T) {
+			scenario := flood.Scenario{Program: program, Kind: crowd.kind, Connections: crowd.connections, Cores: 0.4,
+				StatedCores: crowd.statedCores, MemoryMB: 32, Seed: uint64(i)}
+			checkFlood(t, scenario, playFlood(t, scenario))
+		})
+	}
+}
+
 // TestRepeatedIDRunsOnce guards against a second effect of an at-most-once request whose ID is sent again and again.
 func TestRepeatedIDRunsOnce(t *testing.T) {
 	scenario := flood.Scenario{Program: buildGateway(t), Kind: flood.RepeatedID, Connections: 1, Effect: "side_effect",
--- a/internal/gateway/platform/dispatch.go
+++ b/internal/gateway/platform/dispatch.go
@@ -22,7 +22,7 @@
 	case err != nil:
 		reject(thrift.ProtocolError, err.Error())
 	case message.Name == methodDispatch && message.Type == thrift.Call:
-		g.dispatch(conn, message.SeqID, args, reject)
+		g.dispatch(conn, message, args, reject)
 	case message.Name == methodCancel && (message.Type == thrift.Oneway || message.Type == thrift.Call):
 		conn.CancelCall(args.Ints[1])
 	case message.Name == methodAlive && message.Type == thrift.Call:
@@ -34,8 +34,9 @@
 
 // dispatch submits a client's request to the event loop. It answers the request immediately if it is invalid or if its
 // body would exceed the memory for the bodies of requests in flight.
-func (g *Gateway) dispatch(conn *thrift.Conn, seqID int32, args thrift.Args,
+func (g *Gateway) dispatch(conn *thrift.Conn, message thrift.Message, args thrift.Args,
 	reject func(thrift.ExceptionCode, string)) {
+	seqID := message.SeqID
 	decoded, err := g.decoder.decode(args)
 	if err != nil {
 		decoded = clientRequest{scheduled: &scheduler.Request{}}
@@ -73,20 +74,19 @@
 		throttle()
 		return
 	}
-	size := int64(len(decoded.body)) + 1
-	if g.bodyBytes.Add(size) > g.config.Memory/bodyMemoryDivisor {
-		g.bodyBytes.Add(-size)
+	size := memoryPerRequest + len(message.Args) // the body refers to the message
+	if !conn.HoldMemory(size) {
 		g.recentIDs.remove(decoded.numericID)
 		throttle()
 		return
 	}
 	discard := func() {
-		g.bodyBytes.Add(-size)
+		conn.ReleaseMemory(size)
 		g.recentIDs.remove(decoded.numericID)
 	}
 	request.Done = func() {
 		if request.WasSent() {
-			g.bodyBytes.Add(-size)
+			conn.ReleaseMemory(size)
 			g.recentIDs.add(decoded.numericID, time.Now()) // its retention time begins again
 		} else {
 			discard()
--- a/internal/gateway/platform/gateway.go
+++ b/internal/gateway/platform/gateway.go
@@ -25,8 +25,7 @@
 	longestMaxAge   time.Duration
 	listener        net.Listener
 	server          *thrift.Server
-	bodyBytes       atomic.Int64 // total size of the bodies of requests in flight
-	draining        atomic.Bool  // the gateway is draining and reports to clients that it is not ready
+	draining        atomic.Bool // the gateway is draining and reports to clients that it is not ready
 	recentIDs       recentIDs
 	closeCounts     closeCounts
 	refusalCounts   refusalCounts
@@ -65,6 +64,10 @@
 		WriteTimeout:     messageTimeoutDials * dial,
 		FinalReadTimeout: max(dial/finalReadDivisor, 1),
 		Cores:            c.Cores,
+
+		MaxPartialBytes:   c.Memory / partialMemoryDivisor,
+		MaxCallBytes:      c.Memory / requestMemoryDivisor,
+		MaxUnwrittenBytes: c.Memory / answerMemoryDivisor,
 	}
 }
 
--- a/internal/gateway/platform/limits.go
+++ b/internal/gateway/platform/limits.go
@@ -27,8 +27,18 @@
 
 // Memory: divisors of the platform's memory limit in bytes, by purpose.
 const (
-	// bodyMemoryDivisor limits the bodies of all requests in flight to 1/8 of the memory limit.
-	bodyMemoryDivisor = 8
+	// requestMemoryDivisor limits all requests in hand to 1/8 of the memory limit.
+	requestMemoryDivisor = 8
+
+	// memoryPerRequest is the memory of a request without its message, in bytes.
+	memoryPerRequest = 2 << 10
+
+	// partialMemoryDivisor limits the messages that have been received in part to 1/32 of the memory limit.
+	partialMemoryDivisor = 32
+
+	// answerMemoryDivisor limits the answers that are not written to 1/16 of the memory limit; beyond that, clients are
+	// disconnected that do not read theirs.
+	answerMemoryDivisor = 16
 
 	// discoveryMemoryDivisor limits one answer of the discovery service to 1/16 of the memory limit.
 	discoveryMemoryDivisor = 16
--- a/internal/gateway/platform/memory.go
+++ b/internal/gateway/platform/memory.go
@@ -18,8 +18,9 @@
 	PeakResident int64 // largest Resident since the start; 0 if the system does not tell it
 	Heap         int64 // objects on the heap, those not yet collected included
 	Stacks       int64 // stacks of goroutines
-	Bodies       int64 // bodies of requests in flight
+	Requests     int64 // requests in hand
 	Answers      int64 // answers that are not written yet
+	Partial      int64 // messages that have been received in part
 }
 
 // memoryUse returns the present use of memory.
@@ -27,10 +28,11 @@
 	samples := []metrics.Sample{{Name: heapMetric}, {Name: stacksMetric}}
 	metrics.Read(samples)
 	use := memoryUse{
-		Heap:    uint64Value(samples[0]),
-		Stacks:  uint64Value(samples[1]),
-		Bodies:  g.bodyBytes.Load(),
-		Answers: g.server.UnwrittenBytes(),
+		Heap:     uint64Value(samples[0]),
+		Stacks:   uint64Value(samples[1]),
+		Requests: g.server.CallBytes(),
+		Answers:  g.server.UnwrittenBytes(),
+		Partial:  g.server.PartialBytes(),
 	}
 	if process, err := procfs.Self(); err == nil {
 		if status, err := process.NewStatus(); err == nil {
--- a/internal/gateway/platform/metrics.go
+++ b/internal/gateway/platform/metrics.go
@@ -110,7 +110,8 @@
 	sink.labelledGauge("memory_bytes", help, s.Memory.PeakResident, "purpose", "resident_peak")
 	sink.labelledGauge("memory_bytes", help, s.Memory.Heap, "purpose", "heap")
 	sink.labelledGauge("memory_bytes", help, s.Memory.Stacks, "purpose", "stacks")
-	sink.labelledGauge("memory_bytes", help, s.Memory.Bodies, "purpose", "bodies")
+	sink.labelledGauge("memory_bytes", help, s.Memory.Requests, "purpose", "requests")
+	sink.labelledGauge("memory_bytes", help, s.Memory.Partial, "purpose", "partial_messages")
 	sink.labelledGauge("memory_bytes", help, s.Memory.Answers, "purpose", "answers")
 }
 
--- /dev/null
+++ b/internal/gateway/thrift/budget.go
@@ -0,0 +1,33 @@
+package thrift
+
+import (
+	"sync"
+
+	"lupinpond/scheduler/ingress"
+)
+
+// budget is an ingress.Budget that is safe for concurrent use.
+type budget struct {
+	mu     sync.Mutex
+	budget *ingress.Budget
+}
+
+func newBudget(limit int64) *budget { return &budget{budget: ingress.NewBudget(limit)} }
+
+func (b *budget) hold(account *ingress.Account, bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Hold(account, int64(bytes))
+}
+
+func (b *budget) release(account *ingress.Account, bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Release(account, int64(bytes))
+}
+
+func (b *budget) held() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Held()
+}
--- a/internal/gateway/thrift/close.go
+++ b/internal/gateway/thrift/close.go
@@ -55,10 +55,11 @@
 
 // Errors with which readFrame ends the reading of an idle connection.
 var (
-	errEvicted     = errors.New("thrift: connection evicted for a new one")
-	errIdleTimeout = errors.New("thrift: idle timeout")
-	errDrained     = errors.New("thrift: the server is draining")
-	errShutdown    = errors.New("thrift: the server closes its idle connections")
+	errEvicted       = errors.New("thrift: connection evicted for a new one")
+	errPartialMemory = errors.New("thrift: too many incomplete messages")
+	errIdleTimeout   = errors.New("thrift: idle timeout")
+	errDrained       = errors.New("thrift: the server is draining")
+	errShutdown      = errors.New("thrift: the server closes its idle connections")
 )
 
 // closeReasonOf returns the close reason for an error of reading from a connection.
@@ -72,7 +73,7 @@
 		return Drained
 	case errors.Is(err, ErrMalformed):
 		return Malformed
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, errPartialMemory):
 		return IncompleteMessage
 	}
 	return ClientDisconnected
--- a/internal/gateway/thrift/conn.go
+++ b/internal/gateway/thrift/conn.go
@@ -13,18 +13,22 @@
 	server     *Server
 	conn       net.Conn
 	peeker     peekConn
-	wakeup     chan struct{} // wakes the writer
 	done       chan struct{} // closed once the connection is closed
 	acceptedAt time.Time
 
 	// The fields below are only accessed by the reader.
 	flow        ingress.Flow
-	inTurn      bool      // the gate has let the connection pass
-	cost        float64   // cost of what has been read and handled in this turn
-	nonBlocking bool      // reads return errWouldBlock instead of waiting
+	inTurn      bool    // the gate has let the connection pass
+	cost        float64 // cost of what has been read and handled in this turn
+	readMode    readMode
+	sparse      bool      // the last read found that all data had been handled
 	behindSince time.Time // since when unread data may have waited for turns of the connection; zero: none has
 	staged      []int32   // sequence IDs of the calls to be submitted
 
+	callAccount    ingress.Account // of Server.callBytes
+	writeAccount   ingress.Account // of Server.unwritten
+	partialAccount ingress.Account // of Server.partials
+
 	mu              sync.Mutex
 	calls           map[int32]*openCall // by sequence ID
 	submitted       int                 // number of calls that were submitted and not released
@@ -32,6 +36,7 @@
 	released        *sync.Cond          // signals changes of submitted and the end of the connection
 	lastSeqID       int32               // highest sequence ID of all calls
 	outbound        []byte              // frames that the writer has not taken yet
+	writerRunning   bool                // the writer's goroutine runs
 	writing         bool                // the writer is writing frames that it has taken from outbound
 	closing         bool                // the writer closes the connection once outbound is written
 	disconnected    bool                // the reader has ended
@@ -53,12 +58,12 @@
 		conn:         conn,
 		peeker:       newPeekConn(conn),
 		calls:        map[int32]*openCall{},
-		wakeup:       make(chan struct{}, 1),
 		done:         make(chan struct{}),
 		lastActivity: now,
 		acceptedAt:   now,
 	}
 	c.released = sync.NewCond(&c.mu)
+	s.gate.register(&c.flow)
 	return c
 }
 
@@ -126,10 +131,10 @@
 // cancelled.
 func (c *Conn) Close() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.setCloseReason(Malformed)
 	c.closing = true
-	c.mu.Unlock()
-	c.wake()
+	c.startWriter()
 }
 
 // endCall removes a call from the open ones. The caller must hold c.mu.
@@ -163,15 +168,26 @@
 		c.conn.Close()
 		return
 	}
+	// A client that has read all earlier answers gets this one in any case.
+	if !c.server.unwritten.hold(&c.writeAccount, len(frame)) {
+		if c.writing || len(c.outbound) > 0 {
+			c.setCloseReason(ClientNotReading)
+			c.conn.Close()
+			return
+		}
+		c.server.unwritten.release(&c.writeAccount, -len(frame))
+	}
 	c.outbound = append(c.outbound, frame...)
-	c.server.unwritten.Add(int64(len(frame)))
-	c.wake()
+	c.startWriter()
 }
 
-// wake makes the writer check for frames to write.
-func (c *Conn) wake() {
-	select {
-	case c.wakeup <- struct{}{}:
-	default:
+// startWriter starts the writer's goroutine, which runs while there are frames to write, and to close the connection.
+// The caller must hold c.mu. The reader must not have ended, so that the server waits for both.
+func (c *Conn) startWriter() {
+	if c.writerRunning || c.closed {
+		return
 	}
+	c.writerRunning = true
+	c.server.running.Add(1)
+	go c.writeLoop()
 }
--- a/internal/gateway/thrift/conn_read.go
+++ b/internal/gateway/thrift/conn_read.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"lupinpond/scheduler/ingress"
@@ -23,6 +25,7 @@
 	c.setCloseReason(reason)
 	c.disconnected, c.closing = true, true
 	c.openAtClose = len(c.calls)
+	c.startWriter()
 	var cancelled []func()
 	for seqID, call := range c.calls {
 		cancelled = append(cancelled, call.end())
@@ -32,7 +35,6 @@
 	for _, cancel := range cancelled {
 		cancel()
 	}
-	c.wake()
 }
 
 // readMessages reads and handles messages until there is a reason to close the connection, and returns the reason.
@@ -77,11 +79,41 @@
 	if n == 0 || n > uint32(c.server.limits.MaxFrameBytes) {
 		return nil, malformedError("frame length is 0 or above the limit")
 	}
-	frame := make([]byte, n)
-	err := c.readFull(in, frame)
+	return c.readBody(in, int(n))
+}
+
+// readBody reads the rest of a frame. A client that has not sent all of it occupies only about as much memory as it has
+// sent.
+func (c *Conn) readBody(in *bufio.Reader, n int) ([]byte, error) {
+	frame, err := c.readArrivedPart(in, n)
+	held := 0
+	defer func() { c.server.partials.release(&c.partialAccount, held) }()
+	for err == nil && len(frame) < n {
+		more := min(n-len(frame), max(len(frame), readBufferBytes))
+		if !c.server.partials.hold(&c.partialAccount, len(frame)+more-held) {
+			return nil, errPartialMemory
+		}
+		held = len(frame) + more
+		frame = slices.Grow(frame, more)
+		err = c.readFull(in, frame[len(frame):len(frame)+more])
+		frame = frame[:len(frame)+more]
+	}
 	return frame, err
 }
 
+// readArrivedPart reads the part of the next n bytes that has arrived.
+func (c *Conn) readArrivedPart(in *bufio.Reader, n int) ([]byte, error) {
+	buffer := c.server.frameBuffers.Get().(*[]byte)
+	defer c.server.frameBuffers.Put(buffer)
+	c.readMode = readSameFrame
+	read, err := io.ReadFull(in, (*buffer)[:n])
+	c.readMode = readWaiting
+	if errors.Is(err, errWouldBlock) {
+		err = nil
+	}
+	return bytes.Clone((*buffer)[:read]), err
+}
+
 // readFull reads a part of a message. It returns an error if the part does not arrive in time, but not before the
 // connection is idle apart from the message.
 func (c *Conn) readFull(in *bufio.Reader, b []byte) error {
--- a/internal/gateway/thrift/conn_write.go
+++ b/internal/gateway/thrift/conn_write.go
@@ -9,10 +9,13 @@
 // writeChunkBytes is the number of bytes that must be written within Limits.WriteTimeout.
 const writeChunkBytes = 16 << 10
 
-// writeLoop writes enqueued frames until the connection is to be closed, and closes it.
+// writeLoop writes the enqueued frames. It closes the connection if it is to be closed, or if a write fails.
 func (c *Conn) writeLoop() {
 	defer c.server.running.Done()
-	unwritten := c.writeOutbound()
+	unwritten, done := c.writeOutbound()
+	if !done {
+		return
+	}
 	c.conn.Close()
 	c.server.remove(c)
 	close(c.done)
@@ -28,35 +31,32 @@
 		UnwrittenBytes: unwritten,
 		Duration:       time.Since(c.acceptedAt),
 	}
-	c.server.unwritten.Add(-int64(unwritten))
+	c.server.unwritten.release(&c.writeAccount, unwritten)
 	c.mu.Unlock()
 	c.server.notifyClosed(event)
 }
 
-// writeOutbound writes until the connection is closing and all frames are written, or until a write fails. It returns
-// the number of bytes that it has taken from outbound and not written.
-func (c *Conn) writeOutbound() (unwritten int) {
+// writeOutbound writes until all frames are written or a write fails. done reports whether the connection is to be
+// closed; unwritten is the number of bytes that it has taken from outbound and not written.
+func (c *Conn) writeOutbound() (unwritten int, done bool) {
 	for {
 		outbound, last := c.takeOutbound()
 		if len(outbound) == 0 {
-			if last {
-				return 0
-			}
-			<-c.wakeup
-			continue
+			return 0, last
 		}
 		for len(outbound) > 0 { // in chunks, so that a client that reads slowly does not exceed the write timeout
 			n, err := c.writeChunk(outbound[:min(len(outbound), writeChunkBytes)])
 			outbound = outbound[n:]
-			c.server.unwritten.Add(-int64(n))
+			c.server.unwritten.release(&c.writeAccount, n)
 			if err != nil {
-				return len(outbound)
+				return len(outbound), true
 			}
 		}
 	}
 }
 
-// takeOutbound takes the frames that are to be written. last is true if none will follow.
+// takeOutbound takes the frames that are to be written. If there are none, the writer must end; last is true if it must
+// close the connection.
 func (c *Conn) takeOutbound() (outbound []byte, last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,6 +66,7 @@
 		c.lastActivity = time.Now()
 	}
 	c.writing = len(outbound) > 0
+	c.writerRunning = c.writing || last
 	c.wakeIdleReader()
 	return outbound, last
 }
--- a/internal/gateway/thrift/peek.go
+++ b/internal/gateway/thrift/peek.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // errWouldBlock is the error of a read that does not block and finds no data.
@@ -38,13 +40,13 @@
 	return p.Conn.Read(b)
 }
 
-// readNow is like Read, but returns errWouldBlock if no data has been received. It ignores the read deadline, and clears
-// it. If the connection does not support such a read, it always returns errWouldBlock.
+// readNow is like Read, but returns errWouldBlock if no data has been received. If the connection does not support such a
+// read, it always returns errWouldBlock.
 func (p *peekConn) readNow(b []byte) (n int, err error) {
 	if len(p.peeked) > 0 {
 		return p.Read(b)
 	}
-	if p.raw == nil || p.SetReadDeadline(time.Time{}) != nil {
+	if p.raw == nil {
 		return 0, errWouldBlock
 	}
 	controlErr := p.raw.Read(func(fd uintptr) bool {
@@ -70,6 +72,9 @@
 	if len(p.peeked) > 0 {
 		return true
 	}
+	if p.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
 	b := make([]byte, readBufferBytes)
 	n, err := p.readNow(b)
 	if err != nil {
@@ -78,3 +83,18 @@
 	p.peeked = b[:n]
 	return true
 }
+
+// closedByClient reports whether the client has closed or reset the connection, also if data is unread. It returns false
+// if the system does not tell.
+func (p *peekConn) closedByClient() bool {
+	if p.raw == nil {
+		return false
+	}
+	closed := false
+	err := p.raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, pollErr := unix.Poll(state, 0)
+		closed = pollErr == nil && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed || err != nil // an error: this side has closed it
+}
--- a/internal/gateway/thrift/server.go
+++ b/internal/gateway/thrift/server.go
@@ -1,6 +1,7 @@
 package thrift
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -37,11 +38,24 @@
 	// Cores is the number of processor cores that the process may use.
 	Cores float64
 
+	// MaxPartialBytes is the maximum size of all messages that have been received in part.
+	MaxPartialBytes int64
+
+	// MaxCallBytes is the maximum size of all calls that are open or not released.
+	MaxCallBytes int64
+
+	// MaxUnwrittenBytes is the size of all answers that are not written beyond which clients are disconnected that do not
+	// read theirs.
+	MaxUnwrittenBytes int64
+
 	// FinalReadTimeout is how long an idle connection is read from before it is closed, to receive a request that
 	// arrived while the process was stalled.
 	FinalReadTimeout time.Duration
 }
 
+// unlimitedBytes is the size that applies where Limits names none.
+const unlimitedBytes = 1 << 40
+
 // Backoff between two calls of Accept when the system is short of resources.
 const (
 	minAcceptBackoff = time.Millisecond
@@ -55,10 +69,13 @@
 	handle        func(*Conn, Message)
 	onClose       func(CloseEvent)
 	openCalls     atomic.Int64 // number of open calls on all connections
-	unwritten     atomic.Int64 // size of the answers on all connections that are not written
 	draining      atomic.Bool
 	closeWhenIdle atomic.Bool // see CloseWhenIdle
 	gate          *gate
+	partials      *budget   // messages that have been received in part
+	callBytes     *budget   // calls that are open or not released
+	unwritten     *budget   // answers that are not written
+	frameBuffers  sync.Pool // of *[]byte, for reading frames
 
 	mu      sync.Mutex
 	conns   map[*Conn]bool
@@ -69,7 +86,16 @@
 // block.
 func NewServer(listener net.Listener, limits Limits, handle func(*Conn, Message)) *Server {
 	controller := ingress.New(limits.Cores)
-	return &Server{listener: listener, limits: limits, handle: handle, conns: map[*Conn]bool{}, gate: newGate(controller)}
+	s := &Server{listener: listener, limits: limits, handle: handle, conns: map[*Conn]bool{}, gate: newGate(controller),
+		partials:  newBudget(cmp.Or(limits.MaxPartialBytes, unlimitedBytes)),
+		callBytes: newBudget(cmp.Or(limits.MaxCallBytes, unlimitedBytes)),
+		unwritten: newBudget(cmp.Or(limits.MaxUnwrittenBytes, unlimitedBytes)),
+	}
+	s.frameBuffers.New = func() any {
+		buffer := make([]byte, limits.MaxFrameBytes)
+		return &buffer
+	}
+	return s
 }
 
 // ObserveBacklog makes the server call age for the age of the oldest piece of work that the handler has passed on and
@@ -93,7 +119,13 @@
 func (s *Server) OpenCalls() int64 { return s.openCalls.Load() }
 
 // UnwrittenBytes returns the size of the answers that are not written yet.
-func (s *Server) UnwrittenBytes() int64 { return s.unwritten.Load() }
+func (s *Server) UnwrittenBytes() int64 { return s.unwritten.held() }
+
+// PartialBytes returns the size of the messages that have been received in part.
+func (s *Server) PartialBytes() int64 { return s.partials.held() }
+
+// CallBytes returns the size of the calls that are open or not released.
+func (s *Server) CallBytes() int64 { return s.callBytes.held() }
 
 // Connections returns the number of connections.
 func (s *Server) Connections() int {
@@ -157,9 +189,8 @@
 	if ctx.Err() != nil { // closeAll may have run before the connection was added
 		conn.Close()
 	}
-	s.running.Add(2)
+	s.running.Add(1)
 	go c.readLoop()
-	go c.writeLoop()
 }
 
 // Drain makes Run return once all work is done: the connections in the listen backlog are accepted, requests that have
--- a/internal/gateway/thrift/stage.go
+++ b/internal/gateway/thrift/stage.go
@@ -29,6 +29,13 @@
 	c.staged = append(c.staged, seqID)
 }
 
+// HoldMemory adds the size of a call to the memory that the calls of the connection hold, and returns true, unless they
+// would hold too much.
+func (c *Conn) HoldMemory(bytes int) bool { return c.server.callBytes.hold(&c.callAccount, bytes) }
+
+// ReleaseMemory subtracts the size of a call from the memory that the calls of the connection hold.
+func (c *Conn) ReleaseMemory(bytes int) { c.server.callBytes.release(&c.callAccount, bytes) }
+
 // Release ends the time for which a submitted call occupies the connection. It must be called once for each submitted
 // call, when nothing refers to it any more.
 func (c *Conn) Release() {
@@ -43,6 +50,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.submitted >= maxSubmittedShare*c.server.limits.MaxOpenCalls && !c.closed && !c.stopped {
+		c.endTurn()
 		c.released.Wait()
 	}
 }
@@ -50,15 +58,18 @@
 // submitStaged submits the staged calls if all data that has arrived is handled, or if they have waited for long. It
 // returns an error if the connection has ended.
 func (c *Conn) submitStaged(in *bufio.Reader) error {
-	if in.Buffered() > 0 || len(c.staged) == 0 && c.behindSince.IsZero() {
+	if in.Buffered() > 0 {
 		return nil
 	}
-	c.nonBlocking = true
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	c.readMode = readArrived
 	_, err := in.Peek(1)
-	c.nonBlocking = false
+	c.readMode = readWaiting
 	switch {
 	case errors.Is(err, errWouldBlock):
-		c.behindSince = time.Time{}
+		c.behindSince, c.sparse = time.Time{}, true
 		c.submitBefore(time.Now())
 		return nil
 	case err == nil:
--- a/internal/gateway/thrift/turn.go
+++ b/internal/gateway/thrift/turn.go
@@ -1,34 +1,65 @@
 package thrift
 
 import (
+	"io"
 	"time"
 
 	"lupinpond/scheduler/ingress"
 )
 
+// readMode determines what a read of a connection does when no data has arrived.
+type readMode int
+
+const (
+	readWaiting   readMode = iota // it waits, and for a turn after that
+	readArrived                   // it returns errWouldBlock, and waits for a turn otherwise
+	readSameFrame                 // it returns errWouldBlock, and needs no new turn otherwise
+)
+
 // turnReader reads from a connection. What it returns is handled within a turn of the connection, which ends with the
-// next read.
+// next read, unless that continues a frame.
 type turnReader struct{ conn *Conn }
 
-// Read reads from the connection and waits for a turn.
+// Read reads from the connection, as its mode determines.
 func (r turnReader) Read(b []byte) (int, error) {
 	c := r.conn
+	if c.readMode == readSameFrame {
+		n, err := c.peeker.readNow(b)
+		c.cost += ingress.BytesCost(n)
+		return n, err
+	}
 	c.endTurn()
 	read := c.peeker.Read
-	if c.nonBlocking {
+	if c.readMode == readArrived {
 		read = c.peeker.readNow
 	}
 	n, err := read(b)
 	if n == 0 {
 		return n, err
 	}
-	if waited := c.server.gate.enter(&c.flow); waited > 0 && c.behindSince.IsZero() {
-		c.behindSince = time.Now().Add(-waited)
+	waited, ok := c.server.gate.enter(&c.flow, c.sparse, c.peeker.closedByClient)
+	c.sparse = false
+	if !ok {
+		return 0, io.EOF
 	}
-	c.inTurn, c.cost = true, ingress.BytesCost(n)
+	c.inTurn, c.cost = true, ingress.ReadCost+ingress.BytesCost(n)
+	c.addWait(waited)
 	return n, err
 }
 
+// addWait records that data has waited for a turn.
+func (c *Conn) addWait(waited time.Duration) {
+	if waited == 0 {
+		return
+	}
+	if c.behindSince.IsZero() {
+		c.behindSince = time.Now().Add(-waited)
+	}
+	c.mu.Lock()
+	c.messageBegan = c.messageBegan.Add(waited) // the client has that much more time for its message
+	c.mu.Unlock()
+}
+
 // endTurn ends the turn of the connection, if it has one.
 func (c *Conn) endTurn() {
 	if c.inTurn {
--- a/scheduler/ingress/ingress.go
+++ b/scheduler/ingress/ingress.go
@@ -3,10 +3,11 @@
 // times are durations on any monotonic clock.
 //
 // Each connection is a Flow with an account of its recent use. A flow that uses much less than the mean
-// of the active flows is served at once. The others take turns, the one with the least use first, and
-// together get only the processor time that the rest of the process leaves below a target. A client that
-// sends at full speed is thereby slowed down to what is left, over any number of connections, while a
-// client that sends little does not wait for it.
+// of the active flows is served at once, and so is a sparse flow, whose client does not send faster than
+// it is read, if it uses little. The others take turns, the one with the least use first, and together
+// get only the processor time that the rest of the process leaves below a target. A client that sends at
+// full speed is thereby slowed down to what is left, over any number of connections, while a client that
+// sends little does not wait for it.
 package ingress
 
 import (
@@ -24,6 +25,9 @@
 	// without a turn.
 	lightShare = 0.5
 
+	// sparseShare is the share of the target up to which a sparse flow is served without a turn.
+	sparseShare = 0.02
+
 	// usageHalfLife is the time in which the account of a flow falls to a half.
 	usageHalfLife = time.Second
 
@@ -47,8 +51,14 @@
 	maxBacklog = 5 * time.Millisecond
 )
 
-// Costs of messages, in units of a small valid message.
+// Costs, in units of a small valid message.
 const (
+	// unitTime is the order of magnitude of the processor time of one unit.
+	unitTime = 25 * time.Microsecond
+
+	// ReadCost is the cost of a read without its bytes.
+	ReadCost = 1
+
 	// MessageCost is the cost of a message without its bytes.
 	MessageCost = 1
 
@@ -60,7 +70,7 @@
 	RefusalCost = 3
 )
 
-// BytesCost returns the cost of reading a number of bytes.
+// BytesCost returns the cost of the bytes of a read.
 func BytesCost(bytes int) float64 { return kilobyteCost * float64(bytes) / 1024 }
 
 // Flow is the account of one connection. Its zero value is ready for use by one
@@ -105,11 +115,29 @@
 	return &Controller{utilization: targetUtilization * cores}
 }
 
-// IsLight reports whether a flow may be served without a turn.
-func (c *Controller) IsLight(now time.Duration, flow *Flow) bool {
+// Register opens the account of a new flow. It begins with the largest use with which a flow is served at
+// once, so that clients gain nothing from opening connection after connection.
+func (c *Controller) Register(now time.Duration, flow *Flow) {
+	flow.usage, flow.updatedAt = c.lightLimit(now), now
+}
+
+// IsLight reports whether a flow may be served without a turn. sparse states that nothing of it waited
+// before: it was last seen without unread data and without an incomplete message.
+func (c *Controller) IsLight(now time.Duration, flow *Flow, sparse bool) bool {
+	usage := flow.decayed(now)
+	return usage <= c.lightLimit(now) || sparse && usage <= c.sparseLimit()
+}
+
+// sparseLimit returns the largest account with which a sparse flow is served without a turn.
+func (c *Controller) sparseLimit() float64 {
+	unitsPerSecond := c.utilization * float64(time.Second) / float64(unitTime)
+	return sparseShare * unitsPerSecond * usageHalfLife.Seconds() / math.Ln2
+}
+
+// lightLimit returns the largest account with which any flow is served without a turn.
+func (c *Controller) lightLimit(now time.Duration) float64 {
 	c.advancePeriod(now)
-	active := max(c.active, c.activeLast, 1)
-	return flow.decayed(now) <= lightShare*c.total.decayed(now)/float64(active)
+	return lightShare * c.total.decayed(now) / float64(max(c.active, c.activeLast, 1))
 }
 
 // Wait puts a flow that is not light into the queue for a turn.
--- a/scheduler/ingress/ingress_test.go
+++ b/scheduler/ingress/ingress_test.go
@@ -37,11 +37,11 @@
 		for range 15 {
 			controller.Charge(now, moderate, ingress.MessageCost)
 		}
-		if !controller.IsLight(now, moderate) {
+		if !controller.IsLight(now, moderate, false) {
 			t.Errorf("%d flooding flows: the moderate flow waits", count)
 		}
 		for _, flow := range flows {
-			if controller.IsLight(now, flow) {
+			if controller.IsLight(now, flow, false) {
 				t.Errorf("%d flooding flows: one of them does not wait", count)
 			}
 		}
@@ -61,7 +61,7 @@
 	for _, flow := range others {
 		controller.Charge(now, flow, 15*ingress.MessageCost)
 	}
-	if !controller.IsLight(now+time.Second, &ingress.Flow{}) {
+	if !controller.IsLight(now+time.Second, &ingress.Flow{}, false) {
 		t.Error("a new flow waits")
 	}
 }
