--- a/cmd/lpctl/soak.go
+++ b/cmd/lpctl/soak.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"os/exec"
+	"slices"
 	"time"
 
 	"lupinpond/internal/testbed/soak"
@@ -132,6 +134,11 @@
 		fmt.Printf("share served before the outage %.3f, during it %.3f, after it %.3f\n", report.BeforeOutage.Share(),
 			report.InOutage.Share(), report.AfterOutage.Share())
 	}
+	for _, kind := range slices.Sorted(maps.Keys(report.Floods)) {
+		share := report.Floods[kind]
+		fmt.Printf("floods %-16s %d: share served %.3f of %d\n", kind, share.Floods, share.Share(), share.Requests)
+	}
+	fmt.Printf("peak memory of a gateway %.1f MB\n", float64(counts.PeakMemory)/(1<<20))
 	for _, line := range report.Injected {
 		fmt.Println("injected:", line)
 	}
--- a/internal/testbed/processlimit/processlimit.go
+++ b/internal/testbed/processlimit/processlimit.go
@@ -69,6 +69,10 @@
 	pid     int
 	stop    chan struct{}
 	stopped sync.WaitGroup
+
+	mu        sync.Mutex
+	suspended bool // the process has used its share of the period
+	paused    bool // see Pause
 }
 
 // LimitCPU limits a process to a share of one processor until Stop is called: once it has used its share of a period,
@@ -79,6 +83,27 @@
 	return q
 }
 
+// Pause stops the process until Resume, whatever its share.
+func (q *Quota) Pause() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.paused = true
+	q.signal(syscall.SIGSTOP)
+}
+
+// Resume ends a pause.
+func (q *Quota) Resume() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.paused = false
+	if !q.suspended {
+		q.signal(syscall.SIGCONT)
+	}
+}
+
+// signal sends a signal to the process, which may have ended.
+func (q *Quota) signal(s syscall.Signal) { _ = syscall.Kill(q.pid, s) }
+
 // Stop ends the limit. The process runs on.
 func (q *Quota) Stop() {
 	close(q.stop)
@@ -88,26 +113,39 @@
 func (q *Quota) run(share time.Duration) {
 	ticker := time.NewTicker(quotaCheckInterval)
 	defer ticker.Stop()
-	defer func() { _ = syscall.Kill(q.pid, syscall.SIGCONT) }() // the process may have ended
-	usedBefore, periodEnd, suspended := CPUTime(q.pid), time.Now().Add(quotaPeriod), false
+	defer q.signal(syscall.SIGCONT)
+	usedBefore, periodEnd := CPUTime(q.pid), time.Now().Add(quotaPeriod)
 	for {
 		select {
 		case <-q.stop:
 			return
 		case now := <-ticker.C:
-			switch {
-			case now.After(periodEnd):
-				if suspended {
-					_ = syscall.Kill(q.pid, syscall.SIGCONT) // the process may have ended
-				}
-				usedBefore, periodEnd, suspended = CPUTime(q.pid), now.Add(quotaPeriod), false
-			case !suspended && CPUTime(q.pid)-usedBefore >= share:
-				suspended = syscall.Kill(q.pid, syscall.SIGSTOP) == nil
+			used := CPUTime(q.pid)
+			if now.After(periodEnd) {
+				usedBefore, periodEnd = used, now.Add(quotaPeriod)
 			}
+			q.setSuspended(used-usedBefore >= share)
 		}
 	}
 }
 
+// setSuspended stops the process or lets it run, unless it is paused.
+func (q *Quota) setSuspended(suspended bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if suspended == q.suspended {
+		return
+	}
+	q.suspended = suspended
+	switch {
+	case q.paused:
+	case suspended:
+		q.signal(syscall.SIGSTOP)
+	default:
+		q.signal(syscall.SIGCONT)
+	}
+}
+
 // CPUTime returns the processor time that a process has used, or 0 if it has ended.
 func CPUTime(pid int) time.Duration {
 	var used unix.Timespec
--- a/internal/testbed/soak/checker.go
+++ b/internal/testbed/soak/checker.go
@@ -37,6 +37,8 @@
 	violations []Violation
 	counts     Counts
 
+	floods []flooded
+
 	runBegan, outageBegan, outageEnded time.Time // of the planned outage; zero: none
 }
 
--- a/internal/testbed/soak/clientconn.go
+++ b/internal/testbed/soak/clientconn.go
@@ -64,7 +64,7 @@
 // function; the 16 digits yield 10 functions.
 func dispatchFrame(seq int32, r *request) []byte {
 	w := thrift.NewWriter("dispatch", thrift.Call, seq)
-	function := fmt.Sprintf("%016x", uint64(len(r.id))*1000+uint64(r.id[0])%functions)
+	function := functionOf(r.id)
 	fields := []string{
 		"class", r.class,
 		"id", r.id,
@@ -80,6 +80,11 @@
 	return w.Frame()
 }
 
+// functionOf returns the function that a request with an ID calls.
+func functionOf(id string) string {
+	return fmt.Sprintf("%016x", uint64(len(id))*1000+uint64(id[0])%functions)
+}
+
 // healthCheckFrame encodes the call that asks whether a gateway is ready.
 func healthCheckFrame() []byte {
 	w := thrift.NewWriter("alive", thrift.Call, 1)
--- a/internal/testbed/soak/config.go
+++ b/internal/testbed/soak/config.go
@@ -21,7 +21,7 @@
 		"listen":   g.listen,
 		"seed":     fmt.Sprintf("%x", g.options.Seed+uint64(g.index)+1),
 		"journal":  g.discoveryProxy.Addr(),
-		"limits":   object{"cores": 1.0, "memory_mb": 64, "sockets": maxSockets},
+		"limits":   object{"cores": g.limits.cores, "memory_mb": g.limits.memoryMB, "sockets": maxSockets},
 		"known":    discovery.Batch{Position: position, Events: []discovery.Event{{Position: position, Update: update}}},
 		"settings": gatewaySettings(g),
 	})
--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -32,6 +32,7 @@
 		{"client network", 3, atGateway((*run).disturbClientNetwork)},
 		{"idle clients", 2, atGateway((*run).openIdleConnections)},
 		{"bad clients", 3, atGateway((*run).runBadClients)},
+		{"flood", 4, atGateway((*run).floodGateway)},
 		{"slow readers", 2, atGateway((*run).slowClientReads)},
 	}
 }
--- a/internal/testbed/soak/gateway.go
+++ b/internal/testbed/soak/gateway.go
@@ -15,6 +15,7 @@
 	"lupinpond/internal/gateway/discovery"
 	"lupinpond/internal/gateway/thrift"
 	"lupinpond/internal/testbed/faultproxy"
+	"lupinpond/internal/testbed/processlimit"
 )
 
 const (
@@ -45,7 +46,8 @@
 	options          Options
 	index            int
 	name             string
-	listen           string              // address at which its process listens
+	listen           string // address at which its process listens
+	limits           processLimits
 	clientProxy      *faultproxy.Proxy   // between clients and gateway
 	discoveryProxies []*faultproxy.Proxy // two alternative addresses of the discovery service
 	discoveryUplink  *faultproxy.Proxy   // between both discoveryProxies and the discovery service; it fails in an outage
@@ -61,7 +63,8 @@
 	ended          chan struct{}
 	stopping       bool // the process is expected to end
 	sendMode       sendMode
-	claimed        bool // a fault is being injected at this gateway
+	claimed        bool                // a fault is being injected at this gateway
+	quota          *processlimit.Quota // of the process; nil: its processor time is not limited
 
 	// The following periods are guarded by the checker's lock.
 	lossExcuses     spans // requests may be lost
@@ -144,6 +147,9 @@
 		return errors.Join(fmt.Errorf("start %s: %w", g.name, err), log.Close())
 	}
 	g.checker.count(func(counts *Counts) { counts.Starts++ })
+	if len(g.wrapper) == 0 {
+		go g.enforceLimits(cmd.Process.Pid, ended)
+	}
 	go func() {
 		defer close(ended)
 		g.wait(cmd)
--- a/internal/testbed/soak/gatewayfaults.go
+++ b/internal/testbed/soak/gatewayfaults.go
@@ -69,9 +69,16 @@
 func (r *run) pause(ctx context.Context, gateway *gatewayProcess, duration time.Duration) {
 	endExcuse := gateway.beginLossExcuse()
 	defer endExcuse()
-	gateway.signal(syscall.SIGSTOP)
+	quota := gateway.currentQuota()
+	if quota == nil {
+		gateway.signal(syscall.SIGSTOP)
+		sleep(ctx, duration)
+		gateway.signal(syscall.SIGCONT)
+		return
+	}
+	quota.Pause()
 	sleep(ctx, duration)
-	gateway.signal(syscall.SIGCONT)
+	quota.Resume()
 }
 
 // stutterGateway suspends a gateway several times in succession, each time too briefly to be detected as a stall.
--- a/internal/testbed/soak/report.go
+++ b/internal/testbed/soak/report.go
@@ -8,6 +8,8 @@
 	Violations []Violation
 	Injected   []string // injected system call errors, one entry per gateway under strace
 
+	Floods map[string]floodedShare // by the kind of the flood
+
 	BeforeOutage, InOutage, AfterOutage ServedShare // by the time at which requests were sent; zero without Options.Outage
 }
 
@@ -35,6 +37,7 @@
 	Faults       int
 	Starts       int // starts of gateway processes
 	BadClients   int
+	PeakMemory   int64 // largest resident memory of a gateway process, in bytes
 }
 
 // Rule is a rule that a run checks at the sockets or in the gateways' logs.
@@ -52,6 +55,7 @@
 	LoadedOnDraining      Rule = "loaded_on_drained"    // a load request sent to a draining worker after the drain grace
 	SlowStartOverrun      Rule = "cold_overrun"         // a worker in slow start received more requests than it can handle
 	AlteredRequest        Rule = "changed"              // a worker received a request altered
+	MemoryExceeded        Rule = "memory_exceeded"      // a gateway process used more memory than its limit
 	NotReady              Rule = "not_ready"            // a gateway was not ready in time after its start
 	Crashed               Rule = "crashed"              // a gateway process ended unexpectedly
 	InvariantViolated     Rule = "front_end_invariant"  // a gateway logged a violation of one of its invariants
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -91,6 +91,7 @@
 	r.checker.checkUnanswered()
 	report := r.checker.report()
 	r.checker.addServedShares(&report)
+	r.checker.addFloods(&report)
 	for _, gateway := range r.gateways {
 		if len(gateway.wrapper) > 0 {
 			report.Injected = append(report.Injected, gateway.name+" "+gateway.wrapper[len(gateway.wrapper)-2])
@@ -151,6 +152,7 @@
 		options:   r.options,
 		index:     index,
 		name:      fmt.Sprintf("f%d", index),
+		limits:    limitsOf(index),
 		listen:    listen,
 		checker:   r.checker,
 		spawn:     r.starter.Start,
