--- a/cmd/gateway/flood_test.go
+++ b/cmd/gateway/flood_test.go
@@ -109,3 +109,16 @@
 	}
 	checkFlood(t, scenario, outcome)
 }
+
+// TestRequestsOfClosedConnectionsAreNotSentOn guards against requests that are sent on after their client has closed its
+// connection with much unread, and against a second effect when they come again later, beside a flood.
+func TestRequestsOfClosedConnectionsAreNotSentOn(t *testing.T) {
+	scenario := flood.Scenario{Program: buildGateway(t), Kind: flood.Cancelled, Connections: 8, Effect: "side_effect",
+		Returning: true, Cores: 0.4, MemoryMB: 32}
+	outcome := playFlood(t, scenario)
+	if outcome.Departures == 0 || outcome.SentAfterLeaving > 0 || outcome.RanTwice > 0 {
+		t.Errorf("%d requests of closed connections, %d sent on, %d requests ran more than once", outcome.Departures,
+			outcome.SentAfterLeaving, outcome.RanTwice)
+	}
+	checkFlood(t, scenario, outcome)
+}
--- a/cmd/lpctl/flood.go
+++ b/cmd/lpctl/flood.go
@@ -26,6 +26,7 @@
 	Sockets        int           `default:"512" help:"Descriptor limit of the gateway."`
 	Effect         string        `default:"pure" enum:"pure,side_effect" help:"Effect of the flood's requests."`
 	Function       string        `help:"Function of the flood's requests, 16 hex digits; a new one for each by default."`
+	Returning      bool          `help:"Another client closes its connections with requests unread and sends these again."`
 	Before         time.Duration `default:"2s" help:"Time before the flood."`
 	For            time.Duration `default:"8s" help:"Length of the flood."`
 	After          time.Duration `default:"3s" help:"Time after the flood."`
@@ -65,6 +66,7 @@
 		Connections: c.Connections,
 		Effect:      c.Effect,
 		Function:    c.Function,
+		Returning:   c.Returning,
 		Cores:       c.Cores,
 		StatedCores: c.StatedCores,
 		MemoryMB:    c.Memory,
@@ -80,8 +82,8 @@
 	fmt.Println(outcome)
 	late := outcome.Before.Late + outcome.During.Late + outcome.After.Late
 	ranTwice := c.Effect != "pure" && outcome.RanTwice > 0
-	if late > 0 || ranTwice || outcome.PeakMemory > int64(c.Memory)<<20 {
-		fmt.Printf("late answers, requests that ran twice or memory over the limit; the log is in %s\n", dir)
+	if late > 0 || ranTwice || outcome.SentAfterLeaving > 0 || outcome.PeakMemory > int64(c.Memory)<<20 {
+		fmt.Printf("late answers, requests that ran twice or were sent on, or memory over the limit; the log is in %s\n", dir)
 		return errFailed
 	}
 	return os.RemoveAll(dir)
--- a/internal/testbed/flood/scenario.go
+++ b/internal/testbed/flood/scenario.go
@@ -27,6 +27,7 @@
 	Connections int           // connections of the flood
 	Effect      string        // effect of the flood's request class, as in the settings; empty: the flood sends pure requests
 	Function    string        // function of the flood's requests; empty: a new one for each
+	Returning   bool          // another client closes its connections with requests unread and sends these again
 	Cores       float64       // share of a processor that the gateway gets
 	StatedCores float64       // share of a processor in the configuration; 0: Cores
 	MemoryMB    int           // memory limit in the configuration; the scenario reports the peak and does not enforce it
@@ -45,14 +46,16 @@
 	Written               int64         // bytes that the flood has written
 	FloodExecutions       int           // executions of requests of the flood
 	RanTwice              int           // requests of the flood with more than one execution
+	Departures            int           // requests whose client closed its connection and sent them again
+	SentAfterLeaving      int           // of these, requests that were sent to a worker in between
 	Alive                 time.Duration // time until the gateway told, during the flood, that it is ready
 }
 
 func (o Outcome) String() string {
 	return fmt.Sprintf("before: %v\nduring: %v\nafter:  %v\npeak memory %.1f MB, CPU %v, flood wrote %.1f MB, ran %d, "+
-		"twice %d, alive answered in %v", o.Before, o.During, o.After, float64(o.PeakMemory)/(1<<20),
+		"twice %d, left with %d of which %d sent on, alive answered in %v", o.Before, o.During, o.After, float64(o.PeakMemory)/(1<<20),
 		o.CPUTime.Round(time.Millisecond), float64(o.Written)/(1<<20), o.FloodExecutions, o.RanTwice,
-		o.Alive.Round(time.Millisecond))
+		o.Departures, o.SentAfterLeaving, o.Alive.Round(time.Millisecond))
 }
 
 const (
@@ -66,11 +69,14 @@
 	aliveTimeout     = 10 * time.Second
 	classUsual       = "usual"
 	classFlood       = "flood"
+
+	// returningFunction is the function of the requests that returning clients send.
+	returningFunction = "0000000000000001"
 )
 
 // Play plays a scenario.
 func Play(scenario Scenario) (outcome Outcome, err error) {
-	floodExecutions := &executions{class: classFlood, counts: map[string]int{}}
+	floodExecutions := &executions{class: classFlood, times: map[string][]time.Time{}}
 	var endpoints []discovery.Endpoint
 	for i := range workers {
 		worker, err := startWorker(floodExecutions)
@@ -102,14 +108,27 @@
 		outcome.Alive, err = Alive(addr, aliveTimeout)
 		alive <- err
 	})
+	returned := make(chan []departure, 1)
+	leaveCtx, stopLeaving := context.WithCancel(context.Background())
+	defer stopLeaving()
+	if scenario.Returning {
+		options := Options{Addr: addr, Seed: scenario.Seed + 1, Class: classFlood, Wait: floodWait,
+			Function: returningFunction}
+		go func() { returned <- runReturning(leaveCtx, options) }()
+	} else {
+		returned <- nil
+	}
 	cpuBefore := processlimit.CPUTime(pid)
 	outcome.During = scenario.runUsual(addr, scenario.Length)
 	outcome.CPUTime = processlimit.CPUTime(pid) - cpuBefore
 	outcome.Written = flood.Stop()
+	stopLeaving()
+	departures := <-returned
 	if err := <-alive; err != nil {
 		return outcome, errors.Join(fmt.Errorf("health check: %w", err), stopGateway(gateway), service.Close())
 	}
 	outcome.After = scenario.runUsual(addr, scenario.After)
+	outcome.Departures, outcome.SentAfterLeaving = len(departures), floodExecutions.sentAfterLeaving(departures)
 	outcome.FloodExecutions, outcome.RanTwice = floodExecutions.total(), floodExecutions.repeated()
 	outcome.PeakMemory, err = processlimit.PeakMemory(pid)
 	quota.Stop()
--- a/internal/testbed/flood/worker.go
+++ b/internal/testbed/flood/worker.go
@@ -18,30 +18,30 @@
 	maxCommandBytes = 1 << 20
 )
 
-// executions counts how often each request of one class was run, over all workers.
+// executions records when each request of one class was run, over all workers.
 type executions struct {
 	class string
 
-	mu     sync.Mutex
-	counts map[string]int // by request ID
+	mu    sync.Mutex
+	times map[string][]time.Time // by request ID
 }
 
-// add counts the execution of a request with the given fields, if it is of the class.
+// add records the execution of a request with the given fields, if it is of the class.
 func (e *executions) add(id, fields string) {
 	if !slices.Contains(strings.Split(fields, ","), "class="+e.class) {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.counts[id]++
+	e.times[id] = append(e.times[id], time.Now())
 }
 
 // total returns the number of executions.
 func (e *executions) total() (total int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, count := range e.counts {
-		total += count
+	for _, times := range e.times {
+		total += len(times)
 	}
 	return total
 }
@@ -50,8 +50,8 @@
 func (e *executions) repeated() (repeated int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, count := range e.counts {
-		if count > 1 {
+	for _, times := range e.times {
+		if len(times) > 1 {
 			repeated++
 		}
 	}
--- a/internal/testbed/soak/flood.go
+++ b/internal/testbed/soak/flood.go
@@ -48,11 +48,22 @@
 	r.logf("  %s, %d connections, %v", kind, connections, length)
 	began := time.Now()
 	running := flood.Start(options)
-	sleep(ctx, length)
+	sleep(ctx, length/2)
+	if random.IntN(2) == 0 {
+		r.signalInFlood(ctx, gateway, random)
+	}
+	sleep(ctx, length/2)
 	running.Stop()
 	r.checker.floodEnded(gateway, string(kind), began, time.Now())
 }
 
+// signalInFlood restarts, kills or reconfigures a gateway that is flooded.
+func (r *run) signalInFlood(ctx context.Context, gateway *gatewayProcess, random *rand.Rand) {
+	faults := []gatewayFault{(*run).stopGateway, (*run).stopUnderReloads, (*run).crashGateway, (*run).moveDiscovery,
+		(*run).pauseGateway}
+	faults[random.IntN(len(faults))](r, ctx, gateway, random)
+}
+
 // flooded is a flood of a gateway.
 type flooded struct {
 	gateway  *gatewayProcess
