--- a/internal/gateway/platform/status.go
+++ b/internal/gateway/platform/status.go
@@ -10,6 +10,7 @@
 	"lupinpond/internal/gateway/discovery"
 	"lupinpond/internal/gateway/invariant"
 	"lupinpond/internal/gateway/thrift"
+	"lupinpond/internal/gateway/turns"
 	"lupinpond/scheduler"
 )
 
@@ -28,7 +29,7 @@
 	Freshness          discovery.Freshness // age of the endpoint list and results of its polls
 	LogLinesDropped    int64
 	Mailbox            gateway.MailboxState
-	Gate               thrift.GateState
+	Gate               turns.State
 	Memory             memoryUse
 }
 
--- a/internal/gateway/thrift/conn.go
+++ b/internal/gateway/thrift/conn.go
@@ -63,7 +63,7 @@
 		acceptedAt:   now,
 	}
 	c.released = sync.NewCond(&c.mu)
-	s.gate.register(&c.flow)
+	s.gate.Register(&c.flow)
 	return c
 }
 
--- a/internal/gateway/thrift/conn_read.go
+++ b/internal/gateway/thrift/conn_read.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"lupinpond/internal/gateway/turns"
 	"lupinpond/scheduler/ingress"
 )
 
@@ -108,7 +109,7 @@
 	c.readMode = readSameFrame
 	read, err := io.ReadFull(in, (*buffer)[:n])
 	c.readMode = readWaiting
-	if errors.Is(err, errWouldBlock) {
+	if errors.Is(err, turns.ErrWouldBlock) {
 		err = nil
 	}
 	return bytes.Clone((*buffer)[:read]), err
--- a/internal/gateway/thrift/server.go
+++ b/internal/gateway/thrift/server.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"lupinpond/scheduler/ingress"
+	"lupinpond/internal/gateway/turns"
 )
 
 // Limits protect a server from its clients.
@@ -71,7 +71,7 @@
 	openCalls     atomic.Int64 // number of open calls on all connections
 	draining      atomic.Bool
 	closeWhenIdle atomic.Bool // see CloseWhenIdle
-	gate          *gate
+	gate          *turns.Gate
 	partials      *budget   // messages that have been received in part
 	callBytes     *budget   // calls that are open or not released
 	unwritten     *budget   // answers that are not written
@@ -85,8 +85,7 @@
 // NewServer returns a server, which calls handle for each message of a connection, one after the other. handle must not
 // block.
 func NewServer(listener net.Listener, limits Limits, handle func(*Conn, Message)) *Server {
-	controller := ingress.New(limits.Cores)
-	s := &Server{listener: listener, limits: limits, handle: handle, conns: map[*Conn]bool{}, gate: newGate(controller),
+	s := &Server{listener: listener, limits: limits, handle: handle, conns: map[*Conn]bool{}, gate: turns.NewGate(limits.Cores),
 		partials:  newBudget(cmp.Or(limits.MaxPartialBytes, unlimitedBytes)),
 		callBytes: newBudget(cmp.Or(limits.MaxCallBytes, unlimitedBytes)),
 		unwritten: newBudget(cmp.Or(limits.MaxUnwrittenBytes, unlimitedBytes)),
@@ -100,10 +99,10 @@
 
 // ObserveBacklog makes the server call age for the age of the oldest piece of work that the handler has passed on and
 // that is not done. It must be called before Run.
-func (s *Server) ObserveBacklog(age func() time.Duration) { s.gate.backlog = age }
+func (s *Server) ObserveBacklog(age func() time.Duration) { s.gate.ObserveBacklog(age) }
 
 // GateState returns how connections have waited until their messages were handled.
-func (s *Server) GateState() GateState { return s.gate.state() }
+func (s *Server) GateState() turns.State { return s.gate.State() }
 
 // OnClose makes the server call notify when a connection is closed. It must be called before Run. notify must not
 // block.
@@ -138,7 +137,7 @@
 // once all requests are answered.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() {
-		s.gate.close()
+		s.gate.Close()
 		s.listener.Close()
 		s.closeAll()
 	})
--- a/internal/gateway/thrift/stage.go
+++ b/internal/gateway/thrift/stage.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"errors"
 	"time"
+
+	"lupinpond/internal/gateway/turns"
 )
 
 // Calls are staged when they are read, and submitted once the data that arrived after them has been read too: it may
@@ -68,7 +70,7 @@
 	_, err := in.Peek(1)
 	c.readMode = readWaiting
 	switch {
-	case errors.Is(err, errWouldBlock):
+	case errors.Is(err, turns.ErrWouldBlock):
 		c.behindSince, c.sparse = time.Time{}, true
 		c.submitBefore(time.Now())
 		return nil
--- a/internal/gateway/thrift/turn.go
+++ b/internal/gateway/thrift/turn.go
@@ -12,8 +12,8 @@
 
 const (
 	readWaiting   readMode = iota // it waits, and for a turn after that
-	readArrived                   // it returns errWouldBlock, and waits for a turn otherwise
-	readSameFrame                 // it returns errWouldBlock, and needs no new turn otherwise
+	readArrived                   // it returns turns.ErrWouldBlock, and waits for a turn otherwise
+	readSameFrame                 // it returns turns.ErrWouldBlock, and needs no new turn otherwise
 )
 
 // turnReader reads from a connection. What it returns is handled within a turn of the connection, which ends with the
@@ -24,20 +24,20 @@
 func (r turnReader) Read(b []byte) (int, error) {
 	c := r.conn
 	if c.readMode == readSameFrame {
-		n, err := c.peeker.readNow(b)
+		n, err := c.peeker.ReadNow(b)
 		c.cost += ingress.BytesCost(n)
 		return n, err
 	}
 	c.endTurn()
 	read := c.peeker.Read
 	if c.readMode == readArrived {
-		read = c.peeker.readNow
+		read = c.peeker.ReadNow
 	}
 	n, err := read(b)
 	if n == 0 {
 		return n, err
 	}
-	waited, ok := c.server.gate.enter(&c.flow, c.sparse, c.peeker.closedByClient)
+	waited, ok := c.server.gate.Enter(&c.flow, c.sparse, c.peeker.ClosedByClient)
 	c.sparse = false
 	if !ok {
 		return 0, io.EOF
@@ -64,7 +64,7 @@
 func (c *Conn) endTurn() {
 	if c.inTurn {
 		c.inTurn = false
-		c.server.gate.leave(&c.flow, c.cost)
+		c.server.gate.Leave(&c.flow, c.cost)
 	}
 }
 
--- a/internal/gateway/turns/gate.go
+++ b/internal/gateway/turns/gate.go
@@ -1,4 +1,6 @@
-package thrift
+// Package turns makes client connections wait for their turns, as an ingress.Controller decides: when the processor is
+// short, a client that sends at full speed must not delay the others.
+package turns
 
 import (
 	"sync"
@@ -11,8 +13,8 @@
 // goneCheckInterval is the time between two checks whether the clients of waiting connections have gone.
 const goneCheckInterval = 50 * time.Millisecond
 
-// gate makes connections wait before they handle what they have read, as an ingress.Controller decides.
-type gate struct {
+// Gate makes connections wait before they handle what they have read, as an ingress.Controller decides.
+type Gate struct {
 	epoch   time.Time
 	backlog func() time.Duration // age of the oldest message that waits for the handler's work; may be nil
 
@@ -33,30 +35,35 @@
 	hasTurn  bool          // set before released is closed, if the turn has begun
 }
 
-// GateState describes how connections have waited for their turns.
-type GateState struct {
+// State describes how connections have waited for their turns.
+type State struct {
 	Waiting int           // connections that wait
 	Waits   int64         // number of waits since the start
 	Longest time.Duration // longest wait since the start
 }
 
-func newGate(controller *ingress.Controller) *gate {
-	return &gate{epoch: time.Now(), controller: controller, waiters: map[*ingress.Flow]*waiter{}}
+// NewGate returns a Gate for a process that may use a number of processor cores.
+func NewGate(cores float64) *Gate {
+	return &Gate{epoch: time.Now(), controller: ingress.New(cores), waiters: map[*ingress.Flow]*waiter{}}
 }
 
-func (g *gate) now() time.Duration { return time.Since(g.epoch) }
+// ObserveBacklog makes the gate call age for the age of the oldest piece of work that was passed on and is not done. It
+// must be called before the first connection.
+func (g *Gate) ObserveBacklog(age func() time.Duration) { g.backlog = age }
 
-// register adds a flow.
-func (g *gate) register(flow *ingress.Flow) {
+func (g *Gate) now() time.Duration { return time.Since(g.epoch) }
+
+// Register adds a flow.
+func (g *Gate) Register(flow *ingress.Flow) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.controller.Register(g.now(), flow)
 }
 
-// enter waits until a flow may be served, and returns the time that it waited. sparse states that nothing of the flow
-// waited before. enter returns false if the client has gone meanwhile, as gone reports. Otherwise leave must be called
+// Enter waits until a flow may be served, and returns the time that it waited. sparse states that nothing of the flow
+// waited before. Enter returns false if the client has gone meanwhile, as gone reports. Otherwise Leave must be called
 // after the service.
-func (g *gate) enter(flow *ingress.Flow, sparse bool, gone func() bool) (waited time.Duration, ok bool) {
+func (g *Gate) Enter(flow *ingress.Flow, sparse bool, gone func() bool) (waited time.Duration, ok bool) {
 	g.mu.Lock()
 	began := g.now()
 	if g.closed || g.controller.IsLight(began, flow, sparse) {
@@ -80,8 +87,8 @@
 	return waited, w.hasTurn
 }
 
-// leave ends the service of a flow and charges its cost.
-func (g *gate) leave(flow *ingress.Flow, cost float64) {
+// Leave ends the service of a flow and charges its cost.
+func (g *Gate) Leave(flow *ingress.Flow, cost float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.controller.Charge(g.now(), flow, cost)
@@ -92,7 +99,7 @@
 }
 
 // advance begins the next turn if it is due, or sets the timer. The caller must hold g.mu.
-func (g *gate) advance() {
+func (g *Gate) advance() {
 	load := ingress.Load{Now: g.now(), CPUTime: cputime.Process()}
 	if g.backlog != nil {
 		load.Backlog = g.backlog()
@@ -113,7 +120,7 @@
 }
 
 // release ends the wait of a flow. The caller must hold g.mu.
-func (g *gate) release(flow *ingress.Flow, hasTurn bool) {
+func (g *Gate) release(flow *ingress.Flow, hasTurn bool) {
 	w := g.waiters[flow]
 	delete(g.waiters, flow)
 	w.hasTurn = hasTurn
@@ -121,7 +128,7 @@
 }
 
 // releaseGone ends the waits of the flows whose clients have gone.
-func (g *gate) releaseGone() {
+func (g *Gate) releaseGone() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for flow, w := range g.waiters {
@@ -136,8 +143,8 @@
 	}
 }
 
-// close lets all flows pass from now on.
-func (g *gate) close() {
+// Close lets all flows pass from now on.
+func (g *Gate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.closed = true
@@ -147,8 +154,9 @@
 	}
 }
 
-func (g *gate) state() GateState {
+// State returns how connections have waited.
+func (g *Gate) State() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return GateState{Waiting: len(g.waiters), Waits: g.waits, Longest: g.longest}
+	return State{Waiting: len(g.waiters), Waits: g.waits, Longest: g.longest}
 }
