--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,8 +126,7 @@
 	defer g.logRecordingError()
 
 	server := g.newServer(g.abortCtx)
-	listener := &limitedListener{Listener: g.options.Tap.Listener(g.options.Listener), open: &g.openConnections,
-		limit: int64(g.options.Config.Gateway.Limits.Connections)}
+	listener := g.newListener()
 	if g.options.CachedEndpoints != nil {
 		g.applyWatchEvent(*g.options.CachedEndpoints)
 		g.lastEventAt = time.Time{} // the cached list does not bound the age of workers that are new in the next event
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -6,11 +6,13 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"lupinpond/internal/gateway/invoke"
+	"lupinpond/internal/gateway/turns"
 	"lupinpond/scheduler"
 )
 
@@ -124,6 +126,14 @@
 	return call.Tenant + "\n" + call.Source + "\n" + call.ClientID
 }
 
+// newListener returns the listener for clients: it limits the number of connections and makes them wait for turns.
+func (g *Gateway) newListener() net.Listener {
+	gate := turns.NewGate(float64(runtime.GOMAXPROCS(0)))
+	gate.ObserveBacklog(func() time.Duration { return g.MailboxState().Age })
+	return &limitedListener{Listener: g.options.Tap.Listener(turns.Listen(g.options.Listener, gate)),
+		open: &g.openConnections, limit: int64(g.options.Config.Gateway.Limits.Connections)}
+}
+
 // limitedListener limits the number of open connections: it closes a connection over the limit right after accepting
 // it.
 type limitedListener struct {
--- a/scheduler/ingress/ingress.go
+++ b/scheduler/ingress/ingress.go
@@ -115,10 +115,10 @@
 	return &Controller{utilization: targetUtilization * cores}
 }
 
-// Register opens the account of a new flow. It begins with the largest use with which a flow is served at
-// once, so that clients gain nothing from opening connection after connection.
+// Register opens the account of a new flow. It begins with a use with which the flow is served at once, but
+// not for long, so that clients gain little from opening connection after connection.
 func (c *Controller) Register(now time.Duration, flow *Flow) {
-	flow.usage, flow.updatedAt = c.lightLimit(now), now
+	flow.usage, flow.updatedAt = min(c.lightLimit(now), c.sparseLimit()/2), now
 }
 
 // IsLight reports whether a flow may be served without a turn. sparse states that nothing of it waited
