--- a/cmd/lpctl/main.go
+++ b/cmd/lpctl/main.go
@@ -53,7 +53,7 @@
 	"soak_help": "Run real gateways on loopback through overlapping faults, and check the rules on the sockets' traffic.",
 	"flood_help": "Flood one gateway on loopback, with a part of a core and a memory limit, and measure what usual clients " +
 		"are served meanwhile.",
-	"flood_kinds": "cancelled,unknown_names,repeated_id,health_checks,unread_answers,slow_writers,half_requests," +
+	"flood_kinds": "cancelled,unknown_names,repeated_id,health_checks,new_functions,unread_answers,slow_writers,half_requests," +
 		"many_fields,closed_with_data,mixed",
 	"up_gateways_help": "Number of gateways; the first listens at front.listen of the settings, the others on the " +
 		"ports after it.",
--- a/internal/gateway/core/settings.go
+++ b/internal/gateway/core/settings.go
@@ -53,6 +53,9 @@
 	// drain. It only has an effect if SetWatchLease is used.
 	DrainGrace time.Duration `cbor:"17,keyasint,omitempty"`
 
+	// MaxFunctions is the number of functions that the scheduler keeps state of; 0: no limit.
+	MaxFunctions int `cbor:"18,keyasint,omitempty"`
+
 	// EnforceDeadlines makes the core itself time out attempts at the deadlines of their requests.
 	EnforceDeadlines bool `cbor:"14,keyasint"`
 }
@@ -79,6 +82,7 @@
 	sched.SetLoadPolicy(s.LoadPolicy)
 	sched.SetSlowStart(s.SlowStart)
 	sched.SetDrainGrace(s.DrainGrace)
+	sched.SetMaxFunctions(s.MaxFunctions)
 	if s.SubscribeInterval > 0 {
 		sched.SetSubscribeInterval(s.SubscribeInterval)
 	}
--- a/internal/gateway/platform/config.go
+++ b/internal/gateway/platform/config.go
@@ -104,6 +104,7 @@
 	config.Core = config.Settings.Core(seed)
 	config.Core.EnforceDeadlines = true
 	config.Core.DrainGrace = config.drainGrace()
+	config.Core.MaxFunctions = max(1, int(config.Memory/functionMemoryDivisor/bytesPerFunction))
 	if len(config.Core.Types) == 0 {
 		return Config{}, errors.New("settings: request_classes: there is none")
 	}
--- a/internal/gateway/platform/limits.go
+++ b/internal/gateway/platform/limits.go
@@ -46,6 +46,12 @@
 	// bytesPerRecentID limits a generation of recent request IDs to one ID per 1024 bytes of the memory limit.
 	bytesPerRecentID = 1024
 
+	// functionMemoryDivisor limits the state of functions, whose names clients choose, to 1/16 of the memory limit.
+	functionMemoryDivisor = 16
+
+	// bytesPerFunction is the memory of the state of a function.
+	bytesPerFunction = 512
+
 	// goMemoryDivisor limits the Go heap to 1/2 of the memory limit. The rest is for the program's code, stacks, and
 	// other memory that the system attributes to the process.
 	goMemoryDivisor = 2
--- a/internal/testbed/flood/flood.go
+++ b/internal/testbed/flood/flood.go
@@ -27,6 +27,7 @@
 	UnknownNames    Kind = "unknown_names"    // classes and tenants that do not exist, always new
 	RepeatedID      Kind = "repeated_id"      // one ID again and again
 	HealthChecks    Kind = "health_checks"    // alive
+	NewFunctions    Kind = "new_functions"    // short requests for functions that are always new, as many as may be open
 	UnreadAnswers   Kind = "unread_answers"   // requests with bodies of the maximum size, whose answers are not read
 	SlowWriters     Kind = "slow_writers"     // a request with a large body, written slowly
 	HalfRequests    Kind = "half_requests"    // the first half of a request with a large body
@@ -37,7 +38,7 @@
 
 // FastKinds returns the kinds of floods that are sent at full speed on a few connections.
 func FastKinds() []Kind {
-	return []Kind{Cancelled, UnknownNames, RepeatedID, HealthChecks, UnreadAnswers}
+	return []Kind{Cancelled, UnknownNames, RepeatedID, HealthChecks, NewFunctions, UnreadAnswers}
 }
 
 const (
@@ -53,6 +54,9 @@
 	// manyFields is the number of fields in a request with many short fields.
 	manyFields = 1500
 
+	// shortWait is the time limit of requests for new functions.
+	shortWait = 20 * time.Millisecond
+
 	// slowChunkBytes is the number of bytes that a slow writer writes at a time.
 	slowChunkBytes = 512
 
@@ -134,7 +138,7 @@
 	if kind == MixedConnection {
 		kind = []Kind{SlowWriters, HalfRequests, ManyFields, UnreadAnswers}[index%4]
 	}
-	if kind != UnreadAnswers {
+	if kind != UnreadAnswers && kind != NewFunctions {
 		go func() { _, _ = io.Copy(io.Discard, conn) }() // ends when the connection is closed
 	}
 	switch kind {
@@ -156,11 +160,32 @@
 		client.hold(ctx)
 	case ClosedWithData:
 		client.closeWithData()
+	case NewFunctions:
+		for client.callNewFunctions() {
+		}
 	default:
 		client.writeAtFullSpeed(kind)
 	}
 }
 
+// callNewFunctions sends as many requests as may be open, each for a new function, and waits for the answers.
+func (c *client) callNewFunctions() bool {
+	var frames []byte
+	for range openRequests {
+		c.seqID++
+		frames = append(frames, c.encode(c.flood.options.Class, c.newID(), c.newID(), shortWait, 0)...)
+	}
+	if !c.write(frames) {
+		return false
+	}
+	for range openRequests {
+		if _, err := thrift.ReadMessage(c.conn, maxAnswerBytes); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // client is one connection of a flood.
 type client struct {
 	flood  *Flood
@@ -249,9 +274,14 @@
 // requestOf returns the frame of a request. more holds alternating names and values of further fields.
 func (c *client) requestOf(class, id, function string, bodyBytes int, more ...string) []byte {
 	c.seqID++
+	return c.encode(class, id, function, c.flood.options.Wait, bodyBytes, more...)
+}
+
+// encode returns the frame of a request with the latest sequence ID.
+func (c *client) encode(class, id, function string, wait time.Duration, bodyBytes int, more ...string) []byte {
 	w := thrift.NewWriter("dispatch", thrift.Call, c.seqID)
 	fields := []string{"class", class, "id", id, "key", function,
-		"wait", strconv.FormatInt(c.flood.options.Wait.Milliseconds(), 10)}
+		"wait", strconv.FormatInt(wait.Milliseconds(), 10)}
 	w.StringMap(1, append(fields, more...)...)
 	w.Binary(2, make([]byte, bodyBytes))
 	return w.Frame()
--- a/scheduler/function.go
+++ b/scheduler/function.go
@@ -22,6 +22,7 @@
 	runTimes          window.MovingAverage
 	arrivals          *window.Window
 	arrivalsSinceTick int
+	lastArrival       time.Duration
 	nextTick          time.Duration
 	queriedWorker     *worker // the worker that the last replica query for it was sent to
 	active            bool    // it is in Scheduler.activeFunctions
@@ -46,6 +47,7 @@
 	f := s.functions[request.Function]
 	if f == nil {
 		s.removeIdleFunctions(now)
+		s.evictFunctions()
 		f = &function{
 			id:       request.Function,
 			tenant:   request.Tenant,
@@ -72,6 +74,40 @@
 	s.functionsAfterCleanup = len(s.functions)
 }
 
+// SetMaxFunctions sets the number of functions that the scheduler keeps; 0: no limit. Functions with requests
+// that are queued or in flight are kept beyond it.
+func (s *Scheduler) SetMaxFunctions(limit int) { s.maxFunctions = limit }
+
+// evictFunctions makes room for a new function once there are as many as may be kept: it forgets a part of
+// the functions without requests, first those that no replica is assumed of, the least recently called first.
+func (s *Scheduler) evictFunctions() {
+	if s.maxFunctions == 0 || len(s.functions) < s.maxFunctions {
+		return
+	}
+	var evictable []*function
+	for _, f := range s.functions {
+		if f.isUnused() {
+			evictable = append(evictable, f)
+		}
+	}
+	slices.SortFunc(evictable, func(a, b *function) int {
+		return cmp.Or(
+			cmp.Compare(min(len(a.replicaSets), 1), min(len(b.replicaSets), 1)),
+			cmp.Compare(a.lastArrival, b.lastArrival),
+			cmp.Compare(a.id, b.id))
+	})
+	count := max(len(s.functions)-s.maxFunctions+1, s.maxFunctions/evictedFunctionsDivisor)
+	for _, f := range evictable[:min(count, len(evictable))] {
+		delete(s.functions, f.id)
+	}
+}
+
+// isUnused reports whether no request of the function is queued or in flight.
+func (f *function) isUnused() bool {
+	return !f.active && len(f.queue) == 0 &&
+		!slices.ContainsFunc(f.replicaSets, func(r *replicaSet) bool { return r.inFlight > 0 })
+}
+
 // expireAssumptions resets the assumed state of replicas once its time has passed, and removes empty replica
 // sets.
 func (s *Scheduler) expireAssumptions(f *function, now time.Duration) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 
 	// Functions.
 	functions             map[uint64]*function
+	maxFunctions          int         // functions that are kept; 0: no limit
 	functionsAfterCleanup int         // number of functions after the last removal of idle ones
 	activeFunctions       []*function // functions with queued requests
 	rebalanceCandidates   []*function // functions whose first replica may belong on another worker
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -46,6 +46,7 @@
 	age := stats.maxTimeLeft - request.TimeLeft // how long its client has waited or tried other gateways
 	request.objectiveDeadline = now + stats.Objective - age
 
+	f.lastArrival = now
 	f.arrivals.Add(now, 1)
 	s.arrivals.Add(now, 1)
 	if now >= s.nextPlacementEstimate {
--- a/scheduler/tuning.go
+++ b/scheduler/tuning.go
@@ -42,6 +42,10 @@
 	// trafficWindow is the period over which arrivals, quotas and retries are counted.
 	trafficWindow = 5 * time.Second
 
+	// evictedFunctionsDivisor: once there are as many functions as may be kept, 1 / evictedFunctionsDivisor of
+	// them are forgotten at a time.
+	evictedFunctionsDivisor = 8
+
 	// arrivalWindows: the arrivals of a function are counted over arrivalWindows * trafficWindow.
 	arrivalWindows = 4
 )
