--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -26,6 +26,7 @@
 		{"replace a worker", 4, (*run).replaceWorker},
 		{"replace many workers", 1, (*run).replaceMany},
 		{"drain under a pause", 2, atGateway((*run).drainUnderPause)},
+		{"take over an address", 3, (*run).takeOverAddress},
 		{"worker misbehaves", 5, (*run).makeWorkerMisbehave},
 		{"worker connections", 3, (*run).resetWorkerConnections},
 		{"late connections", 3, (*run).delayWorkerConnections},
--- a/internal/testbed/soak/worker.go
+++ b/internal/testbed/soak/worker.go
@@ -104,6 +104,13 @@
 	w.done.Wait()
 }
 
+// vanish makes the worker silent, like a machine that has lost its network: connections stay open, and its address is
+// free for another process.
+func (w *worker) vanish() {
+	w.setMisbehavior(misbehavior{silent: true})
+	w.listener.Close()
+}
+
 func (w *worker) resetConns() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/testbed/soak/workerfaults.go
+++ b/internal/testbed/soak/workerfaults.go
@@ -8,6 +8,9 @@
 	"lupinpond/internal/gateway/discovery"
 )
 
+// takeOverDelay is the time after which gateways are told that another worker is at the address of one that has gone.
+const takeOverDelay = 500 * time.Millisecond
+
 // pauseLead is the time between the start of a gateway's pause and the start of the drains in it.
 const pauseLead = 50 * time.Millisecond
 
@@ -56,6 +59,31 @@
 	}
 }
 
+// takeOverAddress makes a worker fall silent with its connections open, starts another one at its address at once, and
+// publishes both some time later.
+func (r *run) takeOverAddress(ctx context.Context, random *rand.Rand) {
+	silenced := r.randomWorkers(random, 1)
+	if len(silenced) == 0 {
+		return
+	}
+	old := silenced[0]
+	old.vanish()
+	r.mu.Lock()
+	name := r.nextWorkerName()
+	r.mu.Unlock()
+	successor, err := r.newWorker(name, old.endpoint.Addr, random.IntN(zones), time.Time{}, random.Uint64())
+	if err != nil {
+		r.logf("%v", err) // the address may be in use
+	}
+	sleep(ctx, takeOverDelay)
+	r.publishState(silenced, discovery.Removed)
+	if successor != nil {
+		r.publishNew(successor)
+	}
+	sleep(ctx, randomDuration(random, 0, 2*time.Second))
+	old.crash()
+}
+
 // makeWorkerMisbehave makes a worker hang, be slow, fail or reject requests, corrupt or duplicate its answers, or reset
 // connections for a random time.
 func (r *run) makeWorkerMisbehave(ctx context.Context, random *rand.Rand) {
--- a/internal/testbed/soak/workers.go
+++ b/internal/testbed/soak/workers.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// publishNew publishes a worker that has been started.
+func (r *run) publishNew(w *worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.workers = append(r.workers, w)
+	r.discovery.Publish([]discovery.Endpoint{w.endpoint})
+}
+
 // addWorker starts a worker and publishes it. If name or addr is empty, a new one is chosen. A cold worker has just
 // started, any other one long ago.
 func (r *run) addWorker(random *rand.Rand, name, addr string, cold bool) {
