gateway: names of the field, dispatch in short functions

Reserve, rejection, SubmitLater, closedByClient in place of words that were withdrawn; dispatch is split by what it does. The limit of functions is derived where the engine starts instead of in the parsed configuration.

The field has to be in the settings: a recording is replayed with them. The golden values gain the new field's 0, all others are as they were.

--- a/cmd/gateway/flood_test.go
+++ b/cmd/gateway/flood_test.go
@@ -81,7 +81,7 @@
 // read their answers, or are closed with much unread.
 func TestUsualClientsServedBesideManyConnections(t *testing.T) {
 	program := buildGateway(t)
-	for i, crowd := range []struct {
+	for i, test := range []struct {
 		kind        flood.Kind
 		connections int
 		statedCores float64
@@ -91,9 +91,9 @@
 		{flood.ClosedWithData, 100, 0},
 		{flood.Cancelled, 8, 1},
 	} {
-		t.Run(string(crowd.kind), func(t *testing.T) {
-			scenario := flood.Scenario{Program: program, Kind: crowd.kind, Connections: crowd.connections, Cores: 0.4,
-				StatedCores: crowd.statedCores, MemoryMB: 32, Seed: uint64(i)}
+		t.Run(string(test.kind), func(t *testing.T) {
+			scenario := flood.Scenario{Program: program, Kind: test.kind, Connections: test.connections, Cores: 0.4,
+				StatedCores: test.statedCores, MemoryMB: 32, Seed: uint64(i)}
 			checkFlood(t, scenario, playFlood(t, scenario))
 		})
 	}
--- a/internal/gateway/platform/config.go
+++ b/internal/gateway/platform/config.go
@@ -104,7 +104,6 @@
 	config.Core = config.Settings.Core(seed)
 	config.Core.EnforceDeadlines = true
 	config.Core.DrainGrace = config.drainGrace()
-	config.Core.MaxFunctions = max(1, int(config.Memory/functionMemoryDivisor/bytesPerFunction))
 	if len(config.Core.Types) == 0 {
 		return Config{}, errors.New("settings: request_classes: there is none")
 	}
@@ -128,6 +127,13 @@
 	return ages, longest
 }
 
+// core returns the settings of the core, within the memory limit.
+func (c Config) core() core.Settings {
+	settings := c.Core
+	settings.MaxFunctions = max(1, int(c.Memory/functionMemoryDivisor/bytesPerFunction))
+	return settings
+}
+
 // idRetention returns how long the ID of a request must be known after its last use: until no client may send the
 // request again and no worker would recognise it.
 func (c Config) idRetention(longestMaxAge time.Duration) time.Duration {
--- a/internal/gateway/platform/dispatch.go
+++ b/internal/gateway/platform/dispatch.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -14,7 +15,7 @@
 func (g *Gateway) handle(conn *thrift.Conn, message thrift.Message) {
 	args, err := thrift.ReadArgs(message.Args)
 	reject := func(code thrift.ExceptionCode, reason string) {
-		g.countRefusal(conn, ofException(code))
+		g.countRejection(conn, ofException(code))
 		conn.Send(thrift.EncodeException(message.Name, message.SeqID, code, reason))
 		conn.Close()
 	}
@@ -32,8 +33,8 @@
 	}
 }
 
-// dispatch submits a client's request to the event loop. It answers the request immediately if it is invalid or if its
-// body would exceed the memory for the bodies of requests in flight.
+// dispatch submits a client's request to the event loop. It answers the request immediately if it is invalid or if there
+// is no memory for it.
 func (g *Gateway) dispatch(conn *thrift.Conn, message thrift.Message, args thrift.Args,
 	reject func(thrift.ExceptionCode, string)) {
 	seqID := message.SeqID
@@ -53,55 +54,79 @@
 		reject(thrift.BadSequenceID, "a number that is not new, or too many requests at a time")
 		return
 	}
-	invalid := func(refusal refusal, reason string) {
-		g.countRefusal(conn, refusal)
-		conn.Reply(seqID, thrift.EncodeException(methodDispatch, seqID, thrift.InternalError, reason))
+	size := memoryPerRequest + len(message.Args) // the body refers to the message
+	if err == nil {
+		err = g.reserve(conn, decoded.numericID, size)
 	}
 	if err != nil {
-		invalid(invalidRequest, err.Error())
+		conn.Reply(seqID, g.encodeRejection(conn, seqID, err))
 		return
 	}
-	throttle := func() {
-		g.countRefusal(conn, noMemory)
-		conn.Reply(seqID, encodeException(seqID, resultThrottled))
-	}
-	readAt := time.Now()
-	switch g.recentIDs.add(decoded.numericID, readAt) { // each request has a unique ID, even a client's retry
+	g.submitLater(conn, seqID, request, decoded.numericID, size)
+}
+
+// Errors of requests that are valid.
+var (
+	errRepeatedID = errors.New("an event of this id came before")
+	errNoMemory   = errors.New("no memory for the request")
+)
+
+// reserve reserves memory for a request and adds its ID to the recent ones: each request has a unique ID, even a
+// client's retry.
+func (g *Gateway) reserve(conn *thrift.Conn, id uint64, size int) error {
+	switch g.recentIDs.add(id, time.Now()) {
 	case idKnown:
-		invalid(repeatedID, "an event of this id came before")
-		return
+		return errRepeatedID
 	case idsFull:
-		throttle()
-		return
+		return errNoMemory
 	}
-	size := memoryPerRequest + len(message.Args) // the body refers to the message
-	if !conn.HoldMemory(size) {
-		g.recentIDs.remove(decoded.numericID)
-		throttle()
-		return
+	if !conn.ReserveMemory(size) {
+		g.recentIDs.remove(id)
+		return errNoMemory
 	}
+	return nil
+}
+
+// encodeRejection counts a request that is not submitted, and encodes the answer to it.
+func (g *Gateway) encodeRejection(conn *thrift.Conn, seqID int32, err error) []byte {
+	reason := invalidRequest
+	switch {
+	case errors.Is(err, errNoMemory):
+		g.countRejection(conn, noMemory)
+		return encodeException(seqID, resultThrottled)
+	case errors.Is(err, errRepeatedID):
+		reason = repeatedID
+	}
+	g.countRejection(conn, reason)
+	return thrift.EncodeException(methodDispatch, seqID, thrift.InternalError, err.Error())
+}
+
+// submitLater submits a request once what its client has sent after it is read. When the request is done, its memory is
+// released, and its ID is forgotten if it can't have run.
+func (g *Gateway) submitLater(conn *thrift.Conn, seqID int32, request *gateway.Request, id uint64, size int) {
 	discard := func() {
 		conn.ReleaseMemory(size)
-		g.recentIDs.remove(decoded.numericID)
+		g.recentIDs.remove(id)
 	}
 	request.Done = func() {
 		if request.WasSent() {
 			conn.ReleaseMemory(size)
-			g.recentIDs.add(decoded.numericID, time.Now()) // its retention time begins again
+			g.recentIDs.add(id, time.Now()) // its retention time begins again
 		} else {
 			discard()
 		}
 		conn.Release()
 	}
 	request.ReadDelay = conn.Delay()
-	conn.Stage(seqID, func() {
+	readAt := time.Now()
+	conn.SubmitLater(seqID, func() {
 		request.ReadDelay += time.Since(readAt)
 		g.Submit(request)
 	}, discard)
 }
 
-// countRefusal counts a refused message, also to the account of its connection.
-func (g *Gateway) countRefusal(conn *thrift.Conn, reason refusal) {
-	g.refusalCounts[reason].Add(1)
-	conn.CountRefusal()
+// countRejection counts a refused message, also to the account of its connection.
+func (g *Gateway) countRejection(conn *thrift.Conn, reason rejection) {
+	g.rejectionCounts[reason].Add(1)
+	conn.CountRejection()
 }
--- a/internal/gateway/platform/engine.go
+++ b/internal/gateway/platform/engine.go
@@ -38,7 +38,7 @@
 	e.monitor = invariant.NewMonitor(e.log)
 	e.transport = newWorkerTransport(config, resp.NewPool(e.workCtx, config.poolLimits()), e.monitor)
 	e.EventLoop = gateway.NewEventLoop(gateway.EventLoopOptions{
-		Core:         config.Core,
+		Core:         config.core(),
 		Transport:    e.transport,
 		Record:       record,
 		LoadTimeout:  config.Core.LoadPolicy.RequestTimeout,
--- a/internal/gateway/platform/gateway.go
+++ b/internal/gateway/platform/gateway.go
@@ -28,7 +28,7 @@
 	draining        atomic.Bool // the gateway is draining and reports to clients that it is not ready
 	recentIDs       recentIDs
 	closeCounts     closeCounts
-	refusalCounts   refusalCounts
+	rejectionCounts rejectionCounts
 	droppedLogLines func() int64 // see Options.DroppedLogLines; may be nil
 }
 
--- a/internal/gateway/platform/golden_test.go
+++ b/internal/gateway/platform/golden_test.go
@@ -40,7 +40,7 @@
 	"request_classes.2.window:5 request_classes.count:3 rules.cold_from:0.2 rules.fall:1 rules.fall_multiple:2.5 " +
 	"rules.must_ask_in:12 rules.stop_sending_within:0.5 rules.warm_after:17 weight_source:nominal] " +
 	"{10096842570142050660 0 1 1ms [{call 0 2 0s 1s} {pay 2 2 0s 1s} {keyed 1 1 5s 1s}] [{acme 100}] 3 true true 2s " +
-	"{true true 5s 4s 10s 20 0.1} {0.2 17s 2.5 1s} 12s [{k 1000}] z 500ms true}} " +
+	"{true true 5s 4s 10s 20 0.1} {0.2 17s 2.5 1s} 12s [{k 1000}] z 500ms 0 true}} " +
 	"1 {true [{w 127.0.0.1:7000 z k 3 up 4 0}]}"
 
 // A configuration that has every key must be parsed to the golden values.
--- a/internal/gateway/platform/metrics.go
+++ b/internal/gateway/platform/metrics.go
@@ -89,9 +89,9 @@
 
 // collectLoad sends the metrics of what waits in the process, of what was refused and of memory.
 func (c collector) collectLoad(sink metricSink, s status, stats *gateway.Stats) {
-	for reason := range c.gateway.refusalCounts {
+	for reason := range c.gateway.rejectionCounts {
 		sink.counter("messages_refused_total", "Clients' messages that were refused when they were read, by reason.",
-			c.gateway.refusalCounts[reason].Load(), "reason", refusal(reason).String())
+			c.gateway.rejectionCounts[reason].Load(), "reason", rejection(reason).String())
 	}
 	sink.counter("stalls_total", "Periods in which the process did not run.", stats.Stalls.Load())
 	sink.gauge("event_loop_messages", "Messages that wait for the event loop.", int64(s.Mailbox.Length))
--- a/internal/gateway/platform/status.go
+++ b/internal/gateway/platform/status.go
@@ -72,9 +72,9 @@
 			closed[thrift.CloseReason(reason).String()] = n
 		}
 	}
-	for reason := range g.refusalCounts {
-		if n := g.refusalCounts[reason].Load(); n > 0 {
-			refused[refusal(reason).String()] = n
+	for reason := range g.rejectionCounts {
+		if n := g.rejectionCounts[reason].Load(); n > 0 {
+			refused[rejection(reason).String()] = n
 		}
 	}
 	for reason := range stats.Unserved {
--- a/internal/gateway/thrift/budget.go
+++ b/internal/gateway/thrift/budget.go
@@ -14,10 +14,10 @@
 
 func newBudget(limit int64) *budget { return &budget{budget: ingress.NewBudget(limit)} }
 
-func (b *budget) hold(account *ingress.Account, bytes int) bool {
+func (b *budget) reserve(account *ingress.Account, bytes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget.Hold(account, int64(bytes))
+	return b.budget.Reserve(account, int64(bytes))
 }
 
 func (b *budget) release(account *ingress.Account, bytes int) {
@@ -26,8 +26,8 @@
 	b.budget.Release(account, int64(bytes))
 }
 
-func (b *budget) held() int64 {
+func (b *budget) reserved() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget.Held()
+	return b.budget.Reserved()
 }
--- a/internal/gateway/thrift/conn.go
+++ b/internal/gateway/thrift/conn.go
@@ -169,7 +169,7 @@
 		return
 	}
 	// A client that has read all earlier answers gets this one in any case.
-	if !c.server.unwritten.hold(&c.writeAccount, len(frame)) {
+	if !c.server.unwritten.reserve(&c.writeAccount, len(frame)) {
 		if c.writing || len(c.outbound) > 0 {
 			c.setCloseReason(ClientNotReading)
 			c.conn.Close()
--- a/internal/gateway/thrift/conn_read.go
+++ b/internal/gateway/thrift/conn_read.go
@@ -87,14 +87,14 @@
 // sent.
 func (c *Conn) readBody(in *bufio.Reader, n int) ([]byte, error) {
 	frame, err := c.readArrivedPart(in, n)
-	held := 0
-	defer func() { c.server.partials.release(&c.partialAccount, held) }()
+	reserved := 0
+	defer func() { c.server.partials.release(&c.partialAccount, reserved) }()
 	for err == nil && len(frame) < n {
 		more := min(n-len(frame), max(len(frame), readBufferBytes))
-		if !c.server.partials.hold(&c.partialAccount, len(frame)+more-held) {
+		if !c.server.partials.reserve(&c.partialAccount, len(frame)+more-reserved) {
 			return nil, errPartialMemory
 		}
-		held = len(frame) + more
+		reserved = len(frame) + more
 		frame = slices.Grow(frame, more)
 		err = c.readFull(in, frame[len(frame):len(frame)+more])
 		frame = frame[:len(frame)+more]
--- a/internal/gateway/thrift/server.go
+++ b/internal/gateway/thrift/server.go
@@ -118,13 +118,13 @@
 func (s *Server) OpenCalls() int64 { return s.openCalls.Load() }
 
 // UnwrittenBytes returns the size of the answers that are not written yet.
-func (s *Server) UnwrittenBytes() int64 { return s.unwritten.held() }
+func (s *Server) UnwrittenBytes() int64 { return s.unwritten.reserved() }
 
 // PartialBytes returns the size of the messages that have been received in part.
-func (s *Server) PartialBytes() int64 { return s.partials.held() }
+func (s *Server) PartialBytes() int64 { return s.partials.reserved() }
 
 // CallBytes returns the size of the calls that are open or not released.
-func (s *Server) CallBytes() int64 { return s.callBytes.held() }
+func (s *Server) CallBytes() int64 { return s.callBytes.reserved() }
 
 // Connections returns the number of connections.
 func (s *Server) Connections() int {
--- a/internal/gateway/thrift/stage.go
+++ b/internal/gateway/thrift/submit.go
@@ -12,18 +12,18 @@
 // hold their cancellation or the end of the connection. A client that cancels its calls at once, or that closes its
 // connection while much is unread, thus causes no work for them.
 const (
-	// maxStageTime is the time after which a call is submitted although the client has sent more than could be read.
-	maxStageTime = 100 * time.Millisecond
+	// maxSubmitDelay is the time after which a call is submitted although the client has sent more than could be read.
+	maxSubmitDelay = 100 * time.Millisecond
 
 	// maxSubmittedShare limits the calls of a connection that are submitted and not released, cancelled ones included, to
 	// this multiple of the calls that may be open.
 	maxSubmittedShare = 2
 )
 
-// Stage makes the connection call submit for an open call once it has read what the client has sent, or discard if the
-// client cancels the call or disconnects before. The call counts as submitted until Release. Stage must be called by the
+// SubmitLater makes the connection call submit for an open call once it has read what the client has sent, or discard if the
+// client cancels the call or disconnects before. The call counts as submitted until Release. SubmitLater must be called by the
 // server's handler.
-func (c *Conn) Stage(seqID int32, submit, discard func()) {
+func (c *Conn) SubmitLater(seqID int32, submit, discard func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	call := c.calls[seqID]
@@ -31,9 +31,11 @@
 	c.staged = append(c.staged, seqID)
 }
 
-// HoldMemory adds the size of a call to the memory that the calls of the connection hold, and returns true, unless they
+// ReserveMemory adds the size of a call to the memory that the calls of the connection hold, and returns true, unless they
 // would hold too much.
-func (c *Conn) HoldMemory(bytes int) bool { return c.server.callBytes.hold(&c.callAccount, bytes) }
+func (c *Conn) ReserveMemory(bytes int) bool {
+	return c.server.callBytes.reserve(&c.callAccount, bytes)
+}
 
 // ReleaseMemory subtracts the size of a call from the memory that the calls of the connection hold.
 func (c *Conn) ReleaseMemory(bytes int) { c.server.callBytes.release(&c.callAccount, bytes) }
@@ -75,7 +77,7 @@
 		c.submitBefore(time.Now())
 		return nil
 	case err == nil:
-		c.submitBefore(time.Now().Add(-maxStageTime))
+		c.submitBefore(time.Now().Add(-maxSubmitDelay))
 	}
 	return err
 }
--- a/internal/gateway/thrift/stage_test.go
+++ b/internal/gateway/thrift/submit_test.go
@@ -47,7 +47,7 @@
 			s.conns <- c
 			s.submitted <- m.SeqID
 		}
-		c.Stage(m.SeqID, submit, func() { s.discarded <- m.SeqID })
+		c.SubmitLater(m.SeqID, submit, func() { s.discarded <- m.SeqID })
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/gateway/thrift/turn.go
+++ b/internal/gateway/thrift/turn.go
@@ -77,6 +77,6 @@
 	return time.Since(c.behindSince)
 }
 
-// CountRefusal adds the cost of a refusal to the message that is being handled. It must be called by the server's
+// CountRejection adds the cost of a rejection to the message that is being handled. It must be called by the server's
 // handler.
-func (c *Conn) CountRefusal() { c.cost += ingress.RefusalCost }
+func (c *Conn) CountRejection() { c.cost += ingress.RejectionCost }
--- a/internal/gateway/turns/gate.go
+++ b/internal/gateway/turns/gate.go
@@ -10,29 +10,29 @@
 	"lupinpond/scheduler/ingress"
 )
 
-// goneCheckInterval is the time between two checks whether the clients of waiting connections have gone.
-const goneCheckInterval = 50 * time.Millisecond
+// closedCheckInterval is the time between two checks whether the clients of waiting connections have gone.
+const closedCheckInterval = 50 * time.Millisecond
 
 // Gate makes connections wait before they handle what they have read, as an ingress.Controller decides.
 type Gate struct {
 	epoch   time.Time
 	backlog func() time.Duration // age of the oldest message that waits for the handler's work; may be nil
 
-	mu         sync.Mutex
-	controller *ingress.Controller
-	waiters    map[*ingress.Flow]*waiter
-	turnTimer  *time.Timer // calls advance
-	goneTimer  *time.Timer // calls releaseGone, while there are waiters
-	closed     bool        // nobody waits any more
-	waits      int64
-	longest    time.Duration
+	mu          sync.Mutex
+	controller  *ingress.Controller
+	waiters     map[*ingress.Flow]*waiter
+	turnTimer   *time.Timer // calls advance
+	closedTimer *time.Timer // calls releaseClosed, while there are waiters
+	closed      bool        // nobody waits any more
+	waits       int64
+	longest     time.Duration
 }
 
 // waiter is a connection that waits for its turn.
 type waiter struct {
-	gone     func() bool   // reports whether the client has gone
-	released chan struct{} // closed when the wait is over
-	hasTurn  bool          // set before released is closed, if the turn has begun
+	closedByClient func() bool   // reports whether the client has closed the connection
+	released       chan struct{} // closed when the wait is over
+	hasTurn        bool          // set before released is closed, if the turn has begun
 }
 
 // State describes how connections have waited for their turns.
@@ -61,21 +61,21 @@
 }
 
 // Enter waits until a flow may be served, and returns the time that it waited. sparse states that nothing of the flow
-// waited before. Enter returns false if the client has gone meanwhile, as gone reports. Otherwise Leave must be called
+// waited before. Enter returns false if the client has gone meanwhile, as closedByClient reports. Otherwise Leave must be called
 // after the service.
-func (g *Gate) Enter(flow *ingress.Flow, sparse bool, gone func() bool) (waited time.Duration, ok bool) {
+func (g *Gate) Enter(flow *ingress.Flow, sparse bool, closedByClient func() bool) (waited time.Duration, ok bool) {
 	g.mu.Lock()
 	began := g.now()
 	if g.closed || g.controller.IsLight(began, flow, sparse) {
 		g.mu.Unlock()
 		return 0, true
 	}
-	w := &waiter{gone: gone, released: make(chan struct{})}
+	w := &waiter{closedByClient: closedByClient, released: make(chan struct{})}
 	g.waiters[flow] = w
 	g.controller.Wait(flow)
 	g.advance()
-	if g.goneTimer == nil {
-		g.goneTimer = time.AfterFunc(goneCheckInterval, g.releaseGone)
+	if g.closedTimer == nil {
+		g.closedTimer = time.AfterFunc(closedCheckInterval, g.releaseClosed)
 	}
 	g.mu.Unlock()
 	<-w.released
@@ -127,19 +127,19 @@
 	close(w.released)
 }
 
-// releaseGone ends the waits of the flows whose clients have gone.
-func (g *Gate) releaseGone() {
+// releaseClosed ends the waits of the flows whose clients have gone.
+func (g *Gate) releaseClosed() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for flow, w := range g.waiters {
-		if w.gone() {
+		if w.closedByClient() {
 			g.controller.Leave(flow)
 			g.release(flow, false)
 		}
 	}
-	g.goneTimer = nil
+	g.closedTimer = nil
 	if len(g.waiters) > 0 {
-		g.goneTimer = time.AfterFunc(goneCheckInterval, g.releaseGone)
+		g.closedTimer = time.AfterFunc(closedCheckInterval, g.releaseClosed)
 	}
 }
 
--- a/internal/testbed/flood/clients.go
+++ b/internal/testbed/flood/clients.go
@@ -32,22 +32,22 @@
 
 // Result is what the usual clients have seen.
 type Result struct {
-	Sent    int
-	Served  int // answered with success within the time limit and the slack
-	Refused int // answered otherwise, in time
-	Late    int // answered after the time limit and the slack, or not at all
-	Closed  int // without an answer when the gateway closed the connection
-	Median  time.Duration
-	P99     time.Duration
-	Longest time.Duration // longest time to an answer
+	Sent     int
+	Served   int // answered with success within the time limit and the slack
+	Rejected int // answered otherwise, in time
+	Late     int // answered after the time limit and the slack, or not at all
+	Closed   int // without an answer when the gateway closed the connection
+	Median   time.Duration
+	P99      time.Duration
+	Longest  time.Duration // longest time to an answer
 }
 
 // ServedShare returns the share of requests that were served, from 0 to 1.
 func (r Result) ServedShare() float64 { return float64(r.Served) / float64(max(1, r.Sent)) }
 
 func (r Result) String() string {
-	return fmt.Sprintf("sent %d, served %.3f, refused %d, late %d, closed %d, median %v, p99 %v, longest %v", r.Sent,
-		r.ServedShare(), r.Refused, r.Late, r.Closed, r.Median.Round(time.Millisecond), r.P99.Round(time.Millisecond),
+	return fmt.Sprintf("sent %d, served %.3f, rejected %d, late %d, closed %d, median %v, p99 %v, longest %v", r.Sent,
+		r.ServedShare(), r.Rejected, r.Late, r.Closed, r.Median.Round(time.Millisecond), r.P99.Round(time.Millisecond),
 		r.Longest.Round(time.Millisecond))
 }
 
@@ -130,7 +130,7 @@
 		case request.served:
 			result.Served++
 		default:
-			result.Refused++
+			result.Rejected++
 		}
 	}
 	if len(durations) > 0 {
--- a/internal/testbed/flood/flood.go
+++ b/internal/testbed/flood/flood.go
@@ -69,8 +69,8 @@
 	// slowRedialInterval is the time between two connections of a client of a slow kind.
 	slowRedialInterval = 500 * time.Millisecond
 
-	// holdTime is how long a slow connection that has written all of its bytes stays open, unless the gateway closes it.
-	holdTime = 5 * time.Second
+	// slowConnLifetime is how long a slow connection that has written all of its bytes stays open, unless the gateway closes it.
+	slowConnLifetime = 5 * time.Second
 )
 
 // Options are the parameters of a flood.
@@ -147,7 +147,7 @@
 	case HalfRequests:
 		frame := client.request(client.newID(), largeBodyBytes)
 		client.write(frame[:len(frame)/2])
-		client.hold(ctx)
+		client.stayOpen(ctx)
 	case ManyFields:
 		for client.write(client.requestWithManyFields()) && f.options.Kind == ManyFields {
 		}
@@ -157,7 +157,7 @@
 			frames = append(frames, client.request(client.newID(), largeBodyBytes)...)
 		}
 		client.write(frames)
-		client.hold(ctx)
+		client.stayOpen(ctx)
 	case ClosedWithData:
 		client.closeWithData()
 	case NewFunctions:
@@ -200,11 +200,11 @@
 	return err == nil
 }
 
-// hold keeps the connection open and silent.
-func (c *client) hold(ctx context.Context) {
+// stayOpen keeps the connection open and silent.
+func (c *client) stayOpen(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(holdTime):
+	case <-time.After(slowConnLifetime):
 	}
 }
 
--- a/scheduler/ingress/budget.go
+++ b/scheduler/ingress/budget.go
@@ -7,20 +7,20 @@
 // remains free: the more accounts hold memory, the less each of them may hold, and one that holds little
 // always finds some. It is not safe for concurrent use.
 type Budget struct {
-	limit int64
-	held  int64
+	limit    int64
+	reserved int64
 }
 
 // Account is the memory that one connection holds of a Budget. Its zero value is ready for use.
-type Account struct{ held int64 }
+type Account struct{ reserved int64 }
 
 // NewBudget returns a Budget of a number of bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
-// Hold adds bytes to those that an account holds, and returns true, unless that is more than it may hold.
-func (b *Budget) Hold(account *Account, bytes int64) bool {
-	free := b.limit - b.held - bytes
-	if float64(account.held+bytes) > shareOfFree*float64(free) {
+// Reserve adds bytes to those that an account holds, and returns true, unless that is more than it may hold.
+func (b *Budget) Reserve(account *Account, bytes int64) bool {
+	free := b.limit - b.reserved - bytes
+	if float64(account.reserved+bytes) > shareOfFree*float64(free) {
 		return false
 	}
 	b.Release(account, -bytes)
@@ -29,9 +29,9 @@
 
 // Release subtracts bytes from those that an account holds.
 func (b *Budget) Release(account *Account, bytes int64) {
-	account.held -= bytes
-	b.held -= bytes
+	account.reserved -= bytes
+	b.reserved -= bytes
 }
 
-// Held returns the bytes that all accounts hold.
-func (b *Budget) Held() int64 { return b.held }
+// Reserved returns the bytes that all accounts hold.
+func (b *Budget) Reserved() int64 { return b.reserved }
--- a/scheduler/ingress/budget_test.go
+++ b/scheduler/ingress/budget_test.go
@@ -14,18 +14,18 @@
 		const limit = 1 << 20
 		budget := ingress.NewBudget(limit)
 		accounts := make([]ingress.Account, rapid.IntRange(1, 50).Draw(t, "accounts"))
-		held := make([]int64, len(accounts))
+		reserved := make([]int64, len(accounts))
 		for range 300 {
 			i, bytes := rapid.IntRange(0, len(accounts)-1).Draw(t, "account"), rapid.Int64Range(0, 20<<10).Draw(t, "bytes")
 			switch {
 			case rapid.IntRange(0, 3).Draw(t, "action") == 0:
-				budget.Release(&accounts[i], held[i])
-				held[i] = 0
-			case budget.Hold(&accounts[i], bytes):
-				held[i] += bytes
+				budget.Release(&accounts[i], reserved[i])
+				reserved[i] = 0
+			case budget.Reserve(&accounts[i], bytes):
+				reserved[i] += bytes
 			}
-			if budget.Held() > limit {
-				t.Fatalf("%d bytes are held, the limit is %d", budget.Held(), limit)
+			if budget.Reserved() > limit {
+				t.Fatalf("%d bytes are reserved, the limit is %d", budget.Reserved(), limit)
 			}
 		}
 	})
@@ -39,10 +39,10 @@
 		accounts := make([]ingress.Account, count)
 		for range 1000 {
 			for i := range accounts {
-				budget.Hold(&accounts[i], 1<<10)
+				budget.Reserve(&accounts[i], 1<<10)
 			}
 		}
-		if !budget.Hold(&small, 3<<10) {
+		if !budget.Reserve(&small, 3<<10) {
 			t.Errorf("%d greedy accounts: a small one gets no memory", count)
 		}
 	}
--- a/scheduler/ingress/ingress.go
+++ b/scheduler/ingress/ingress.go
@@ -65,9 +65,9 @@
 	// kilobyteCost is the additional cost of 1024 bytes.
 	kilobyteCost = 0.25
 
-	// RefusalCost is the additional cost of a message that is refused. A client that keeps to the
+	// RejectionCost is the additional cost of a message that is refused. A client that keeps to the
 	// protocol causes few.
-	RefusalCost = 3
+	RejectionCost = 3
 )
 
 // BytesCost returns the cost of the bytes of a read.
