--- a/internal/gateway/platform/status.go
+++ b/internal/gateway/platform/status.go
@@ -66,23 +66,18 @@
 		level = slog.LevelError
 	}
 	s, stats := g.status(), g.Stats()
-	closed, unserved, refused := map[string]int64{}, map[string]int64{}, map[string]int64{}
+	closed, unserved := map[string]int64{}, map[string]int64{}
 	for reason := range g.closeCounts {
 		if n := g.closeCounts[reason].Load(); n > 0 {
 			closed[thrift.CloseReason(reason).String()] = n
 		}
 	}
-	for reason := range g.rejectionCounts {
-		if n := g.rejectionCounts[reason].Load(); n > 0 {
-			refused[rejection(reason).String()] = n
-		}
-	}
 	for reason := range stats.Unserved {
 		if n := stats.Unserved[reason].Load(); n > 0 {
 			unserved[scheduler.Reason(reason).String()] = n
 		}
 	}
-	g.log.Log(context.Background(), level, "status",
+	attributes := []any{
 		"violations", g.monitor.Counts(),
 		"requests", s.Accepted,
 		"completed", s.Completed,
@@ -121,8 +116,22 @@
 		"withheld_loads", stats.WithheldLoads.Load(),
 		"verifications", stats.Verifications.Load(),
 		"replica_queries", stats.ReplicaQueries.Load(),
-		"refused", refused,
-		"stalls", stats.Stalls.Load(),
+	}
+	g.log.Log(context.Background(), level, "status", append(attributes, g.loadAttributes(s)...)...)
+}
+
+// loadAttributes returns the attributes of the status line on what waits in the process, what was rejected when it was
+// read, and memory.
+func (g *Gateway) loadAttributes(s status) []any {
+	rejected := map[string]int64{}
+	for reason := range g.rejectionCounts {
+		if n := g.rejectionCounts[reason].Load(); n > 0 {
+			rejected[rejection(reason).String()] = n
+		}
+	}
+	return []any{
+		"refused", rejected,
+		"stalls", g.Stats().Stalls.Load(),
 		"messages_waiting", s.Mailbox.Length,
 		"messages_age", s.Mailbox.Age.Round(time.Millisecond),
 		"messages_peak", s.Mailbox.PeakLength,
@@ -130,7 +139,8 @@
 		"memory", s.Memory,
 		"turns_waiting", s.Gate.Waiting,
 		"turns_waited", s.Gate.Waits,
-		"turn_wait_peak", s.Gate.Longest.Round(time.Millisecond))
+		"turn_wait_peak", s.Gate.Longest.Round(time.Millisecond),
+	}
 }
 
 // connectionClosed counts, logs and checks the close of a client connection.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,10 +48,10 @@
 // Submit submits a request that has just been read from its connection. Its Reply is called exactly once, unless the
 // client disconnects first.
 func (l *EventLoop) Submit(request *Request) {
-	readAt := l.Now()
-	lag := l.stall.Lag(time.Now())
+	now, readAt := time.Now(), l.Now()
+	lag := l.stall.Lag(now)
 	if lag == 0 {
-		l.submit(request, readAt-request.ReadDelay)
+		l.submit(request, readAt-max(request.ReadDelay, l.stall.Delay(now)))
 		return
 	}
 	// The process was stalled: part of the client's time has already passed, and a disconnect of the client may not have
--- a/internal/gateway/stall/stall.go
+++ b/internal/gateway/stall/stall.go
@@ -34,6 +34,8 @@
 	usedAtTick   time.Duration // processor time that the process had used at the last tick
 	stalledSince time.Time     // last tick before the latest stall
 	settledAt    time.Time     // when data that arrived during the latest stall has been read
+	lateSince    time.Time     // last tick before the latest gap between ticks, with or without a stall
+	lateUntil    time.Time     // when data that arrived during that gap has been read
 }
 
 // Run detects stalls until ctx is done. It always returns nil.
@@ -69,6 +71,7 @@
 	if d.lastTick.IsZero() || gap <= minStall {
 		return
 	}
+	d.lateSince, d.lateUntil = d.lastTick, now.Add(SettleTime)
 	used := d.used()
 	busy := (used - d.usedAtTick) / time.Duration(runtime.GOMAXPROCS(0)) // goroutines run late only if all threads are busy
 	if gap-busy > minStall {
@@ -96,6 +99,18 @@
 	return 0
 }
 
+// Delay returns how long data that is read now may have waited because the process did not run or was busy, or 0 if
+// neither was the case.
+func (d *Detector) Delay(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observeLocked(now)
+	if now.Before(d.lateUntil) {
+		return now.Sub(d.lateSince)
+	}
+	return 0
+}
+
 // StalledSince returns the beginning of the latest stall, or the zero time if there was none.
 func (d *Detector) StalledSince(now time.Time) time.Time {
 	d.mu.Lock()
--- a/internal/gateway/stall/stall_test.go
+++ b/internal/gateway/stall/stall_test.go
@@ -56,6 +56,9 @@
 		if stalled := d.Lag(start.Add(test.gap)) > 0; stalled != test.stalled {
 			t.Errorf("%s: stalled %v, want %v", test.name, stalled, test.stalled)
 		}
+		if delay := d.Delay(start.Add(test.gap)); delay != test.gap {
+			t.Errorf("%s: data may have waited for %v, want %v", test.name, delay, test.gap)
+		}
 		d.observe(start.Add(test.gap))
 		if stalled := !d.StalledSince(start.Add(test.gap)).IsZero(); stalled != test.stalled {
 			t.Errorf("%s: stalled at the tick %v, want %v", test.name, stalled, test.stalled)
