--- a/internal/gateway/thrift/conn.go
+++ b/internal/gateway/thrift/conn.go
@@ -21,7 +21,7 @@
 	inTurn      bool    // the gate has let the connection pass
 	cost        float64 // cost of what has been read and handled in this turn
 	readMode    readMode
-	sparse      bool      // the last read found that all data had been handled
+	sparse      bool      // the last read found that all data had been handled, or nothing has been read
 	behindSince time.Time // since when unread data may have waited for turns of the connection; zero: none has
 	staged      []int32   // sequence IDs of the calls to be submitted
 
@@ -59,6 +59,7 @@
 		peeker:       newPeekConn(conn),
 		calls:        map[int32]*openCall{},
 		done:         make(chan struct{}),
+		sparse:       true,
 		lastActivity: now,
 		acceptedAt:   now,
 	}
--- a/internal/gateway/turns/listener.go
+++ b/internal/gateway/turns/listener.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &turnConn{Socket: NewSocket(conn), gate: l.gate}
+	c := &turnConn{Socket: NewSocket(conn), gate: l.gate, isNew: true}
 	l.gate.Register(&c.flow)
 	return c, nil
 }
@@ -36,6 +36,7 @@
 	flow ingress.Flow
 
 	mu     sync.Mutex
+	isNew  bool // nothing has been read
 	inTurn bool
 	closed bool
 	cost   float64
@@ -44,7 +45,8 @@
 // Read ends the turn of the connection, reads, and waits for a turn.
 func (c *turnConn) Read(b []byte) (int, error) {
 	c.endTurn()
-	sparse := false
+	sparse := c.isNew
+	c.isNew = false
 	n, err := c.ReadNow(b)
 	if errors.Is(err, ErrWouldBlock) {
 		sparse = true
