--- a/internal/gateway/settings/golden_test.go
+++ b/internal/gateway/settings/golden_test.go
@@ -57,7 +57,7 @@
 // The object with every key must result in these settings of a core.
 func TestGoldenCore(t *testing.T) {
 	const want = "{9 1 3 1ms [{a 0 2 0s 1.5s} {b 1 0 5s 2s} {c 1 1 6s 1s} {d 1 2 7s 1s} {e 2 2 0s 1s}] [{x 188}] 6 true " +
-		"true 2s {true false 4.75s 4s 10s 20 0.1} {0.2 17s 2.5 1s} 12s [{fast 1000} {std 2000.5}] north 0s false} sized true"
+		"true 2s {true false 4.75s 4s 10s 20 0.1} {0.2 17s 2.5 1s} 12s [{fast 1000} {std 2000.5}] north 0s 0 false} sized true"
 	if got := formatCoreSettings(golden(t)); got != want {
 		t.Errorf("\n got %s\nwant %s", got, want)
 	}
--- a/internal/gateway/thrift/submit.go
+++ b/internal/gateway/thrift/submit.go
@@ -20,9 +20,9 @@
 	maxSubmittedShare = 2
 )
 
-// SubmitLater makes the connection call submit for an open call once it has read what the client has sent, or discard if the
-// client cancels the call or disconnects before. The call counts as submitted until Release. SubmitLater must be called by the
-// server's handler.
+// SubmitLater makes the connection call submit for an open call once it has read what the client has sent, or discard
+// if the client cancels the call or disconnects before. The call counts as submitted until Release. SubmitLater must be
+// called by the server's handler.
 func (c *Conn) SubmitLater(seqID int32, submit, discard func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -31,8 +31,8 @@
 	c.staged = append(c.staged, seqID)
 }
 
-// ReserveMemory adds the size of a call to the memory that the calls of the connection hold, and returns true, unless they
-// would hold too much.
+// ReserveMemory adds the size of a call to the memory that the calls of the connection hold, and returns true, unless
+// they would hold too much.
 func (c *Conn) ReserveMemory(bytes int) bool {
 	return c.server.callBytes.reserve(&c.callAccount, bytes)
 }
--- a/internal/gateway/turns/gate.go
+++ b/internal/gateway/turns/gate.go
@@ -61,8 +61,8 @@
 }
 
 // Enter waits until a flow may be served, and returns the time that it waited. sparse states that nothing of the flow
-// waited before. Enter returns false if the client has gone meanwhile, as closedByClient reports. Otherwise Leave must be called
-// after the service.
+// waited before. Enter returns false if the client has gone meanwhile, as closedByClient reports. Otherwise Leave must
+// be called after the service.
 func (g *Gate) Enter(flow *ingress.Flow, sparse bool, closedByClient func() bool) (waited time.Duration, ok bool) {
 	g.mu.Lock()
 	began := g.now()
