--- a/internal/testbed/processlimit/processlimit.go
+++ b/internal/testbed/processlimit/processlimit.go
@@ -9,11 +9,11 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/prometheus/procfs"
 	"golang.org/x/sys/unix"
 )
 
@@ -158,17 +158,16 @@
 
 // PeakMemory returns the largest resident memory that a process has had, in bytes. The process must be running.
 func PeakMemory(pid int) (int64, error) {
-	status, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
+	process, err := procfs.NewProc(pid)
 	if err != nil {
 		return 0, err
 	}
-	for line := range strings.Lines(string(status)) {
-		value, found := strings.CutPrefix(line, "VmHWM:")
-		if !found {
-			continue
-		}
-		kilobytes, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 10, 64)
-		return kilobytes << 10, err
+	status, err := process.NewStatus()
+	if err != nil {
+		return 0, err
+	}
+	if status.VmHWM == 0 { // the process has ended, and its parent has not waited for it
+		return 0, fmt.Errorf("process %d has no peak memory in its status", pid)
 	}
-	return 0, fmt.Errorf("process %d has no peak memory in its status", pid)
+	return int64(status.VmHWM), nil
 }
